Add the design page, the package skeleton and the shared modules

Cause: the repository was empty. Ruled out: grpc.aio under trio-asyncio, a second event loop for more CPU per message; an own TCP framing, because grpcio fits long-lived batched streams. Conclusion: a base with fixed interfaces for the remaining parts.

--- /dev/null
+++ b/src/lavenderfold/__init__.py
@@ -0,0 +1,3 @@
+"""A router fleet for prepaid token budgets."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/lavenderfold/http/__init__.py
@@ -0,0 +1,32 @@
+"""HTTP/1.1 on trio: a server for callers and a client towards targets."""
+
+from lavenderfold.http._client import (
+    HttpClient,
+    HttpClientError,
+    RequestNotSentError,
+    ResponseLostError,
+    StreamedResponse,
+)
+from lavenderfold.http._messages import (
+    BodyTooLargeError,
+    HttpRequest,
+    HttpResponse,
+    MalformedRequestError,
+    json_response,
+)
+from lavenderfold.http._server import ResponseWriter, serve
+
+__all__ = [
+    "BodyTooLargeError",
+    "HttpClient",
+    "HttpClientError",
+    "HttpRequest",
+    "HttpResponse",
+    "MalformedRequestError",
+    "RequestNotSentError",
+    "ResponseLostError",
+    "ResponseWriter",
+    "StreamedResponse",
+    "json_response",
+    "serve",
+]
--- /dev/null
+++ b/src/lavenderfold/http/_client.py
@@ -0,0 +1,186 @@
+"""The HTTP client side: pooled connections, h11 for the protocol.
+
+Errors say whether the peer can have seen the request, because only a request
+that was never sent may be repeated when it isn't idempotent.
+"""
+
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import h11
+import trio
+
+from lavenderfold.http._messages import HttpRequest, HttpResponse
+from lavenderfold.settings import Address
+
+RECEIVE_BYTES = 65536
+CONNECT_TIMEOUT_S = 2.0
+IDLE_CONNECTIONS_LIMIT = 32
+
+
+class HttpClientError(Exception):
+    """A request to ``address`` failed."""
+
+    def __init__(self, address: Address, cause: object):
+        super().__init__(f"{address}: {cause}")
+        self.address = address
+
+
+class RequestNotSentError(HttpClientError):
+    """No byte of the request left this process."""
+
+
+class ResponseLostError(HttpClientError):
+    """The request was sent, at least in part, and no whole response came."""
+
+
+class StreamedResponse:
+    """A response whose body is read in parts with ``chunks``."""
+
+    __slots__ = ("status", "headers", "_connection")
+
+    def __init__(self, *, head: h11.Response, connection: "_ClientConnection"):
+        self.status = head.status_code
+        self.headers = [
+            (name.decode("ascii"), value.decode("latin-1"))
+            for name, value in head.headers
+        ]
+        self._connection = connection
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield parts of the body; a cut body raises ResponseLostError."""
+        while True:
+            event = await self._connection.next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise ResponseLostError(self._connection.address, "body was cut")
+
+    async def read(self) -> HttpResponse:
+        """Return the response with its whole body."""
+        parts = [part async for part in self.chunks()]
+        return HttpResponse(
+            status=self.status, headers=self.headers, body=b"".join(parts)
+        )
+
+
+class _ClientConnection:
+    """One connection, used for one request at a time."""
+
+    __slots__ = ("address", "stream", "protocol")
+
+    def __init__(self, *, address: Address, stream: trio.SocketStream):
+        self.address = address
+        self.stream = stream
+        self.protocol = h11.Connection(h11.CLIENT)
+
+    async def send(self, request: HttpRequest) -> None:
+        headers = [
+            ("host", str(self.address)),
+            *request.headers,
+            ("content-length", str(len(request.body))),
+        ]
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        events = (head, h11.Data(data=request.body), h11.EndOfMessage())
+        data = b"".join(self.protocol.send(event) or b"" for event in events)
+        try:
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ResponseLostError(self.address, error) from error
+
+    async def next_event(self) -> h11.Event:
+        try:
+            while True:
+                event = self.protocol.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                data = await self.stream.receive_some(RECEIVE_BYTES)
+                self.protocol.receive_data(data)
+        except (
+            h11.RemoteProtocolError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ) as error:
+            raise ResponseLostError(self.address, error) from error
+
+    async def response_head(self) -> h11.Response:
+        while True:
+            event = await self.next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise ResponseLostError(self.address, "connection closed")
+
+    def is_stale(self) -> bool:
+        """Return whether the peer has closed or written to an idle connection."""
+        return self.stream.socket.is_readable()
+
+    def is_reusable(self) -> bool:
+        states = (self.protocol.our_state, self.protocol.their_state)
+        return states == (h11.DONE, h11.DONE)
+
+
+class HttpClient:
+    """Sends requests to one address and keeps idle connections for reuse."""
+
+    def __init__(
+        self, *, address: Address, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ):
+        self.address = address
+        self._connect_timeout_s = connect_timeout_s
+        self._idle: deque[_ClientConnection] = deque()
+
+    async def request(self, request: HttpRequest) -> HttpResponse:
+        """Send a request and return its whole response.
+
+        Raises RequestNotSentError or ResponseLostError. A timeout is set by
+        the caller with a trio cancel scope.
+        """
+        async with self.stream(request) as response:
+            return await response.read()
+
+    @asynccontextmanager
+    async def stream(self, request: HttpRequest) -> AsyncIterator[StreamedResponse]:
+        """Send a request and give its response while the body arrives."""
+        connection = await self._checkout()
+        try:
+            await connection.send(request)
+            head = await connection.response_head()
+            yield StreamedResponse(head=head, connection=connection)
+        finally:
+            await self._give_back(connection)
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            await trio.aclose_forcefully(self._idle.pop().stream)
+
+    async def _checkout(self) -> _ClientConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_stale():
+                return connection
+            await trio.aclose_forcefully(connection.stream)
+        return await self._connect()
+
+    async def _connect(self) -> _ClientConnection:
+        try:
+            with trio.fail_after(self._connect_timeout_s):
+                stream = await trio.open_tcp_stream(
+                    self.address.host, self.address.port
+                )
+        except (OSError, trio.TooSlowError) as error:
+            raise RequestNotSentError(self.address, error) from error
+        return _ClientConnection(address=self.address, stream=stream)
+
+    async def _give_back(self, connection: _ClientConnection) -> None:
+        if connection.is_reusable() and len(self._idle) < IDLE_CONNECTIONS_LIMIT:
+            connection.protocol.start_next_cycle()
+            self._idle.append(connection)
+            return
+        await trio.aclose_forcefully(connection.stream)
--- /dev/null
+++ b/src/lavenderfold/http/_messages.py
@@ -0,0 +1,69 @@
+"""Typed HTTP requests and responses."""
+
+import msgspec
+
+
+class MalformedRequestError(Exception):
+    """The peer's bytes are not valid HTTP. ``status`` is the answer to give."""
+
+    def __init__(self, message: str, *, status: int = 400):
+        super().__init__(message)
+        self.status = status
+
+
+class BodyTooLargeError(MalformedRequestError):
+    """The body is longer than the server accepts."""
+
+    def __init__(self, limit: int):
+        super().__init__(f"the body is longer than {limit} bytes", status=413)
+        self.limit = limit
+
+
+class HttpRequest(msgspec.Struct, kw_only=True):
+    """A request with its whole body. Header names are lower case."""
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]] = msgspec.field(default_factory=list)
+    body: bytes = b""
+
+    @property
+    def path(self) -> str:
+        return self.target.partition("?")[0]
+
+    @property
+    def query(self) -> str:
+        return self.target.partition("?")[2]
+
+    def header(self, name: str) -> str | None:
+        """Return the header's only value, or None if absent.
+
+        Raises MalformedRequestError if the header is given more than once.
+        """
+        values = [value for key, value in self.headers if key == name]
+        if len(values) > 1:
+            raise MalformedRequestError(f"header {name} is given more than once")
+        return values[0] if values else None
+
+
+class HttpResponse(msgspec.Struct, kw_only=True):
+    """A response with its whole body."""
+
+    status: int
+    headers: list[tuple[str, str]] = msgspec.field(default_factory=list)
+    body: bytes = b""
+
+    def header(self, name: str) -> str | None:
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+def json_response(status: int, value: object) -> HttpResponse:
+    """Return a response whose body is ``value`` as JSON."""
+    return HttpResponse(
+        status=status,
+        headers=[("content-type", "application/json")],
+        body=msgspec.json.encode(value),
+    )
--- /dev/null
+++ b/src/lavenderfold/identifiers.py
@@ -0,0 +1,71 @@
+"""Identifiers of budgets and requests.
+
+Request ids are UUIDs of version 7 (RFC 9562): the leading 48 bits give the
+time of creation, so that a retention window can be checked from the id alone.
+"""
+
+import uuid
+
+import msgspec
+import xxhash
+from result import Err, Ok, Result
+
+UUID_VERSION = 7
+UUID_VERSION_SHIFT = 76
+UUID_VARIANT_SHIFT = 62
+UUID_TIME_SHIFT = 80
+MILLISECONDS_PER_SECOND = 1000
+
+
+class InvalidRequestIdError(ValueError):
+    """The text isn't a UUID of version 7."""
+
+    def __init__(self, text: str):
+        super().__init__(f"request id {text!r} is not a UUID of version 7")
+        self.text = text
+
+
+class BudgetKey(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """A budget: the organisation that owns it and its name there."""
+
+    organisation: str
+    budget: str
+
+    def __str__(self) -> str:
+        return f"{self.organisation}/{self.budget}"
+
+    def shard(self, shard_count: int) -> int:
+        """Return the number of the ledger shard that holds this budget."""
+        return xxhash.xxh64_intdigest(str(self)) % shard_count
+
+
+class RequestKey(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """A request: its budget and its id, which is unique within the budget."""
+
+    budget: BudgetKey
+    request_id: str
+
+    def __str__(self) -> str:
+        return f"{self.budget}/{self.request_id}"
+
+
+def make_request_id(*, unix_time: float, random_bits: int) -> str:
+    """Return a UUIDv7 for a time in seconds and 74 random bits."""
+    milliseconds = int(unix_time * MILLISECONDS_PER_SECOND)
+    value = milliseconds << UUID_TIME_SHIFT
+    value |= UUID_VERSION << UUID_VERSION_SHIFT
+    value |= ((random_bits >> 62) & 0xFFF) << 64
+    value |= 0b10 << UUID_VARIANT_SHIFT
+    value |= random_bits & ((1 << UUID_VARIANT_SHIFT) - 1)
+    return str(uuid.UUID(int=value))
+
+
+def request_id_time(request_id: str) -> Result[float, InvalidRequestIdError]:
+    """Return the creation time of a request id, in seconds since the epoch."""
+    try:
+        parsed = uuid.UUID(request_id)
+    except ValueError:
+        return Err(InvalidRequestIdError(request_id))
+    if parsed.version != UUID_VERSION or str(parsed) != request_id:
+        return Err(InvalidRequestIdError(request_id))
+    return Ok((parsed.int >> UUID_TIME_SHIFT) / MILLISECONDS_PER_SECOND)
--- /dev/null
+++ b/src/lavenderfold/settings.py
@@ -0,0 +1,107 @@
+"""Settings files: YAML read strictly into typed structs."""
+
+import ipaddress
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+import yaml
+from result import Err, Ok, Result
+
+HIGHEST_PORT = 65535
+
+SettingsType = TypeVar("SettingsType")
+
+
+class SettingsError(Exception):
+    """A settings file can't be used. The text names file, key and fault."""
+
+    def __init__(self, *, path: Path | str, key: str, expected: str):
+        super().__init__(f"{path}: {key or 'file'}: {expected}")
+        self.path = str(path)
+        self.key = key
+        self.expected = expected
+
+
+class Address(msgspec.Struct, frozen=True, order=True):
+    """An IP address and a TCP or UDP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+class _UniqueKeyLoader(yaml.SafeLoader):
+    """Refuses a mapping that gives one key twice; plain YAML keeps the last."""
+
+    def construct_mapping(self, node, deep=False):
+        seen = set()
+        for key_node, _ in node.value:
+            key = self.construct_object(key_node, deep=True)
+            if not isinstance(key, str):
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"key {key!r} must be text", key_node.start_mark
+                )
+            if key in seen:
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"key {key!r} is given twice", key_node.start_mark
+                )
+            seen.add(key)
+        return super().construct_mapping(node, deep=deep)
+
+
+def parse_address(text: str) -> Address:
+    """Return the address of ``IP:PORT`` or raise ValueError."""
+    host, separator, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    if not separator or not port.isdecimal() or int(port) > HIGHEST_PORT:
+        raise ValueError(f"expected IP:PORT, got {text!r}")
+    ipaddress.ip_address(host)
+    return Address(host=host, port=int(port))
+
+
+def decode_hook(wanted: type, value: object) -> object:
+    """Convert the types of this package that msgspec doesn't know."""
+    if wanted is Address and isinstance(value, str):
+        return parse_address(value)
+    raise ValueError(f"expected {wanted.__name__}, got {value!r}")
+
+
+def parse_yaml(text: str, *, path: Path | str) -> Result[object, SettingsError]:
+    """Parse YAML text; a repeated key is an error."""
+    try:
+        return Ok(yaml.load(text, Loader=_UniqueKeyLoader))
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark
+        line = f"line {mark.line + 1}" if mark else ""
+        return Err(SettingsError(path=path, key=line, expected=str(error.problem)))
+    except yaml.YAMLError as error:
+        return Err(SettingsError(path=path, key="", expected=str(error)))
+
+
+def convert(
+    value: object, wanted: type[SettingsType], *, path: Path | str
+) -> Result[SettingsType, SettingsError]:
+    """Convert parsed YAML into a struct and name the key of the first fault."""
+    try:
+        return Ok(msgspec.convert(value, wanted, strict=True, dec_hook=decode_hook))
+    except msgspec.ValidationError as error:
+        fault, _, location = str(error).partition(" - at ")
+        key = location.strip("`").removeprefix("$").lstrip(".")
+        return Err(SettingsError(path=path, key=key, expected=fault))
+
+
+def load(
+    path: Path | str, wanted: type[SettingsType]
+) -> Result[SettingsType, SettingsError]:
+    """Read a YAML settings file into a struct."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(SettingsError(path=path, key="", expected=f"can't read: {error}"))
+    return parse_yaml(text, path=path).and_then(
+        lambda value: convert(value, wanted, path=path)
+    )
--- /dev/null
+++ b/src/lavenderfold/store/_values.py
@@ -0,0 +1,10 @@
+"""Values of the key-value service."""
+
+import msgspec
+
+
+class Versioned(msgspec.Struct, frozen=True):
+    """A value and its version, which grows with each write of the key."""
+
+    value: bytes
+    version: int
--- /dev/null
+++ b/tests/test_foundations.py
@@ -0,0 +1,216 @@
+"""Settings, identifiers, logs, HTTP and links."""
+
+from functools import partial
+
+import pytest
+import trio
+
+from lavenderfold.http import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    RequestNotSentError,
+    ResponseLostError,
+    serve,
+)
+from lavenderfold.identifiers import (
+    BudgetKey,
+    RequestKey,
+    make_request_id,
+    request_id_time,
+)
+from lavenderfold.links import Link, LinkClosedError, Listener, connect
+from lavenderfold.logs import format_pairs
+from lavenderfold.messages import (
+    Frame,
+    Heartbeat,
+    RouterHello,
+    Run,
+    ToAgent,
+    ToRouter,
+)
+from lavenderfold.settings import Address, convert, parse_yaml
+
+ANY_PORT = Address(host="127.0.0.1", port=0)
+
+
+def make_run(run_id: str) -> Run:
+    key = RequestKey(BudgetKey("regina", "main"), "id")
+    return Run(
+        run_id=run_id,
+        key=key,
+        attempt=1,
+        payer=1,
+        grant_id="g",
+        reserved=1,
+        idempotent=True,
+        priority=0,
+        deadline_s=1.0,
+    )
+
+
+def test_request_id_carries_its_time():
+    """An id whose time is misread would escape the retention window."""
+    request_id = make_request_id(unix_time=1_790_000_000.25, random_bits=(1 << 74) - 1)
+    assert request_id_time(request_id).unwrap() == 1_790_000_000.25
+    assert request_id_time(request_id.upper()).is_err()
+    assert request_id_time("no-uuid").is_err()
+
+
+def test_yaml_key_given_twice_is_an_error():
+    """Plain YAML keeps the last of two equal keys and hides an edit."""
+    error = parse_yaml("a: 1\na: 2\n", path="x.yaml").unwrap_err()
+    assert "x.yaml: line 2" in str(error)
+    assert "given twice" in str(error)
+
+
+def test_wrong_type_names_file_and_key():
+    error = convert({"host": "127.0.0.1", "port": "x"}, Address, path="s.yaml")
+    assert str(error.unwrap_err()).startswith("s.yaml: port: Expected `int`")
+
+
+def test_log_line_quotes_values_that_hold_spaces():
+    line = format_pairs({"event": "x", "why": 'a "b"\n', "none": None, "t": 0.5})
+    assert line == r'event=x why="a \"b\"\n" t=0.5'
+
+
+async def run_http(handler, client_task):
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(partial(serve, handler, address=ANY_PORT))
+        client = HttpClient(address=address)
+        await client_task(client)
+        await client.close()
+        nursery.cancel_scope.cancel()
+
+
+def test_http_connection_serves_several_requests():
+    async def echo(request, writer):
+        await writer.send(HttpResponse(status=200, body=request.body))
+
+    async def check(client):
+        for body in (b"one", b"two"):
+            request = HttpRequest(method="POST", target="/", body=body)
+            response = await client.request(request)
+            assert response.body == body
+
+    trio.run(run_http, echo, check)
+
+
+def test_cut_answer_is_not_taken_for_a_whole_one():
+    """A handler that fails mid-answer must not send the terminating chunk."""
+
+    async def fail_in_the_middle(request, writer):
+        await writer.start(200, [])
+        await writer.write(b"part")
+        raise RuntimeError("target died")
+
+    async def check(client):
+        with pytest.raises(ResponseLostError):
+            await client.request(HttpRequest(method="GET", target="/"))
+
+    trio.run(run_http, fail_in_the_middle, check)
+
+
+def test_refused_connection_is_known_as_not_sent():
+    async def check():
+        client = HttpClient(address=Address(host="127.0.0.1", port=1))
+        with pytest.raises(RequestNotSentError):
+            await client.request(HttpRequest(method="GET", target="/"))
+
+    trio.run(check)
+
+
+def test_malformed_requests_get_a_4xx_and_the_server_goes_on():
+    async def answer(request, writer):
+        await writer.send(HttpResponse(status=200))
+
+    async def check():
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(partial(serve, answer, address=ANY_PORT))
+            for data in (
+                b"NONSENSE\r\n\r\n",
+                b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 70_000,
+                b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9999999\r\n\r\n"
+                + b"z" * 5_000_000,
+            ):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+                try:
+                    await stream.send_all(data)
+                    reply = await stream.receive_some()
+                    assert reply.startswith(b"HTTP/1.1 4")
+                except trio.BrokenResourceError:
+                    # The server may close while the client is still sending.
+                    pass
+                await stream.aclose()
+            client = HttpClient(address=address)
+            response = await client.request(HttpRequest(method="GET", target="/"))
+            assert response.status == 200
+            await client.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(check)
+
+
+async def run_links(serve_link, use_link):
+    listener = Listener(address=ANY_PORT, message_type=ToAgent)
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(listener.run, serve_link)
+        link = connect(address=address, message_type=ToRouter)
+        nursery.start_soon(link.run)
+        with trio.fail_after(10):
+            await use_link(link)
+        link.close()
+        nursery.cancel_scope.cancel()
+
+
+def test_link_keeps_the_order_of_messages_in_both_directions():
+    received = []
+
+    async def serve_link(link: Link):
+        while len(received) < 4:
+            received.extend(await link.receive())
+        for offset in range(3):
+            link.post(Frame(run_id="r", offset=offset, data=b"d", tokens=1))
+        link.flush()
+        await trio.sleep_forever()
+
+    async def use_link(link: Link):
+        hello = RouterHello(
+            router="a", incarnation=1, region="r", failure_domain="f", revision=3
+        )
+        sent = [hello, make_run("1"), make_run("2"), Heartbeat(revision=4)]
+        for message in sent:
+            link.post(message)
+        frames = []
+        while len(frames) < 3:
+            frames.extend(await link.receive())
+        assert [frame.offset for frame in frames] == [0, 1, 2]
+        assert received == sent
+
+    trio.run(run_links, serve_link, use_link)
+
+
+def test_closed_link_refuses_messages():
+    """A run posted on a closed link must be known as not sent."""
+
+    async def serve_link(link: Link):
+        await link.receive()
+
+    async def use_link(link: Link):
+        link.post(Heartbeat(revision=1))
+        with pytest.raises(LinkClosedError):
+            while True:
+                await link.receive()
+        with pytest.raises(LinkClosedError):
+            link.post(Heartbeat(revision=2))
+
+    trio.run(run_links, serve_link, use_link)
+
+
+def test_link_to_nobody_closes():
+    async def check():
+        link = connect(address=Address(host="127.0.0.1", port=1), message_type=ToRouter)
+        with trio.fail_after(10), pytest.raises(LinkClosedError):
+            await link.receive()
+
+    trio.run(check)
