Add the replay: trace model, player, outcome checks and results

Cause: the outcomes that the design promises must be checked from recorded traces against what callers, ledger and targets say. Change: lavenderfold.replay with the trace model (JSON lines, prompts as parameters), a player that keeps a caller at a router of its region and resumes or repeats only where that is safe, eight outcome checks as pure functions, histograms for each kind of request, and the command line. Ruled out: posting a request that must not repeat again after a lost answer, although its claim would refuse it: the replay would then hide a missing claim. Measuring times from the sending instead of the due time hides a late start. Reading an unrefuted refusal as "not run" for a repeatable request that lost an earlier answer: that refusal speaks of its own attempt only. No run against a fleet yet.

--- /dev/null
+++ b/src/lavenderfold/replay/__init__.py
@@ -0,0 +1,54 @@
+"""Replays traces against a fleet and checks the outcomes."""
+
+from lavenderfold.replay._checks import (
+    BudgetEvidence,
+    Evidence,
+    Finding,
+    RunEvidence,
+    select_checks,
+)
+from lavenderfold.replay._evidence import EvidenceError, EvidenceReader
+from lavenderfold.replay._player import Player, PlayOptions
+from lavenderfold.replay._records import Attempt, CallOutcome, CallRecord, Step
+from lavenderfold.replay._results import Verdict, format_results, judge
+from lavenderfold.replay._routers import Router
+from lavenderfold.replay._trace import (
+    Expected,
+    PromptParameters,
+    RequestKind,
+    TraceError,
+    TraceRequest,
+    decode_trace,
+    encode_trace,
+    load_trace,
+    make_words,
+)
+
+__all__ = [
+    "Attempt",
+    "BudgetEvidence",
+    "CallOutcome",
+    "CallRecord",
+    "Evidence",
+    "EvidenceError",
+    "EvidenceReader",
+    "Expected",
+    "Finding",
+    "PlayOptions",
+    "Player",
+    "PromptParameters",
+    "RequestKind",
+    "Router",
+    "RunEvidence",
+    "Step",
+    "TraceError",
+    "TraceRequest",
+    "Verdict",
+    "decode_trace",
+    "encode_trace",
+    "format_results",
+    "judge",
+    "load_trace",
+    "make_words",
+    "select_checks",
+]
--- /dev/null
+++ b/src/lavenderfold/replay/_exchange.py
@@ -0,0 +1,189 @@
+"""One exchange with a router: builds the request and reads the answer."""
+
+from collections.abc import Callable
+from urllib.parse import quote
+
+import msgspec
+import trio
+
+from lavenderfold.http import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    RequestNotSentError,
+    ResponseLostError,
+    StreamedResponse,
+)
+from lavenderfold.replay._answer import (
+    Answer,
+    AnswerFaultError,
+    DoneEvent,
+    EventParser,
+)
+from lavenderfold.replay._records import Attempt, CallOutcome, Step
+from lavenderfold.replay._trace import TraceRequest
+
+EVENT_STREAM = "text/event-stream"
+RETRY_AFTER_LIMIT_S = 10.0
+
+
+class _WholeAnswer(msgspec.Struct, frozen=True):
+    text: str
+    length: int
+    digest: str
+    tokens: int
+    request_id: str
+
+
+class _Fault(msgspec.Struct, frozen=True):
+    type: str = ""
+    message: str = ""
+    outcome: CallOutcome = CallOutcome.MAY_HAVE_RUN
+
+
+class _FaultAnswer(msgspec.Struct, frozen=True):
+    error: _Fault
+
+
+class _State(msgspec.Struct, frozen=True):
+    outcome: CallOutcome = CallOutcome.MAY_HAVE_RUN
+
+
+def build_request(
+    request: TraceRequest, *, step: Step, key: str, request_id: str, answer: Answer
+) -> HttpRequest:
+    """Return the HTTP request of a step."""
+    headers = [("authorization", f"Bearer {key}")]
+    state = f"/v1/requests/{request_id}"
+    if step is Step.ASK:
+        return HttpRequest(method="GET", target=state, headers=headers)
+    if step is Step.RESUME:
+        if answer.last_event_id:
+            headers.append(("last-event-id", answer.last_event_id))
+        return HttpRequest(method="GET", target=f"{state}/answer", headers=headers)
+    headers.append(("idempotency-key", request_id))
+    headers.append(("content-type", "application/json"))
+    if not request.kind.is_model:
+        return HttpRequest(
+            method=request.method,
+            target=f"/v1/apps/{quote(request.route)}/{request.path}",
+            headers=headers,
+            body=b"" if request.method == "GET" else request.body(),
+        )
+    body = {
+        "model": request.route,
+        "prompt": request.prompt_text(),
+        "max_tokens": request.max_tokens,
+        "stream": request.stream,
+    }
+    return HttpRequest(
+        method="POST",
+        target="/v1/completions",
+        headers=headers,
+        body=msgspec.json.encode(body),
+    )
+
+
+class Exchange:
+    """Sends one request and fills ``answer`` with what comes back.
+
+    ``on_part`` is called for each part of an answer. A router that sends
+    nothing for ``idle_timeout_s`` is given up like a broken connection.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: HttpClient,
+        answer: Answer,
+        idle_timeout_s: float,
+        on_part: Callable[[], None],
+    ):
+        self._client = client
+        self._answer = answer
+        self._idle_timeout_s = idle_timeout_s
+        self._on_part = on_part
+
+    async def run(self, request: HttpRequest, *, step: Step) -> Attempt:
+        """Return how the exchange ended."""
+        attempt = Attempt(step=step, router=str(self._client.address))
+        scope = trio.CancelScope(deadline=trio.current_time() + self._idle_timeout_s)
+        with scope:
+            try:
+                async with self._client.stream(request) as response:
+                    await self._read(response, attempt, scope)
+            except RequestNotSentError:
+                attempt.sent = False
+                attempt.outcome = CallOutcome.NOT_RUN
+                attempt.reason = "connection_failed"
+            except ResponseLostError:
+                attempt.reason = "connection_lost"
+            except AnswerFaultError as error:
+                attempt.reason = f"bad answer: {error}"
+        if scope.cancelled_caught:
+            attempt.reason = "timeout"
+        return attempt
+
+    async def _read(
+        self, response: StreamedResponse, attempt: Attempt, scope: trio.CancelScope
+    ) -> None:
+        kind = dict(response.headers).get("content-type", "")
+        if response.status == 200 and kind.startswith(EVENT_STREAM):
+            await self._read_stream(response, scope)
+            attempt.outcome = CallOutcome.RAN
+            attempt.status = response.status
+            return
+        whole = await response.read()
+        attempt.status = whole.status
+        if whole.status >= 400:
+            _read_fault(whole, attempt)
+        elif attempt.step is Step.ASK:
+            attempt.outcome = _decode(whole.body, _State, _State()).outcome
+            attempt.reason = "answer lost"
+        else:
+            self._read_whole(whole)
+            attempt.outcome = CallOutcome.RAN
+
+    async def _read_stream(
+        self, response: StreamedResponse, scope: trio.CancelScope
+    ) -> None:
+        parser = EventParser()
+        async for data in response.chunks():
+            scope.deadline = trio.current_time() + self._idle_timeout_s
+            for event in parser.feed(data):
+                if self._answer.add(event):
+                    self._on_part()
+        if self._answer.done is None:
+            raise ResponseLostError(self._client.address, "no done event")
+
+    def _read_whole(self, response: HttpResponse) -> None:
+        self._on_part()
+        whole = _decode(response.body, _WholeAnswer, None)
+        if whole is None:
+            self._answer.add_whole(response.body, None)
+            return
+        self._answer.add_whole(
+            whole.text.encode(),
+            DoneEvent(
+                length=whole.length,
+                digest=whole.digest,
+                tokens=whole.tokens,
+                request_id=whole.request_id,
+            ),
+        )
+
+
+def _read_fault(response: HttpResponse, attempt: Attempt) -> None:
+    fault = _decode(response.body, _FaultAnswer, _FaultAnswer(_Fault())).error
+    attempt.outcome = fault.outcome
+    attempt.reason = fault.type or f"status {response.status}"
+    text = response.header("retry-after") or "0"
+    if text.isdecimal():
+        attempt.retry_after_s = min(RETRY_AFTER_LIMIT_S, float(text))
+
+
+def _decode(body: bytes, wanted: type, default: object) -> object:
+    try:
+        return msgspec.json.decode(body, type=wanted)
+    except msgspec.DecodeError:
+        return default
--- /dev/null
+++ b/src/lavenderfold/replay/_trace.py
@@ -0,0 +1,167 @@
+"""Traces: recorded requests, one JSON object a line.
+
+Long shared prompts are stored as parameters, because the text of every large
+morning request would make a trace several megabytes long.
+"""
+
+import enum
+import functools
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+import xxhash
+from result import Err, Ok, Result
+
+VOCABULARY_TEXT = (
+    "brightness station council night reading zenith filter lamp horizon sensor "
+    "footfall entrance arcade counter weekday tenant report trend season total "
+    "compare explain list state mean median change north south district open"
+)
+VOCABULARY = VOCABULARY_TEXT.split()
+
+
+class TraceError(Exception):
+    """A trace can't be used. ``line`` counts from 1; 0 is the whole file."""
+
+    def __init__(self, *, path: Path | str, line: int, fault: str):
+        super().__init__(f"{path}:{line}: {fault}")
+        self.path = str(path)
+        self.line = line
+        self.fault = fault
+
+
+class RequestKind(enum.StrEnum):
+    """What a caller does; results are reported for each kind."""
+
+    LONG = "long"
+    QUICK = "quick"
+    SIGN_OFF = "sign_off"
+    FETCH = "fetch"
+
+    @property
+    def is_model(self) -> bool:
+        return self in (RequestKind.LONG, RequestKind.QUICK)
+
+
+class Expected(enum.StrEnum):
+    """How a request must end when nothing fails."""
+
+    RAN = "ran"
+    NOT_RUN = "not_run"
+
+
+class PromptParameters(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A prompt made of a shared beginning and a part of its own.
+
+    Equal names and word counts give equal text.
+    """
+
+    shared: str
+    shared_words: int
+    own: str
+    own_words: int
+
+    def text(self) -> str:
+        """Return the prompt."""
+        shared = make_words(self.shared, self.shared_words)
+        return f"{shared}\n{make_words(self.own, self.own_words)}"
+
+
+class TraceRequest(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    omit_defaults=True,
+    forbid_unknown_fields=True,
+):
+    """One request.
+
+    ``offset_s`` counts from the start of the trace, ``size`` is that of the
+    prompt or body in bytes and ``region`` that of the caller. ``method`` and
+    ``path`` belong to application routes, the prompt and ``max_tokens`` to
+    model routes. A replayed answer must have the recorded ``answer_digest``
+    (SHA-256) and hold ``answer_part``; an empty one isn't checked.
+    """
+
+    offset_s: float
+    organisation: str
+    route: str
+    kind: RequestKind
+    region: str
+    size: int
+    prompt: str | PromptParameters = ""
+    max_tokens: int = 0
+    stream: bool = False
+    method: str = "POST"
+    path: str = ""
+    idempotent: bool = True
+    expected: Expected = Expected.RAN
+    answer_digest: str = ""
+    answer_part: str = ""
+
+    def prompt_text(self) -> str:
+        """Return the whole prompt."""
+        return self.prompt if isinstance(self.prompt, str) else self.prompt.text()
+
+    def body(self) -> bytes:
+        """Return the body of an application request, of ``size`` bytes."""
+        text = make_words(f"{self.organisation}/{self.path}", self.size)
+        return text.encode("utf-8")[: self.size]
+
+
+@functools.lru_cache(maxsize=256)
+def make_words(name: str, count: int) -> str:
+    """Return ``count`` words; the same name always gives the same words."""
+    hashes = (
+        xxhash.xxh64_intdigest(f"{name}/{index}".encode()) for index in range(count)
+    )
+    return " ".join(VOCABULARY[value % len(VOCABULARY)] for value in hashes)
+
+
+def decode_trace(
+    text: str, *, path: Path | str = "trace"
+) -> Result[list[TraceRequest], TraceError]:
+    """Return the requests of a trace in the order of their offsets."""
+    decoder = msgspec.json.Decoder(TraceRequest)
+    requests = []
+    for number, line in enumerate(text.splitlines(), start=1):
+        if not line.strip():
+            continue
+        try:
+            request = decoder.decode(line)
+        except msgspec.DecodeError as error:
+            return Err(TraceError(path=path, line=number, fault=str(error)))
+        fault = _find_fault(request)
+        if fault:
+            return Err(TraceError(path=path, line=number, fault=fault))
+        requests.append(request)
+    requests.sort(key=lambda request: request.offset_s)
+    return Ok(requests)
+
+
+def encode_trace(requests: Iterable[TraceRequest]) -> str:
+    """Return the text of a trace."""
+    lines = [msgspec.json.encode(request).decode("utf-8") for request in requests]
+    return "".join(f"{line}\n" for line in lines)
+
+
+def load_trace(path: Path | str) -> Result[list[TraceRequest], TraceError]:
+    """Read a trace from a file."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Err(TraceError(path=path, line=0, fault=f"can't read: {error}"))
+    return decode_trace(text, path=path)
+
+
+def _find_fault(request: TraceRequest) -> str:
+    if request.offset_s < 0:
+        return f"offset_s is {request.offset_s}, expected at least 0"
+    if not request.kind.is_model:
+        return ""
+    # A changed vocabulary would silently replay other prompts than recorded.
+    size = len(request.prompt_text().encode("utf-8"))
+    if size != request.size:
+        return f"size is {request.size}, but the prompt has {size} bytes"
+    return ""
