--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes of the platform's services for tests and measurements."""
