--- a/src/lavenderfold/identifiers.py
+++ b/src/lavenderfold/identifiers.py
@@ -36,7 +36,7 @@
 
     def shard(self, shard_count: int) -> int:
         """Return the number of the ledger shard that holds this budget."""
-        return xxhash.xxh64_intdigest(str(self)) % shard_count
+        return xxhash.xxh64_intdigest(str(self).encode()) % shard_count
 
 
 class RequestKey(msgspec.Struct, frozen=True, order=True, array_like=True):
--- /dev/null
+++ b/src/lavenderfold/members/_record.py
@@ -0,0 +1,71 @@
+"""The record of live routers, one value in the store (``members/routers``)."""
+
+import msgspec
+
+FIRST_INCARNATION = 1
+
+
+class MemberDecodeError(ValueError):
+    """The record isn't one that this version can read."""
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """A registered router; ``boot_id`` is new at each registration."""
+
+    router: str
+    boot_id: str
+    region: str = ""
+    failure_domain: str = ""
+
+
+class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The live incarnations and the number that the next one gets.
+
+    A router is retired here before any agent is asked to fence it, so that an
+    agent that starts afterwards doesn't admit its runs.
+    """
+
+    next_incarnation: int = FIRST_INCARNATION
+    live_by_incarnation: dict[int, Member] = msgspec.field(default_factory=dict)
+
+    def register(
+        self,
+        *,
+        router: str,
+        boot_id: str,
+        region: str = "",
+        failure_domain: str = "",
+    ) -> tuple["MemberRecord", int]:
+        """Return the record with a new incarnation, and its number.
+
+        A ``boot_id`` that is registered already keeps its number, so that a
+        registration whose response was lost can be repeated.
+        """
+        for incarnation, member in self.live_by_incarnation.items():
+            if member.boot_id == boot_id:
+                return self, incarnation
+        number = self.next_incarnation
+        member = Member(router, boot_id, region, failure_domain)
+        live = {**self.live_by_incarnation, number: member}
+        return MemberRecord(number + 1, live), number
+
+    def retire(self, incarnation: int) -> "MemberRecord":
+        """Return the record without an incarnation."""
+        live = {
+            number: member
+            for number, member in self.live_by_incarnation.items()
+            if number != incarnation
+        }
+        return MemberRecord(self.next_incarnation, live)
+
+    def encode(self) -> bytes:
+        """Return the record's value in the store."""
+        return msgspec.msgpack.encode(self)
+
+    @classmethod
+    def decode(cls, data: bytes) -> "MemberRecord":
+        """Return the record of a value, or raise MemberDecodeError."""
+        try:
+            return msgspec.msgpack.decode(data, type=cls)
+        except msgspec.DecodeError as error:
+            raise MemberDecodeError(f"member record: {error}") from error
--- a/src/lavenderfold/messages.py
+++ b/src/lavenderfold/messages.py
@@ -168,11 +168,16 @@
 
 
 class FenceReport(msgspec.Struct, frozen=True, tag=True):
-    """Answer to ``Fence``: tokens by grant id that open or unbilled runs hold."""
+    """Answer to ``Fence``: tokens by grant id that open or unbilled runs hold.
+
+    ``complete`` is true if the agent's process is older than the incarnation
+    (``FenceGate.vouches_for``). Otherwise an earlier process may have lost usage.
+    """
 
     target: str
     incarnation: int
     held_by_grant_id: dict[str, int]
+    complete: bool = False
 
 
 class PeerHello(msgspec.Struct, frozen=True, tag=True):
--- /dev/null
+++ b/tests/ledger_store.py
@@ -0,0 +1,61 @@
+"""A store in memory with the faults of the platform's key-value service."""
+
+import trio
+from result import Err, Ok
+
+from lavenderfold.store import (
+    AnswerLostError,
+    ConflictError,
+    StoreUnavailableError,
+    Versioned,
+)
+
+
+class MemoryStore:
+    """``down`` refuses all calls; each item of ``losses`` spoils one write.
+
+    An item is "after" (the write took effect, the answer was lost), "before"
+    (the request was lost) or "" (no fault).
+    """
+
+    def __init__(self):
+        self.value_by_key: dict[str, Versioned] = {}
+        self.down = False
+        self.losses: list[str] = []
+        self.calls = 0
+        self.writes_in_flight = 0
+        self.most_writes_in_flight = 0
+
+    async def get(self, key):
+        await self._pass(key)
+        if self.down:
+            return Err(StoreUnavailableError(key, "down"))
+        return Ok(self.value_by_key.get(key))
+
+    async def put(self, key, value, *, version, lease=None):
+        self.writes_in_flight += 1
+        self.most_writes_in_flight = max(
+            self.most_writes_in_flight, self.writes_in_flight
+        )
+        await self._pass(key)
+        self.writes_in_flight -= 1
+        return self.write(key, value, version=version)
+
+    def write(self, key, value, *, version):
+        if self.down:
+            return Err(StoreUnavailableError(key, "down"))
+        loss = self.losses.pop(0) if self.losses else ""
+        if loss == "before":
+            return Err(AnswerLostError(key, "request lost"))
+        known = self.value_by_key.get(key)
+        actual = known.version if known else 0
+        if actual != version:
+            return Err(ConflictError(key, expected=version, actual=actual))
+        self.value_by_key[key] = Versioned(value=value, version=version + 1)
+        if loss == "after":
+            return Err(AnswerLostError(key, "response lost"))
+        return Ok(version + 1)
+
+    async def _pass(self, key):
+        self.calls += 1
+        await trio.sleep(0.001)
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,353 @@
+"""The ledger's pure function and the client that commits to the store."""
+
+from functools import partial
+
+import pytest
+import trio
+
+from lavenderfold.budgets import (
+    AlreadySettled,
+    BudgetRecord,
+    BudgetSpent,
+    Claim,
+    Claimed,
+    ClaimExists,
+    Done,
+    FinishClaim,
+    GrantMissing,
+    GrantOpened,
+    HandBack,
+    LedgerClient,
+    LedgerShard,
+    OpenGrant,
+    Reclaim,
+    ReleaseClaim,
+    SetLimit,
+    Settle,
+    WriteOff,
+    apply,
+)
+from lavenderfold.identifiers import BudgetKey, InvalidRequestIdError, make_request_id
+from lavenderfold.outcomes import MayHaveRun, Ran, Reason
+from lavenderfold.timers import TimerService
+from tests.ledger_store import MemoryStore
+
+KEY = BudgetKey("regina", "main")
+NOW = 1_790_000_000.0
+DAY_S = 24 * 3600.0
+RAN = Ran(tokens=7, length=1, digest="d")
+
+
+def request(number: int, *, age_s: float = 0.0) -> str:
+    return make_request_id(unix_time=NOW - age_s, random_bits=number)
+
+
+def run(*operations, shard=None, now=NOW):
+    return apply(shard or LedgerShard(), operations, now_unix=now)
+
+
+def open_budget(limit: int = 100, amount: int = 50) -> LedgerShard:
+    shard, _ = run(SetLimit(KEY, limit, 1), OpenGrant(KEY, "g", 1, amount, 1))
+    return shard
+
+
+def record_of(shard: LedgerShard) -> BudgetRecord:
+    return shard.records_by_key[KEY]
+
+
+def amounts(shard: LedgerShard) -> tuple[int, int, int]:
+    record = record_of(shard)
+    return record.settled, record.unexplained, record.granted
+
+
+def test_limit_of_an_older_revision_is_ignored():
+    """Two routers that see revisions in another order must agree in the end."""
+    shard, _ = run(SetLimit(KEY, 100, 2), SetLimit(KEY, 50, 1))
+    assert record_of(shard).limit == 100
+
+
+def test_grant_stays_within_amount_share_and_available():
+    shard, results = run(
+        SetLimit(KEY, 100, 1),
+        OpenGrant(KEY, "a", 1, 60, 1, 0.5),
+        OpenGrant(KEY, "b", 2, 60, 45, 0.5),
+        OpenGrant(KEY, "c", 3, 60, 6),
+    )
+    assert results[1:] == [
+        GrantOpened(50, 50),
+        GrantOpened(45, 5),
+        BudgetSpent(5, [1, 2]),
+    ]
+    assert amounts(shard) == (0, 0, 95)
+
+
+def test_lowered_limit_grants_nothing_more_but_settles():
+    shard, results = run(
+        SetLimit(KEY, 20, 2),
+        OpenGrant(KEY, "h", 2, 1, 1),
+        Settle(KEY, "g", request(1), 40),
+        shard=open_budget(),
+    )
+    assert results[1:] == [BudgetSpent(0, [1]), Done()]
+    assert amounts(shard) == (40, 0, 10)
+
+
+def test_duplicate_settlement_leaves_the_money_in_its_grant():
+    """A request that ran at two routers is billed to the first that settles."""
+    shard, results = run(
+        OpenGrant(KEY, "h", 2, 30, 1),
+        Settle(KEY, "g", request(1), 10),
+        Settle(KEY, "h", request(1), 12),
+        Settle(KEY, "g", request(1), 10),
+        shard=open_budget(),
+    )
+    assert results[1:] == [Done(), AlreadySettled(10), Done()]
+    assert amounts(shard) == (10, 0, 70)
+    assert record_of(shard).usage(request(1)) == 10
+
+
+def test_late_settlement_is_charged_once_and_not_billed():
+    """Its entry may have been dropped, so that a bill could be the second."""
+    late = Settle(KEY, "g", request(1, age_s=DAY_S + 60), 10)
+    shard, _ = run(late, late, shard=open_budget())
+    assert amounts(shard) == (0, 10, 40)
+    assert record_of(shard).usage_by_id == {}
+
+
+def test_writer_with_a_slow_clock_does_not_bill_a_forgotten_request():
+    """Its own clock would admit an id whose entry another writer dropped."""
+    settle = Settle(KEY, "g", request(1), 10)
+    shard, _ = run(settle, shard=open_budget())
+    shard, _ = run(SetLimit(KEY, 100, 2), shard=shard, now=NOW + DAY_S + 7200)
+    assert record_of(shard).usage_by_id == {}
+    shard, _ = run(settle, shard=shard, now=NOW + 60)
+    assert amounts(shard) == (10, 10, 30)
+
+
+def test_settlement_of_a_written_off_grant_is_explained():
+    shard, results = run(
+        WriteOff(KEY, "g"),
+        WriteOff(KEY, "g"),
+        Settle(KEY, "g", request(1), 20),
+        Settle(KEY, "g", request(1), 20),
+        shard=open_budget(),
+    )
+    assert set(results) == {Done()}
+    assert amounts(shard) == (20, 30, 0)
+
+
+def test_settlement_without_grant_is_billed_from_what_is_available():
+    shard, results = run(
+        Settle(KEY, "x", request(1), 30),
+        Settle(KEY, "x", request(2), 30),
+        shard=open_budget(),
+    )
+    assert results == [GrantMissing(0), GrantMissing(10)]
+    assert amounts(shard) == (50, 0, 50)
+
+
+def test_fenced_holder_cannot_hand_back_what_its_runs_hold():
+    """A paused router wakes and hands back tokens that were reclaimed."""
+    shard, results = run(
+        Reclaim(KEY, "g", 30),
+        HandBack(KEY, "g", "1", 20),
+        OpenGrant(KEY, "g", 1, 50, 1),
+        shard=open_budget(),
+    )
+    assert results == [Done(), GrantMissing(), GrantMissing()]
+    assert amounts(shard) == (0, 0, 30)
+
+
+def test_closed_grant_is_not_opened_by_a_repeat():
+    """The holder's response was lost and the grant reclaimed meanwhile."""
+    shard, results = run(
+        Reclaim(KEY, "g", 0), OpenGrant(KEY, "g", 1, 50, 1), shard=open_budget()
+    )
+    assert results[1] == GrantMissing()
+    assert amounts(shard) == (0, 0, 0)
+
+
+def test_claim_is_given_to_one_attempt():
+    shard, results = run(
+        Claim(KEY, request(1), "a"),
+        Claim(KEY, request(1), "b"),
+        ReleaseClaim(KEY, request(1), "b"),
+        Claim(KEY, request(1), "a"),
+        FinishClaim(KEY, request(1), "a", RAN),
+        FinishClaim(KEY, request(1), "a", MayHaveRun(Reason.CONNECTION_LOST)),
+        ReleaseClaim(KEY, request(1), "a"),
+        Claim(KEY, request(1), "a"),
+    )
+    assert results[:4] == [Claimed(), ClaimExists(None), Done(), Claimed()]
+    assert results[7] == ClaimExists(RAN)
+
+
+def test_forgotten_claim_cannot_be_claimed_again():
+    """A claim is dropped by its age, which must not admit a second run."""
+    claim = Claim(KEY, request(1), "a")
+    shard, _ = run(claim)
+    shard, results = run(
+        Claim(KEY, request(1), "b"), shard=shard, now=NOW + DAY_S + 7200
+    )
+    assert results == [ClaimExists(None)]
+    assert record_of(shard).claims_by_id == {}
+
+
+def test_operation_with_a_malformed_id_cannot_be_made():
+    with pytest.raises(InvalidRequestIdError):
+        Settle(KEY, "g", "no-uuid", 1)
+
+
+def test_shard_survives_encoding():
+    shard, _ = run(
+        Settle(KEY, "g", request(1), 10),
+        HandBack(KEY, "g", "1", 5),
+        Claim(KEY, request(2), "a"),
+        FinishClaim(KEY, request(2), "a", RAN),
+        WriteOff(KEY, "g"),
+        shard=open_budget(),
+    )
+    assert LedgerShard.decode(shard.encode()) == shard
+
+
+class FixedTime(TimerService):
+    """A timer service whose wall clock stands still."""
+
+    def unix_time(self) -> float:
+        return NOW
+
+
+async def with_client(store, use, *, clients=1):
+    timers = FixedTime()
+    async with trio.open_nursery() as nursery:
+        made = [
+            LedgerClient(
+                store=store,
+                timers=timers,
+                shard_count=1,
+                batch_window_s=0.005,
+                retention_s=DAY_S,
+            )
+            for _ in range(clients)
+        ]
+        for client in made:
+            nursery.start_soon(client.run)
+        with trio.fail_after(20):
+            await use(*made)
+        nursery.cancel_scope.cancel()
+
+
+def run_client(store, use, **options):
+    trio.run(partial(with_client, store, use, **options))
+
+
+def stored(store: MemoryStore) -> LedgerShard:
+    return LedgerShard.decode(store.value_by_key["ledger/0000"].value)
+
+
+async def submit_all(client, operations):
+    results = {}
+
+    async def submit(number, operation):
+        results[number] = (await client.submit(operation)).unwrap()
+
+    async with trio.open_nursery() as nursery:
+        for number, operation in enumerate(operations):
+            nursery.start_soon(submit, number, operation)
+    return [results[number] for number in range(len(operations))]
+
+
+def test_concurrent_operations_share_one_write():
+    store = MemoryStore()
+
+    async def use(client):
+        await client.submit(SetLimit(KEY, 1000, 1))
+        before = client.calls
+        grants = [OpenGrant(KEY, str(number), 1, 5, 5) for number in range(100)]
+        await submit_all(client, grants)
+        assert client.calls - before == 1
+        assert client.operations == 101
+
+    run_client(store, use)
+    assert amounts(stored(store)) == (0, 0, 500)
+
+
+@pytest.mark.parametrize("loss", ["before", "after"])
+def test_lost_response_changes_nothing(loss):
+    store = MemoryStore()
+
+    async def use(client):
+        await client.submit(SetLimit(KEY, 100, 1))
+        store.losses = [loss, loss]
+        opened = await client.submit(OpenGrant(KEY, "g", 1, 60, 1))
+        assert opened.unwrap() == GrantOpened(60, 40)
+        store.losses = [loss]
+        settled = await client.submit(Settle(KEY, "g", request(1), 10))
+        assert settled.unwrap() == Done()
+
+    run_client(store, use)
+    assert amounts(stored(store)) == (10, 0, 50)
+
+
+def test_two_writers_never_grant_more_than_the_limit():
+    store = MemoryStore()
+
+    async def use(first, second):
+        await first.submit(SetLimit(KEY, 100, 1))
+        async with trio.open_nursery() as nursery:
+            for name, client in (("a", first), ("b", second)):
+                grants = [OpenGrant(KEY, f"{name}{n}", 1, 7, 7) for n in range(12)]
+                nursery.start_soon(submit_all, client, grants)
+
+    run_client(store, use, clients=2)
+    assert amounts(stored(store)) == (0, 0, 98)
+    assert store.most_writes_in_flight <= 2
+
+
+def test_refusal_is_never_based_on_a_cached_value():
+    """Another writer may have handed tokens back since the last write."""
+    store = MemoryStore()
+
+    async def use(first, second):
+        await first.submit(SetLimit(KEY, 100, 1))
+        await first.submit(OpenGrant(KEY, "g", 1, 100, 100))
+        await second.submit(HandBack(KEY, "g", "1", 100))
+        opened = await first.submit(OpenGrant(KEY, "h", 1, 100, 100))
+        assert opened.unwrap() == GrantOpened(100, 0)
+
+    run_client(store, use, clients=2)
+
+
+def test_outage_ends_in_an_error_or_in_the_write():
+    store = MemoryStore()
+
+    async def use(client):
+        store.down = True
+        given_up = await client.submit(SetLimit(KEY, 50, 1), timeout_s=0.05)
+        assert not given_up.unwrap_err().may_apply
+        assert not client.store_available
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(client.submit, SetLimit(KEY, 100, 2))
+            await trio.sleep(0.1)
+            store.down = False
+        assert (await client.read(KEY)).unwrap().limit == 100
+        assert client.store_available
+
+    run_client(store, use)
+    assert record_of(stored(store)).limit_revision == 2
+
+
+def test_operation_given_up_before_it_was_sent_is_not_written():
+    """The caller was told that it can't take effect."""
+    store = MemoryStore()
+
+    async def use(client):
+        store.down = True
+        claim = Claim(KEY, request(1), "a")
+        given_up = await client.submit(claim, timeout_s=0.02)
+        assert not given_up.unwrap_err().may_apply
+        store.down = False
+        other = await client.submit(Claim(KEY, request(1), "b"))
+        assert other.unwrap() == Claimed()
+
+    run_client(store, use)
