--- a/src/lavenderfold/replay/_checks.py
+++ b/src/lavenderfold/replay/_checks.py
@@ -142,8 +142,10 @@
     findings = []
     for key, budget in evidence.after.items():
         used = budget.settled + budget.unexplained + budget.granted
-        if used > budget.limit:
-            findings.append(Finding(str(key), f"{used} used of {budget.limit}"))
+        # A lowered limit can't revoke what was granted under the old one.
+        limit = max(budget.limit, evidence.before.get(key, budget).limit)
+        if used > limit:
+            findings.append(Finding(str(key), f"{used} used of {limit}"))
     received: Counter[str] = Counter()
     limits: Counter[str] = Counter()
     for record in records:
--- a/src/lavenderfold/replay/_ledger.py
+++ b/src/lavenderfold/replay/_ledger.py
@@ -1,8 +1,10 @@
 """Reads the ledger's shards as evidence; the only user of the budgets here."""
 
+import uuid
+
 from result import Err, Ok, Result
 
-from lavenderfold.budgets import BudgetRecord, LedgerShard
+from lavenderfold.budgets import BudgetRecord, LedgerDecodeError, LedgerShard
 from lavenderfold.identifiers import BudgetKey
 from lavenderfold.replay._checks import BudgetEvidence
 from lavenderfold.store import Store, StoreError
@@ -12,7 +14,7 @@
 
 async def read_ledger(
     store: Store,
-) -> Result[dict[BudgetKey, BudgetEvidence], StoreError]:
+) -> Result[dict[BudgetKey, BudgetEvidence], StoreError | LedgerDecodeError]:
     """Return every budget in the key-value service."""
     versions = await store.list_versions(LEDGER_PREFIX)
     if versions.is_err():
@@ -25,7 +27,10 @@
         versioned = answer.unwrap()
         if versioned is None:
             continue
-        shard = LedgerShard.decode(versioned.value)
+        try:
+            shard = LedgerShard.decode(versioned.value)
+        except LedgerDecodeError as error:
+            return Err(error)
         for key, record in shard.records_by_key.items():
             budgets[key] = _convert(record)
     return Ok(budgets)
@@ -36,8 +41,9 @@
         limit=record.limit,
         settled=record.settled,
         unexplained=record.unexplained,
-        granted=sum(grant.amount for grant in record.grants_by_id.values()),
+        granted=record.granted,
         tokens_by_request_id={
-            request_id: usage.tokens for request_id, usage in record.usage_by_id.items()
+            str(uuid.UUID(bytes=packed)): usage.tokens
+            for packed, usage in record.usage_by_id.items()
         },
     )
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -7,6 +7,13 @@
 import pytest
 import trio
 
+from lavenderfold.budgets import (
+    BudgetRecord,
+    LedgerShard,
+    OpenedGrant,
+    UsageEntry,
+    pack_request_id,
+)
 from lavenderfold.http import json_response, serve
 from lavenderfold.identifiers import BudgetKey
 from lavenderfold.replay import (
@@ -29,9 +36,12 @@
     judge,
     select_checks,
 )
+from lavenderfold.replay._ledger import read_ledger
 from lavenderfold.replay._steps import final_outcome, next_step
 from lavenderfold.settings import Address
+from lavenderfold.store import Store
 from lavenderfold.timers import TimerService
+from standins.config_store import ConfigStore
 
 ANY_PORT = Address(host="127.0.0.1", port=0)
 TEXT = b"amber-dusk bright-sky "
@@ -297,3 +307,34 @@
     record, calls = trio.run(play_against_fakes, SIGN_OFF)
     assert record.outcome is CallOutcome.MAY_HAVE_RUN
     assert [method for method, _ in calls].count("POST") == 1
+
+
+def test_ledger_is_read_as_routers_write_it():
+    """Unread usage would look like requests that ran without a bill."""
+    request_id = "01957a00-0000-7000-8000-000000000001"
+    record = BudgetRecord(
+        limit=100,
+        settled=7,
+        grants_by_id={"g": OpenedGrant(1, 20), "h": OpenedGrant(2, 3)},
+        usage_by_id={pack_request_id(request_id): UsageEntry(7, 0)},
+    )
+
+    async def check():
+        async with trio.open_nursery() as nursery:
+            start = partial(serve, ConfigStore().handle, address=ANY_PORT)
+            store = Store(address=await nursery.start(start))
+            shard = LedgerShard({KEY: record})
+            assert (await store.put("ledger/0003", shard.encode(), version=0)).is_ok()
+            assert (await read_ledger(store)).unwrap() == {
+                KEY: BudgetEvidence(
+                    limit=100,
+                    settled=7,
+                    granted=23,
+                    tokens_by_request_id={request_id: 7},
+                )
+            }
+            assert (await store.put("ledger/0004", b"x", version=0)).is_ok()
+            assert (await read_ledger(store)).is_err()
+            nursery.cancel_scope.cancel()
+
+    trio.run(check)
