Carry links over trio streams instead of grpcio

Cause: a router's control traffic must stay under 1.9% of a core, and grpcio costs 453 us per batch and 1.35% of a core for 64 idle links. Ruled out: longer batch windows on grpcio (the idle cost stays), grpc.aio in a second event loop (2.4 ms per call). Change: Link sends length-prefixed msgpack batches on trio TCP streams behind the same interface; a batch that can't be decoded closes the link.

--- a/src/lavenderfold/links/_link.py
+++ b/src/lavenderfold/links/_link.py
@@ -1,16 +1,25 @@
-"""One link: batches messages out and decodes batches in."""
+"""One link: batches messages out and decodes batches in.
 
-import queue
-from collections.abc import Callable, Iterator
+On the wire a batch is a length of four bytes, big-endian, and a msgpack array
+of tagged messages.
+"""
+
+import logging
+import struct
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
 import trio
 
 BATCH_WINDOW_S = 0.005
-OUTBOX_BATCHES_LIMIT = 256
+RECEIVE_BYTES = 65536
+BATCH_BYTES_LIMIT = 16 * 1024 * 1024
+PENDING_MESSAGES_LIMIT = 65536
+
+LENGTH = struct.Struct(">I")
 
-END_OF_STREAM = None
+logger = logging.getLogger(__name__)
 
 
 class LinkClosedError(Exception):
@@ -25,32 +34,31 @@
     """A stream of messages to and from one peer.
 
     ``post`` queues a message and never blocks. Messages posted within the
-    batch window leave together, because the transport's cost is per batch.
-    A message for which ``post`` raised was certainly not sent; any other may
-    have been, even if the link closes right afterwards.
+    batch window (seconds) leave together, because the cost of sending is per
+    batch. A message for which ``post`` raised was certainly not sent; any
+    other may have been, even if the link closes right afterwards.
     """
 
     def __init__(
         self,
         *,
         peer: str,
-        inbox: Iterator[bytes],
-        outbox: queue.SimpleQueue,
+        open_stream: Callable[[], Awaitable[trio.abc.Stream]],
         message_type: Any,
         batch_window_s: float,
-        hang_up: Callable[[], object],
     ):
         self.peer = peer
         self.closed = False
-        self._inbox = inbox
-        self._outbox = outbox
+        self._open_stream = open_stream
+        self._opening = trio.Lock()
+        self._stream: trio.abc.Stream | None = None
         self._encode = msgspec.msgpack.Encoder().encode
         self._decode = msgspec.msgpack.Decoder(list[message_type]).decode
         self._batch_window_s = batch_window_s
-        self._hang_up = hang_up
         self._pending: list[Any] = []
         self._has_pending = trio.Event()
-        self._reader_limiter = trio.CapacityLimiter(1)
+        self._send_now = trio.Event()
+        self._received = bytearray()
 
     def post(self, message: Any) -> None:
         """Queue a message. Raises LinkClosedError."""
@@ -58,57 +66,98 @@
             raise LinkClosedError(self.peer)
         self._pending.append(message)
         self._has_pending.set()
+        if len(self._pending) > PENDING_MESSAGES_LIMIT:
+            # The peer has stopped reading; queueing more would only use memory.
+            logger.warning("link_peer_stalled", extra={"peer": self.peer})
+            self.close()
+
+    def flush(self) -> None:
+        """Send the queued messages without waiting for the batch window."""
+        self._send_now.set()
 
     async def receive(self) -> list[Any]:
         """Return the next batch. Raises LinkClosedError at the stream's end."""
-        if self.closed:
-            raise LinkClosedError(self.peer)
-        # A transport thread runs nothing but the iterator's ``next``.
-        data = await trio.to_thread.run_sync(
-            _next_or_end,
-            self._inbox,
-            abandon_on_cancel=True,
-            limiter=self._reader_limiter,
-        )
-        if data is END_OF_STREAM:
-            self.close()
-            raise LinkClosedError(self.peer)
-        return self._decode(data)
+        stream = await self._ensure_open()
+        while True:
+            batch = self._take_batch()
+            if batch is not None:
+                return batch
+            try:
+                data = await stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                self.close()
+                raise LinkClosedError(self.peer)
+            self._received += data
 
     async def run(self) -> None:
         """Send queued batches until the link closes."""
         try:
+            stream = await self._ensure_open()
             while not self.closed:
                 await self._has_pending.wait()
-                await trio.sleep(self._batch_window_s)
-                self.flush()
-        finally:
-            self.close()
-
-    def flush(self) -> None:
-        """Hand the queued messages to the transport now."""
-        self._has_pending = trio.Event()
-        if not self._pending or self.closed:
+                with trio.move_on_after(self._batch_window_s):
+                    await self._send_now.wait()
+                await self._send_pending(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, LinkClosedError):
             return
-        batch, self._pending = self._pending, []
-        self._outbox.put(self._encode(batch))
-        if self._outbox.qsize() > OUTBOX_BATCHES_LIMIT:
-            # The peer has stopped reading; queueing more would only use memory.
+        finally:
             self.close()
 
     def close(self) -> None:
-        """Close the link; queued messages that weren't flushed are dropped."""
+        """Close the link; queued messages that weren't sent are dropped."""
         if self.closed:
             return
         self.closed = True
         self._pending.clear()
         self._has_pending.set()
-        self._outbox.put(END_OF_STREAM)
-        self._hang_up()
+        self._send_now.set()
+        if self._stream is not None:
+            self._stream.socket.close()
 
+    async def _send_pending(self, stream: trio.abc.Stream) -> None:
+        self._has_pending = trio.Event()
+        self._send_now = trio.Event()
+        if not self._pending or self.closed:
+            return
+        batch, self._pending = self._pending, []
+        data = self._encode(batch)
+        await stream.send_all(LENGTH.pack(len(data)) + data)
 
-def _next_or_end(inbox: Iterator[bytes]) -> bytes | None:
-    try:
-        return next(inbox, END_OF_STREAM)
-    except Exception:  # grpcio raises its RpcError or a bare Exception at the end.
-        return END_OF_STREAM
+    async def _ensure_open(self) -> trio.abc.Stream:
+        async with self._opening:
+            if self._stream is None and not self.closed:
+                await self._open()
+        if self.closed:
+            raise LinkClosedError(self.peer)
+        return self._stream
+
+    async def _open(self) -> None:
+        try:
+            self._stream = await self._open_stream()
+        except OSError as error:
+            logger.debug("link_refused", extra={"peer": self.peer, "cause": str(error)})
+            self.close()
+
+    def _take_batch(self) -> list[Any] | None:
+        """Remove and decode the first whole batch received, if there is one."""
+        if len(self._received) < LENGTH.size:
+            return None
+        (length,) = LENGTH.unpack_from(self._received)
+        end = LENGTH.size + length
+        if length > BATCH_BYTES_LIMIT:
+            self._reject(f"batch of {length} bytes exceeds {BATCH_BYTES_LIMIT}")
+        if len(self._received) < end:
+            return None
+        data = bytes(self._received[LENGTH.size : end])
+        del self._received[:end]
+        try:
+            return self._decode(data)
+        except msgspec.DecodeError as error:
+            self._reject(error)
+
+    def _reject(self, cause: object) -> None:
+        logger.warning("link_bad_batch", extra={"peer": self.peer, "cause": str(cause)})
+        self.close()
+        raise LinkClosedError(self.peer)
--- a/src/lavenderfold/links/_transport.py
+++ b/src/lavenderfold/links/_transport.py
@@ -1,44 +1,26 @@
-"""Carries links over grpcio's bidirectional streams.
+"""Carries links over TCP streams of trio.
 
-Grpcio has no trio interface, so its synchronous API is used: its threads wait
-on a queue of outgoing batches, and a worker thread waits for each incoming
-one. Everything else runs on the trio loop.
+grpcio was measured first and doesn't fit the processor budget of a daemon's
+control traffic; docs/measurements.md has the figures.
 """
 
-import queue
 from collections.abc import Awaitable, Callable
-from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from typing import Any
 
-import grpc
 import trio
 
-from lavenderfold.links._link import BATCH_WINDOW_S, END_OF_STREAM, Link
+from lavenderfold.links._link import BATCH_WINDOW_S, Link
 from lavenderfold.settings import Address
 
-SERVICE = "lavenderfold.Links"
-METHOD = "Exchange"
-LINKS_LIMIT = 512
-MESSAGE_BYTES_LIMIT = 16 * 1024 * 1024
-CHANNEL_OPTIONS = (
-    ("grpc.max_send_message_length", MESSAGE_BYTES_LIMIT),
-    ("grpc.max_receive_message_length", MESSAGE_BYTES_LIMIT),
-    ("grpc.enable_retries", 0),
-    ("grpc.enable_http_proxy", 0),
-    ("grpc.so_reuseport", 0),
-    ("grpc.use_local_subchannel_pool", 1),
-    ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 1000),
-)
+CONNECT_TIMEOUT_S = 2.0
 
 
 class ListenError(Exception):
     """The address can't be bound."""
 
-    def __init__(self, address: Address):
-        super().__init__(f"can't listen on {address}")
+    def __init__(self, address: Address, cause: object):
+        super().__init__(f"can't listen on {address}: {cause}")
         self.address = address
 
 
@@ -55,8 +37,6 @@
         self._address = address
         self._message_type = message_type
         self._batch_window_s = batch_window_s
-        self._token: trio.lowlevel.TrioToken | None = None
-        self._accepted, self._accept = trio.open_memory_channel[Link](LINKS_LIMIT)
 
     async def run(
         self,
@@ -64,71 +44,53 @@
         *,
         task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Call ``serve_link`` in a task for each link until cancelled."""
-        self._token = trio.lowlevel.current_trio_token()
-        server = self._build_server()
-        port = self._bind(server)
-        server.start()
-        task_status.started(Address(host=self._address.host, port=port))
-        try:
-            async with trio.open_nursery() as nursery:
-                async for link in self._accept:
-                    nursery.start_soon(_serve_and_close, link, serve_link)
-        finally:
-            server.stop(grace=0)
+        """Call ``serve_link`` in a task for each link until cancelled.
 
-    def _bind(self, server: grpc.Server) -> int:
+        Reports the bound address as started. Raises ListenError.
+        """
+        listeners = await self._bind()
+        host, port = listeners[0].socket.getsockname()[:2]
+        task_status.started(Address(host=host, port=port))
+        await trio.serve_listeners(partial(self._serve_stream, serve_link), listeners)
+
+    async def _bind(self) -> list[trio.SocketListener]:
         try:
-            port = server.add_insecure_port(str(self._address))
-        except RuntimeError as error:
-            raise ListenError(self._address) from error
-        if port == 0:
-            raise ListenError(self._address)
-        return port
-
-    def _build_server(self) -> grpc.Server:
-        # A bidirectional stream occupies one thread of the pool while it's open.
-        server = grpc.server(
-            ThreadPoolExecutor(max_workers=LINKS_LIMIT), options=CHANNEL_OPTIONS
-        )
-        handler = grpc.stream_stream_rpc_method_handler(self._exchange)
-        server.add_generic_rpc_handlers(
-            (grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler}),)
-        )
-        return server
+            return await trio.open_tcp_listeners(
+                self._address.port, host=self._address.host
+            )
+        except OSError as error:
+            raise ListenError(self._address, error) from error
 
-    def _exchange(self, inbox: Any, context: grpc.ServicerContext) -> Any:
-        """Run on a grpcio thread: hand the stream over to the trio loop."""
-        outbox: queue.SimpleQueue = queue.SimpleQueue()
-        context.add_callback(partial(outbox.put, END_OF_STREAM))
-        self._token.run_sync_soon(self._open, inbox, outbox, context.peer())
-        return iter(outbox.get, END_OF_STREAM)
+    async def _serve_stream(
+        self,
+        serve_link: Callable[[Link], Awaitable[None]],
+        stream: trio.SocketStream,
+    ) -> None:
+        async def use_accepted() -> trio.SocketStream:
+            return stream
 
-    def _open(self, inbox: Any, outbox: queue.SimpleQueue, peer: str) -> None:
         link = Link(
-            peer=peer,
-            inbox=inbox,
-            outbox=outbox,
+            peer=_peer_name(stream),
+            open_stream=use_accepted,
             message_type=self._message_type,
             batch_window_s=self._batch_window_s,
-            hang_up=lambda: None,
         )
         try:
-            self._accepted.send_nowait(link)
-        except trio.WouldBlock:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(link.run)
+                await serve_link(link)
+                nursery.cancel_scope.cancel()
+        finally:
             link.close()
+            await trio.aclose_forcefully(stream)
 
 
-async def _serve_and_close(
-    link: Link, serve_link: Callable[[Link], Awaitable[None]]
-) -> None:
+def _peer_name(stream: trio.SocketStream) -> str:
     try:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(link.run)
-            await serve_link(link)
-            nursery.cancel_scope.cancel()
-    finally:
-        link.close()
+        host, port = stream.socket.getpeername()[:2]
+    except OSError:
+        return "closed"
+    return str(Address(host=host, port=port))
 
 
 def connect(
@@ -139,20 +101,17 @@
     Returns at once; a peer that can't be reached shows as a closed link at the
     first ``receive``. The caller runs ``link.run`` in a task.
     """
-    channel = grpc.insecure_channel(str(address), options=CHANNEL_OPTIONS)
-    outbox: queue.SimpleQueue = queue.SimpleQueue()
-    method = channel.stream_stream(f"/{SERVICE}/{METHOD}")
-    call = method(iter(outbox.get, END_OF_STREAM))
 
-    def hang_up() -> None:
-        call.cancel()
-        channel.close()
+    async def open_stream() -> trio.SocketStream:
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                return await trio.open_tcp_stream(address.host, address.port)
+        except trio.TooSlowError as error:
+            raise TimeoutError(f"no connection in {CONNECT_TIMEOUT_S:g} s") from error
 
     return Link(
         peer=str(address),
-        inbox=call,
-        outbox=outbox,
+        open_stream=open_stream,
         message_type=message_type,
         batch_window_s=batch_window_s,
-        hang_up=hang_up,
     )
--- a/tests/test_foundations.py
+++ b/tests/test_foundations.py
@@ -214,3 +214,42 @@
             await link.receive()
 
     trio.run(check)
+
+
+@pytest.mark.parametrize(
+    "data", [b"\xff\xff\xff\xff", b"\x00\x00\x00\x01\xc0", b"\x00\x00\x00\x05\x91"]
+)
+def test_link_closes_on_bytes_that_are_no_batch(data):
+    """A peer of another protocol must not stop or block the listener."""
+    closed = trio.Event()
+
+    async def serve_link(link: Link):
+        with pytest.raises(LinkClosedError):
+            await link.receive()
+        assert link.closed
+        closed.set()
+
+    async def check():
+        listener = Listener(address=ANY_PORT, message_type=ToAgent)
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(listener.run, serve_link)
+            stream = await trio.open_tcp_stream(address.host, address.port)
+            await stream.send_all(data)
+            await stream.aclose()
+            with trio.fail_after(10):
+                await closed.wait()
+            nursery.cancel_scope.cancel()
+
+    trio.run(check)
+
+
+def test_link_whose_peer_stops_reading_closes():
+    """A frozen peer must not make the queue of messages grow without bound."""
+
+    async def check():
+        link = connect(address=Address(host="127.0.0.1", port=1), message_type=ToRouter)
+        with pytest.raises(LinkClosedError):
+            while True:
+                link.post(Heartbeat(revision=1))
+
+    trio.run(check)
