Add configuration merge, revisions and the watcher

Cause: routers, agents and operators need one checked configuration whose accepted revisions are never lost or reverted. An apply commits by creating the manifest of the next number with compare-and-swap; the next apply moves the head for a writer that died after that. A payment named in two files is an error, because the later amount would silently replace the earlier one. Ruled out: the head's compare-and-swap as the commit point, because after a lost response the history would have to be walked to tell an orphaned manifest from an applied one; merging untyped trees and validating at the end, because the error could then not name a file.

--- a/src/lavenderfold/config/__init__.py
+++ b/src/lavenderfold/config/__init__.py
@@ -1,5 +1,24 @@
-"""The operators' configuration: its model, files and revisions."""
+"""The operators' configuration: its model, files, revisions and watcher."""
 
+from lavenderfold.config._changes import (
+    Edits,
+    OpenGrants,
+    describe_changes,
+    diff_files,
+    removed_budgets,
+)
+from lavenderfold.config._checks import find_warnings
+from lavenderfold.config._errors import (
+    ApplyUncertainError,
+    ConfigError,
+    CorruptRevisionError,
+    EditConflictError,
+    InvalidConfigError,
+    RevisionError,
+    RevisionMissingError,
+    RevisionsUnavailableError,
+)
+from lavenderfold.config._merge import merge_files
 from lavenderfold.config._model import (
     ApiKey,
     Budget,
@@ -11,15 +30,40 @@
     RouteKind,
     Target,
 )
+from lavenderfold.config._revisions import Applied, Head, Manifest, Plan, Revisions
+from lavenderfold.config._state import ConfigState
+from lavenderfold.config._watcher import ConfigWatcher
 
 __all__ = [
     "ApiKey",
+    "Applied",
+    "ApplyUncertainError",
     "Budget",
+    "ConfigError",
+    "ConfigState",
+    "ConfigWatcher",
+    "CorruptRevisionError",
+    "EditConflictError",
+    "Edits",
     "FailureDomain",
     "FleetConfig",
+    "Head",
+    "InvalidConfigError",
+    "Manifest",
+    "OpenGrants",
     "Organisation",
+    "Plan",
     "RequestClass",
+    "RevisionError",
+    "RevisionMissingError",
+    "Revisions",
+    "RevisionsUnavailableError",
     "Route",
     "RouteKind",
     "Target",
+    "describe_changes",
+    "diff_files",
+    "find_warnings",
+    "merge_files",
+    "removed_budgets",
 ]
