Read addresses in settings files as text

Cause: Address was a msgspec struct, which msgspec converts itself; it expected a mapping and never called the hook, so every settings file with IP:PORT failed with "listen: Expected object, got str". Ruled out: str fields parsed by each binary, which would lose the key's name in the error. Change: Address is a plain class with slots; the foundations test that used it as an example struct now uses a struct of its own and checks more faults.

--- a/src/lavenderfold/settings.py
+++ b/src/lavenderfold/settings.py
@@ -1,5 +1,6 @@
 """Settings files: YAML read strictly into typed structs."""
 
+import functools
 import ipaddress
 from pathlib import Path
 from typing import TypeVar
@@ -23,16 +24,38 @@
         self.expected = expected
 
 
-class Address(msgspec.Struct, frozen=True, order=True):
-    """An IP address and a TCP or UDP port."""
+@functools.total_ordering
+class Address:
+    """An IP address and a TCP or UDP port, ``IP:PORT`` in settings files.
 
-    host: str
-    port: int
+    Not a msgspec struct: msgspec would then expect a mapping and never ask
+    ``decode_hook`` about the text.
+    """
+
+    __slots__ = ("host", "port")
+
+    def __init__(self, *, host: str, port: int):
+        self.host = host
+        self.port = port
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Address):
+            return NotImplemented
+        return (self.host, self.port) == (other.host, other.port)
+
+    def __lt__(self, other: "Address") -> bool:
+        return (self.host, self.port) < (other.host, other.port)
+
+    def __hash__(self) -> int:
+        return hash((self.host, self.port))
 
     def __str__(self) -> str:
         host = f"[{self.host}]" if ":" in self.host else self.host
         return f"{host}:{self.port}"
 
+    def __repr__(self) -> str:
+        return f"Address({str(self)!r})"
+
 
 class _UniqueKeyLoader(yaml.SafeLoader):
     """Refuses a mapping that gives one key twice; plain YAML keeps the last."""
--- a/tests/test_foundations.py
+++ b/tests/test_foundations.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+import msgspec
 import pytest
 import trio
 
@@ -64,9 +65,31 @@
     assert "given twice" in str(error)
 
 
-def test_wrong_type_names_file_and_key():
-    error = convert({"host": "127.0.0.1", "port": "x"}, Address, path="s.yaml")
-    assert str(error.unwrap_err()).startswith("s.yaml: port: Expected `int`")
+class ExampleSettings(msgspec.Struct, forbid_unknown_fields=True):
+    listen: Address
+    port: int = 0
+
+
+@pytest.mark.parametrize(
+    ("value", "fault"),
+    [
+        ({"listen": "::1:1", "port": "x"}, "s.yaml: port: Expected `int`"),
+        ({"listen": "localhost:1"}, "s.yaml: listen: "),
+        ({"listen": "127.0.0.1:65536"}, "s.yaml: listen: expected IP:PORT"),
+        ({"listen": {"host": "127.0.0.1", "port": 1}}, "s.yaml: listen: "),
+        ({"listen": "[::1]:1", "colour": 1}, "s.yaml: file: "),
+    ],
+)
+def test_wrong_value_names_file_and_key(value, fault):
+    error = convert(value, ExampleSettings, path="s.yaml").unwrap_err()
+    assert str(error).startswith(fault)
+
+
+def test_address_is_read_from_text():
+    """A struct type in its place made every settings file with IP:PORT fail."""
+    given = convert({"listen": "[::1]:80"}, ExampleSettings, path="s.yaml")
+    assert given.unwrap().listen == Address(host="::1", port=80)
+    assert str(given.unwrap().listen) == "[::1]:80"
 
 
 def test_log_line_quotes_values_that_hold_spaces():
