Fix a lost wake-up in the model engine stand-in

Cause: a step that ended while a stream's reader was writing was missed; after the last step the reader waited forever. Seen as an agent test that timed out at 15 s in 4 of 8 runs of two tests with a step time of 0. Ruled out: the agent's flush timer and the link, which had delivered all parts. Change: the reader takes the wake-up event before it reads the words. Conclusion: streams end for any step time.

--- a/standins/model_engine.py
+++ b/standins/model_engine.py
@@ -140,6 +140,9 @@
         await writer.start(200, [("content-type", "text/event-stream")])
         budget = self.switches.faults.cut_after_tokens
         while True:
+            # Taken before the words are read: a step during the write below must
+            # not be missed.
+            stepped = self._stepped
             words = stream.words[position:]
             if budget is not None:
                 words = words[:budget]
@@ -152,12 +155,12 @@
                 raise CallDroppedError
             if stream.ended_at is not None and position == len(stream.words):
                 break
-            await self._wait_for_step()
+            await self._wait_for_step(stepped)
         await writer.write(encode_event({"done": True, "tokens": position}))
         await writer.finish()
 
-    async def _wait_for_step(self) -> None:
-        await self._stepped.wait()
+    async def _wait_for_step(self, stepped: trio.Event) -> None:
+        await stepped.wait()
         await self.switches.wait_while_frozen()
         if self.switches.faults.down:
             raise CallDroppedError
