--- /dev/null
+++ b/tests/agent_support.py
@@ -0,0 +1,216 @@
+"""An agent over a real link, with stand-ins in the same process."""
+
+from contextlib import asynccontextmanager
+from functools import partial
+
+import msgspec
+import trio
+
+from lavenderfold.agent import Agent, AgentSettings, Limits, TargetKind
+from lavenderfold.http import HttpResponse, serve
+from lavenderfold.identifiers import BudgetKey, RequestKey
+from lavenderfold.links import LinkClosedError, connect
+from lavenderfold.messages import (
+    Frame,
+    LoadReport,
+    RouterHello,
+    Run,
+    RunEnded,
+    ToRouter,
+)
+from lavenderfold.settings import Address
+from lavenderfold.timers import TimerService
+from standins.target_common import serve_target
+
+ANY_PORT = Address(host="127.0.0.1", port=0)
+KEY = RequestKey(BudgetKey("regina", "main"), "request")
+LIMITS = Limits(
+    report_period_s=0.02,
+    frame_window_s=0.002,
+    probe_period_s=0.02,
+    usage_resend_s=0.05,
+    probe_timeout_s=5.0,
+)
+
+
+class FakeGate:
+    """Admits every incarnation that wasn't fenced."""
+
+    def __init__(self):
+        self.fenced = set()
+
+    def admits(self, payer):
+        return payer not in self.fenced
+
+    def fence(self, incarnation):
+        self.fenced.add(incarnation)
+
+
+class FakeStore:
+    """Serves a key-value service without the member record."""
+
+    def __init__(self):
+        self.up = True
+
+    async def handle(self, request, writer):
+        assert request.path == "/v1/kv/members/routers"
+        await writer.send(HttpResponse(status=404 if self.up else 503))
+
+
+class RouterSide:
+    """The router's end of a link: keeps all messages that arrive."""
+
+    def __init__(self, address):
+        self.link = connect(address=address, message_type=ToRouter)
+        self.messages = []
+        self._arrived = trio.Event()
+
+    async def run(self):
+        try:
+            while True:
+                self.messages += await self.link.receive()
+                self._wake()
+        except LinkClosedError:
+            self._wake()
+
+    async def wait_for(self, accept):
+        """Return the first message for which ``accept`` holds."""
+        seen = 0
+        while True:
+            for message in self.messages[seen:]:
+                if accept(message):
+                    return message
+            seen = len(self.messages)
+            arrived = self._arrived
+            await arrived.wait()
+
+    async def wait_for_type(self, wanted):
+        return await self.wait_for(lambda message: isinstance(message, wanted))
+
+    async def ended(self, run_id):
+        return await self.wait_for(
+            lambda message: isinstance(message, RunEnded) and message.run_id == run_id
+        )
+
+    async def ready(self):
+        await self.wait_for(
+            lambda message: isinstance(message, LoadReport) and message.ready
+        )
+
+    def answer(self, run_id, start=0):
+        """Return the frames' bytes; they must follow one another without a gap."""
+        data = b""
+        for message in self.messages:
+            if isinstance(message, Frame) and message.run_id == run_id:
+                assert message.offset == start + len(data)
+                data += message.data
+        return data
+
+    def _wake(self):
+        self._arrived.set()
+        self._arrived = trio.Event()
+
+
+class Harness:
+    """A running agent with its target, its store and routers' links."""
+
+    def __init__(self, *, nursery, agent, address, store, target):
+        self.agent = agent
+        self.address = address
+        self.store = store
+        self.target = target
+        self.exited = trio.Event()
+        self._nursery = nursery
+
+    def connect(self, incarnation=1):
+        router = RouterSide(self.address)
+        self._nursery.start_soon(router.link.run)
+        self._nursery.start_soon(router.run)
+        router.link.post(
+            RouterHello(
+                router=f"r{incarnation}",
+                incarnation=incarnation,
+                region="s",
+                failure_domain="f",
+                revision=0,
+            )
+        )
+        return router
+
+
+@asynccontextmanager
+async def running_agent(target, *, kind, limits=LIMITS, store_up=True):
+    store = FakeStore()
+    store.up = store_up
+    async with trio.open_nursery() as nursery:
+        target_address = await nursery.start(serve_target, target, ANY_PORT)
+        store_address = await nursery.start(
+            partial(serve, store.handle, address=ANY_PORT)
+        )
+        settings = AgentSettings(
+            target="t",
+            vm="v",
+            kind=kind,
+            region="s",
+            failure_domain="f",
+            models=["quick"] if kind is TargetKind.MODEL else [],
+            listen=ANY_PORT,
+            target_address=target_address,
+            store_address=store_address,
+            limits=limits,
+        )
+        agent = Agent(
+            settings=settings,
+            timers=TimerService(),
+            gate_opener=lambda data: FakeGate(),
+        )
+        harness = Harness(
+            nursery=nursery, agent=agent, address=None, store=store, target=target
+        )
+
+        async def run(task_status):
+            await agent.run(task_status=task_status)
+            harness.exited.set()
+
+        harness.address = await nursery.start(run)
+        with trio.fail_after(15):
+            yield harness
+        nursery.cancel_scope.cancel()
+
+
+def model_run(run_id, prompt, **changes):
+    order = Run(
+        run_id=run_id,
+        key=KEY,
+        attempt=1,
+        payer=1,
+        grant_id="g",
+        reserved=len(prompt.split()) + 400,
+        idempotent=True,
+        priority=0,
+        deadline_s=30.0,
+        model="quick",
+        prompt=prompt,
+        max_tokens=400,
+    )
+    return msgspec.structs.replace(order, **changes)
+
+
+def sign_off(run_id, **changes):
+    order = Run(
+        run_id=run_id,
+        key=KEY,
+        attempt=1,
+        payer=1,
+        grant_id="g",
+        reserved=7,
+        idempotent=False,
+        priority=0,
+        deadline_s=30.0,
+        method="POST",
+        path="/sign",
+        content_type="application/json",
+        body=b"{}",
+        cost_tokens=7,
+    )
+    return msgspec.structs.replace(order, **changes)
