Add route choice, class queues and retry budgets

The router needs its decisions as pure functions before it has any I/O: which target gets a request, in which order waiting requests leave, and when a failed one may be tried again.

Ruled out: choosing by the rendezvous home alone (it ignores a target that slows down) and by outstanding runs alone (it scatters prefixes).

--- /dev/null
+++ b/src/lavenderfold/routing/__init__.py
@@ -0,0 +1,34 @@
+"""Route choice: load view, prefix hashes, choice, class queues and retries."""
+
+from lavenderfold.routing._choice import (
+    Candidate,
+    Choice,
+    RouteRequest,
+    choose_least_outstanding,
+    choose_round_robin,
+    choose_target,
+    has_room,
+)
+from lavenderfold.routing._load import LoadView, TargetLoad, TargetState
+from lavenderfold.routing._prefix import count_tokens, prefix_hashes
+from lavenderfold.routing._queue import ClassQueue, QueueEntry
+from lavenderfold.routing._retry import RetryBudget, backoff_s
+
+__all__ = [
+    "Candidate",
+    "Choice",
+    "ClassQueue",
+    "LoadView",
+    "QueueEntry",
+    "RetryBudget",
+    "RouteRequest",
+    "TargetLoad",
+    "TargetState",
+    "backoff_s",
+    "choose_least_outstanding",
+    "choose_round_robin",
+    "choose_target",
+    "count_tokens",
+    "has_room",
+    "prefix_hashes",
+]
--- /dev/null
+++ b/src/lavenderfold/routing/_load.py
@@ -0,0 +1,168 @@
+"""What a router knows about the load and the prefix cache of each target."""
+
+import enum
+from collections.abc import Iterable
+
+from lavenderfold.messages import LoadReport
+
+REPORT_TIMEOUT_S = 2.0
+# A run that was sent this shortly before a report arrived may have crossed it
+# on the link, so that the report doesn't count it yet.
+REPORT_TRAVEL_S = 0.05
+# Cache events are late: a prefix that was just sent may be missing from reports.
+PREFIX_EVENT_LAG_S = 10.0
+PREFIX_HISTORY_LIMIT = 1024
+LEAST_TOKENS_PER_S = 50.0
+
+
+class TargetState(enum.Enum):
+    """Whether a target may be given work."""
+
+    READY = "ready"
+    NOT_READY = "not_ready"
+    DRAINING = "draining"
+    UNREACHABLE = "unreachable"
+
+
+class _SentRun:
+    __slots__ = ("tokens", "sent_at")
+
+    def __init__(self, *, tokens: int, sent_at: float):
+        self.tokens = tokens
+        self.sent_at = sent_at
+
+
+class TargetLoad:
+    """The last report of one target and this router's work sent since."""
+
+    __slots__ = (
+        "latest",
+        "reported_at",
+        "reported_prefixes",
+        "history",
+        "unreported_by_run",
+        "reported_runs",
+        "ended_since",
+    )
+
+    def __init__(self):
+        self.latest: LoadReport | None = None
+        self.reported_at = 0.0
+        self.reported_prefixes: frozenset[int] = frozenset()
+        self.history: dict[int, float] = {}
+        self.unreported_by_run: dict[str, _SentRun] = {}
+        self.reported_runs: set[str] = set()
+        self.ended_since = 0
+
+    @property
+    def outstanding(self) -> int:
+        """Runs at the target: reported, less ended, plus sent since."""
+        reported = self.latest.running + self.latest.queued if self.latest else 0
+        return max(0, reported - self.ended_since) + len(self.unreported_by_run)
+
+    @property
+    def free_slots(self) -> int:
+        """Slots of the engine that no run takes; negative when runs wait."""
+        return (self.latest.slots if self.latest else 0) - self.outstanding
+
+    def wait_s(self) -> float:
+        """Return the expected time until the target starts one more run."""
+        if self.latest is None or self.free_slots > 0:
+            return 0.0
+        unreported = sum(run.tokens for run in self.unreported_by_run.values())
+        rate = max(self.latest.tokens_per_s, LEAST_TOKENS_PER_S)
+        # Without queued work the target is only full: one run has to end first.
+        backlog = self.latest.queued_tokens + unreported
+        return max(backlog, 1) / rate
+
+    def cached_blocks(self, prefixes: list[int]) -> int:
+        """Return how many leading blocks the target is expected to hold."""
+        for count in range(len(prefixes), 0, -1):
+            prefix = prefixes[count - 1]
+            if prefix in self.reported_prefixes or prefix in self.history:
+                return count
+        return 0
+
+    def remember(self, prefixes: Iterable[int], *, now: float) -> None:
+        for prefix in prefixes:
+            self.history.pop(prefix, None)
+            self.history[prefix] = now
+        while len(self.history) > PREFIX_HISTORY_LIMIT:
+            del self.history[next(iter(self.history))]
+
+    def install(self, report: LoadReport, *, now: float) -> None:
+        self.latest = report
+        self.reported_at = now
+        self.ended_since = 0
+        for run_id, run in list(self.unreported_by_run.items()):
+            if run.sent_at <= now - REPORT_TRAVEL_S:
+                del self.unreported_by_run[run_id]
+                self.reported_runs.add(run_id)
+        if not report.prefixes_known:
+            return
+        self.reported_prefixes = frozenset(report.prefixes)
+        oldest = now - PREFIX_EVENT_LAG_S
+        self.history = {
+            prefix: sent_at
+            for prefix, sent_at in self.history.items()
+            if sent_at > oldest
+        }
+
+
+class LoadView:
+    """The loads of all targets, by target name."""
+
+    def __init__(self, *, report_timeout_s: float = REPORT_TIMEOUT_S):
+        self.by_target: dict[str, TargetLoad] = {}
+        self._report_timeout_s = report_timeout_s
+
+    def load(self, target: str) -> TargetLoad:
+        """Return the load of a target; an empty one if it never reported."""
+        return self.by_target.get(target) or TargetLoad()
+
+    def report(self, target: str, report: LoadReport, *, now: float) -> None:
+        """Take in the target's own report."""
+        self._entry(target).install(report, now=now)
+
+    def sent(
+        self,
+        target: str,
+        run_id: str,
+        *,
+        tokens: int,
+        prefixes: Iterable[int] = (),
+        now: float,
+    ) -> None:
+        """Count a run of ``tokens`` that was sent to the target."""
+        entry = self._entry(target)
+        entry.unreported_by_run[run_id] = _SentRun(tokens=tokens, sent_at=now)
+        entry.remember(prefixes, now=now)
+
+    def ended(self, target: str, run_id: str) -> None:
+        """Stop counting a run that ended or was refused."""
+        entry = self._entry(target)
+        if entry.unreported_by_run.pop(run_id, None) is not None:
+            return
+        if run_id in entry.reported_runs:
+            entry.reported_runs.discard(run_id)
+            entry.ended_since += 1
+
+    def disconnected(self, target: str) -> None:
+        """Forget the target's report; its cache may be gone as well."""
+        self.by_target.pop(target, None)
+
+    def state(self, target: str, *, now: float) -> TargetState:
+        """Return whether the target may be given work at time ``now``."""
+        entry = self.by_target.get(target)
+        if entry is None or entry.latest is None:
+            return TargetState.UNREACHABLE
+        if now - entry.reported_at > self._report_timeout_s:
+            return TargetState.UNREACHABLE
+        if entry.latest.draining:
+            return TargetState.DRAINING
+        if not entry.latest.ready:
+            return TargetState.NOT_READY
+        return TargetState.READY
+
+    def _entry(self, target: str) -> TargetLoad:
+        return self.by_target.setdefault(target, TargetLoad())
