Add the thin router: one whole path from caller to settled answer

Cause: the budgets, the routing decisions and the links existed without a process that joins them.

A request goes through key check, input check, reservation of its worst case, class queue, claim (non-idempotent routes), choice, run at the agent, frames, settlement and the final marker. The request runs in a task of its own, so that a caller that disconnects doesn't cancel it. A retry must repeat the bytes that the caller already has.

prefix_hashes now chains blocks of 16 words as the engines' cache events do; with another scheme their events could not be used.

Ruled out: running the request in the connection's task, which would cancel the settlement together with the connection; refusing at the first BudgetSpent, because open grants elsewhere may still come back.

--- /dev/null
+++ b/src/lavenderfold/router/_grants.py
@@ -0,0 +1,355 @@
+"""The router's money: reservations from grants, orders, loans, hand-backs."""
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+
+import trio
+
+from lavenderfold.budgets import (
+    BudgetSpent,
+    GrantMissing,
+    GrantOpened,
+    GrantOrder,
+    GrantPool,
+    HandBack,
+    LedgerClient,
+    Reservation,
+    SetLimit,
+)
+from lavenderfold.config import Budget, FleetConfig
+from lavenderfold.identifiers import BudgetKey, RequestKey
+from lavenderfold.logs import log_event
+from lavenderfold.metrics import Metrics
+from lavenderfold.outcomes import NotRun, Reason
+from lavenderfold.router._money_peers import MoneyPeers
+from lavenderfold.timers import TimerService
+
+# How long an order may take before other routers are asked for a loan.
+LOAN_AFTER_S = 0.5
+LOAN_PERIOD_S = 1.0
+# A spent budget is asked again at this pace while requests wait for it.
+SPENT_RETRY_S = 0.5
+ORDER_POLL_S = 0.1
+
+logger = logging.getLogger("lavenderfold.router.grants")
+
+
+class _Need:
+    """The requests that wait for tokens of one budget.
+
+    ``spent`` is the ledger's last answer if that was a refusal; ``refusals``
+    counts those after which the holders had been asked to hand back.
+    """
+
+    def __init__(self):
+        self.waiting: dict[object, int] = {}
+        self.changed = trio.Event()
+        self.is_fetching = False
+        self.spent: BudgetSpent | None = None
+        self.refusals = 0
+
+    @property
+    def waiting_tokens(self) -> int:
+        return sum(self.waiting.values())
+
+    def wake(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+class GrantKeeper:
+    """Reserves tokens for requests and keeps the pool of grants filled."""
+
+    def __init__(
+        self,
+        *,
+        pool: GrantPool,
+        ledger: LedgerClient,
+        peers: MoneyPeers,
+        timers: TimerService,
+        metrics: Metrics,
+        nursery: trio.Nursery,
+        config: Callable[[], FleetConfig],
+        revision: Callable[[], int],
+        own_fenced: Callable[[int], None],
+    ):
+        self.pool = pool
+        self._ledger = ledger
+        self._peers = peers
+        self._timers = timers
+        self._metrics = metrics
+        self._nursery = nursery
+        self._config = config
+        self._revision = revision
+        self._own_fenced = own_fenced
+        self._need_by_key: dict[BudgetKey, _Need] = {}
+        self._limit_revision_by_key: dict[BudgetKey, int] = {}
+        self._open_reservations: Counter[BudgetKey] = Counter()
+        self._held_by_run_id: dict[str, Reservation] = {}
+
+    async def reserve(
+        self, request: RequestKey, tokens: int, *, deadline: float
+    ) -> Reservation | NotRun:
+        """Reserve tokens, waiting for them at most until ``deadline``.
+
+        Refuses for lack of money when the ledger says that the budget is spent
+        and no grant is open any more, or at the deadline.
+        """
+        if tokens == 0:
+            payer = self.pool.incarnation
+            return Reservation(request.budget, request.request_id, "", payer, 0)
+        reservation = self._try(request, tokens)
+        if reservation is not None:
+            self._start_fetch(request.budget)
+            return reservation
+        need = self._need(request.budget)
+        refusals = need.refusals
+        ticket = object()
+        need.waiting[ticket] = tokens
+        try:
+            while True:
+                self._start_fetch(request.budget)
+                changed = need.changed
+                with trio.move_on_after(max(0.0, deadline - self._timers.now())):
+                    await changed.wait()
+                reservation = self._try(request, tokens)
+                if reservation is not None:
+                    return reservation
+                if self._is_spent_for_good(request.budget, need, refusals):
+                    return self._refusal(need)
+                if self._timers.now() >= deadline:
+                    return self._refusal(need)
+        finally:
+            del need.waiting[ticket]
+
+    def settle(self, reservation: Reservation, tokens: int) -> None:
+        """End a run that used ``tokens``."""
+        if reservation.tokens:
+            self.pool.settle(reservation, tokens)
+            self._release(reservation.key)
+
+    def cancel(self, reservation: Reservation) -> None:
+        """End a reservation whose request was certainly not run."""
+        if reservation.tokens:
+            self.pool.cancel(reservation)
+            self._release(reservation.key)
+
+    def refund(self, reservation: Reservation, tokens: int) -> None:
+        """Free tokens that the ledger had billed before."""
+        self.pool.refund(reservation, tokens)
+        self._need(reservation.key).wake()
+
+    def hold(self, reservation: Reservation, *, run_ids: list[str]) -> None:
+        """Keep the tokens of runs whose usage is unknown until it's reported."""
+        for run_id in run_ids:
+            self._held_by_run_id[run_id] = reservation
+
+    def usage_reported(self, run_id: str, tokens: int) -> None:
+        """End a held reservation: an agent reported what its run used."""
+        reservation = self._held_by_run_id.pop(run_id, None)
+        if reservation is not None:
+            self.settle(reservation, tokens)
+
+    def payer_was_fenced(self, payer: int) -> None:
+        """Forget what a fenced incarnation pays for."""
+        if payer == self.pool.incarnation:
+            self._own_fenced(payer)
+        self.pool.drop_all(payer)
+
+    def wake_all(self) -> None:
+        """Let waiting requests try again, as after a new configuration."""
+        for need in self._need_by_key.values():
+            need.wake()
+
+    async def tend(self) -> None:
+        """Order, hand back and return loans where that is due."""
+        held = self.pool.keys()
+        for key in self._need_by_key.keys() - set(held):
+            need = self._need_by_key[key]
+            if not need.waiting and not need.is_fetching:
+                del self._need_by_key[key]
+        for key in held:
+            budget = self._budget(key)
+            if budget is None:
+                continue
+            self._start_fetch(key)
+            due = self.pool.surplus(key, budget=budget, now=self._timers.now())
+            await self._hand_back_all(due)
+            if self._ledger.store_available:
+                self._peers.return_loans(self.pool.return_loans(key))
+
+    async def hand_back_free(self, key: BudgetKey) -> int:
+        """Hand back all free tokens of a budget; return how many."""
+        budget = self._budget(key) or Budget(prepaid={})
+        due = self.pool.surplus(
+            key, budget=budget, now=self._timers.now(), pressed=True
+        )
+        await self._hand_back_all(due)
+        return sum(hand_back.tokens for hand_back in due)
+
+    async def hand_back_everything(self) -> None:
+        """Hand back all free tokens and loans, before the router exits."""
+        held = self.pool.keys()
+        for key in held:
+            self._peers.return_loans(self.pool.return_loans(key))
+            await self.hand_back_free(key)
+
+    def _try(self, request: RequestKey, tokens: int) -> Reservation | None:
+        key, now = request.budget, self._timers.now()
+        reservation = self.pool.reserve(key, request.request_id, tokens, now=now)
+        if reservation is not None:
+            self._open_reservations[key] += 1
+        return reservation
+
+    def _release(self, key: BudgetKey) -> None:
+        self._open_reservations[key] -= 1
+        if self._open_reservations[key] <= 0:
+            del self._open_reservations[key]
+        self._need(key).wake()
+
+    def _need(self, key: BudgetKey) -> _Need:
+        return self._need_by_key.setdefault(key, _Need())
+
+    def _budget(self, key: BudgetKey) -> Budget | None:
+        organisation = self._config().organisations.get(key.organisation)
+        return organisation.budgets.get(key.budget) if organisation else None
+
+    def _is_spent_for_good(self, key: BudgetKey, need: _Need, refusals: int) -> bool:
+        """Return whether no tokens can come back from any open grant."""
+        if need.spent is None or need.refusals == refusals:
+            return False
+        others = [each for each in need.spent.holders if each != self.pool.incarnation]
+        return not others and not self._open_reservations[key]
+
+    def _refusal(self, need: _Need) -> NotRun:
+        if need.spent is not None:
+            left = need.spent.available
+            return NotRun(Reason.BUDGET_SPENT, f"{left} tokens are left in the budget")
+        return NotRun(Reason.BUDGET_UNAVAILABLE, "no grant could be opened in time")
+
+    def _start_fetch(self, key: BudgetKey) -> None:
+        need = self._need(key)
+        if not need.is_fetching:
+            need.is_fetching = True
+            self._nursery.start_soon(self._fetch, key, need)
+
+    async def _fetch(self, key: BudgetKey, need: _Need) -> None:
+        """Open grants until no request waits and the pool is filled."""
+        try:
+            while (budget := self._budget(key)) is not None:
+                order = self.pool.order(
+                    key,
+                    budget=budget,
+                    waiting_tokens=need.waiting_tokens,
+                    now=self._timers.now(),
+                )
+                if order is not None:
+                    await self._open_or_borrow(order, budget, need)
+                elif need.waiting:
+                    await trio.sleep(ORDER_POLL_S)
+                else:
+                    return
+        finally:
+            need.is_fetching = False
+
+    async def _open_or_borrow(
+        self, order: GrantOrder, budget: Budget, need: _Need
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._borrow_after_a_while, order.key, need)
+            await self._open(order, budget, need)
+            nursery.cancel_scope.cancel()
+
+    async def _open(self, order: GrantOrder, budget: Budget, need: _Need) -> None:
+        await self._set_limit(order.key, budget)
+        result = (await self._ledger.submit(order.operation)).ok()
+        self._log("grant_ordered", order, result)
+        match result:
+            case GrantOpened(amount=amount, available=available):
+                self.pool.add_grant(
+                    order.key, order.grant_id, amount, available=available
+                )
+                need.spent = None
+                need.wake()
+            case BudgetSpent(available=available):
+                self.pool.refuse_order(order.key, order.grant_id, available=available)
+                await self._find_tokens(order.key, result, need)
+            case GrantMissing():
+                # The ledger knows this incarnation as fenced.
+                self.pool.refuse_order(order.key, order.grant_id, available=0)
+                self.payer_was_fenced(order.operation.holder)
+            case None:
+                await trio.sleep(SPENT_RETRY_S)
+
+    async def _find_tokens(
+        self, key: BudgetKey, spent: BudgetSpent, need: _Need
+    ) -> None:
+        """Ask all holders to hand back what they don't use.
+
+        Own free tokens are handed back too: those of several grants can't serve
+        one reservation, but a new grant can hold them together.
+        """
+        if not need.waiting:
+            return
+        returned = await self._peers.ask_hand_backs(key, spent.holders)
+        returned += await self.hand_back_free(key)
+        if returned:
+            return
+        need.spent = spent
+        need.refusals += 1
+        need.wake()
+        if need.waiting:
+            await trio.sleep(SPENT_RETRY_S)
+
+    async def _set_limit(self, key: BudgetKey, budget: Budget) -> None:
+        """Tell the ledger the budget's limit once for each revision."""
+        revision = self._revision()
+        if self._limit_revision_by_key.get(key, -1) >= revision:
+            return
+        operation = SetLimit(budget=key, limit=budget.limit, revision=revision)
+        if (await self._ledger.submit(operation)).is_ok():
+            self._limit_revision_by_key[key] = revision
+
+    async def _borrow_after_a_while(self, key: BudgetKey, need: _Need) -> None:
+        await trio.sleep(LOAN_AFTER_S)
+        while True:
+            if need.waiting:
+                smallest = min(need.waiting.values())
+                wanted = max(smallest, need.waiting_tokens)
+                for loan in await self._peers.ask_loans(key, wanted):
+                    self.pool.add_loan(loan)
+                    need.wake()
+            await trio.sleep(LOAN_PERIOD_S)
+
+    async def _hand_back_all(self, due: list[HandBack]) -> None:
+        for hand_back in due:
+            result = await self._ledger.submit(hand_back, timeout_s=LOAN_PERIOD_S)
+            log_event(
+                logger,
+                "grant_handed_back",
+                budget=hand_back.budget,
+                grant=hand_back.grant_id,
+                tokens=hand_back.tokens,
+                durable=result.is_ok(),
+            )
+            self._metrics.incr("grants.handed_back")
+            if result.is_ok():
+                self.pool.confirm_hand_back(hand_back)
+            else:
+                # The pool passes it on again later.
+                return
+
+    def _log(self, event: str, order: GrantOrder, result: object) -> None:
+        log_event(
+            logger,
+            event,
+            budget=order.key,
+            grant=order.grant_id,
+            amount=order.amount,
+            minimum=order.minimum,
+            result=type(result).__name__,
+            granted=getattr(result, "amount", None),
+            available=getattr(result, "available", None),
+        )
+        self._metrics.incr(f"grants.{type(result).__name__}")
--- /dev/null
+++ b/src/lavenderfold/router/_life.py
@@ -0,0 +1,319 @@
+"""The life of one request: budget, queue, claim, attempts, settlement."""
+
+import random
+import uuid
+
+import trio
+
+from lavenderfold.messages import CancelRun, Run, RunEnded, UsageRecord
+from lavenderfold.outcomes import MayHaveRun, NotRun, Outcome, Ran, Reason
+from lavenderfold.router._agents import AgentUnreachableError
+from lavenderfold.router._answers import AnswerPipe, Assembler, Relayed
+from lavenderfold.router._attempt import Attempt
+from lavenderfold.router._refusals import AlreadyRan
+from lavenderfold.router._requests import CallerRequest
+from lavenderfold.router._services import Services
+from lavenderfold.routing import Choice, backoff_s
+
+# Beyond the class's running time, for the agent's own report to arrive.
+RUN_GRACE_S = 5.0
+# A request that was given up by a failed target has at least this long to find
+# another one, even if its class's waiting time has passed.
+RETRY_WAIT_S = 2.0
+# A refusal for these reasons is over soon, or isn't the target's load, so the
+# retry doesn't count against the retry budget.
+FREE_RETRY_REASONS = frozenset(
+    {Reason.DRAINING, Reason.FENCED, Reason.NOT_READY, Reason.NO_TARGET}
+)
+RETRIED_REASONS = FREE_RETRY_REASONS | {
+    Reason.CONNECTION_FAILED,
+    Reason.NO_TARGET,
+    Reason.OVERLOADED,
+    Reason.TARGET_FAILED,
+}
+
+
+class RequestLife:
+    """Carries one request to its end, whether or not its caller stays.
+
+    The answer's bytes go to ``pipe``, which is finished with the outcome.
+    """
+
+    def __init__(self, *, services: Services, request: CallerRequest):
+        self.request = request
+        self.outcome: Outcome | AlreadyRan | None = None
+        self.target: str | None = None
+        self.is_placed = trio.Event()
+        self.ended: RunEnded | None = None
+        self.pipe = AnswerPipe(unread_limit=self._unread_limit(services, request))
+        self.attempts = 0
+        self._failures = 0
+        self._run_ids: list[str] = []
+        self._services = services
+        self._reservation = None
+        self._relayed = Relayed()
+        self._claimant = uuid.uuid4().hex
+        self._deadline = services.timers.now() + request.request_class.wait_s
+
+    @property
+    def state(self) -> str:
+        if self.outcome is not None:
+            return "ended"
+        return "running" if self.target is not None else "waiting"
+
+    @property
+    def may_start_again(self) -> bool:
+        """Whether a repeated call is a new request rather than this one's answer."""
+        return isinstance(self.outcome, NotRun | MayHaveRun | AlreadyRan)
+
+    async def run(self) -> None:
+        """Run the request to its end and settle it."""
+        request = self.request
+        self._record(
+            "admitted",
+            route=request.route_name,
+            organisation=request.organisation,
+            worst_case=request.worst_case,
+        )
+        outcome = await self._reserve_and_run()
+        if isinstance(outcome, NotRun):
+            self._record("refused", reason=outcome.reason, detail=outcome.detail)
+            self._services.metrics.incr(f"refused.{outcome.reason}")
+        else:
+            self._record("ended", outcome=type(outcome).__name__, target=self.target)
+        self._finish(outcome)
+
+    def fail(self, outcome: MayHaveRun) -> None:
+        """End the request after an internal error."""
+        if self.outcome is None:
+            self._finish(outcome)
+
+    def _finish(self, outcome: Outcome | AlreadyRan) -> None:
+        self.outcome = outcome
+        self.is_placed.set()
+        self.pipe.finish(outcome)
+
+    async def _reserve_and_run(self) -> Outcome | AlreadyRan:
+        request, grants = self.request, self._services.grants
+        reservation = await grants.reserve(
+            request.key,
+            request.worst_case,
+            deadline=self._deadline,
+        )
+        if isinstance(reservation, NotRun):
+            return reservation
+        self._reservation = reservation
+        outcome = await self._claim_and_run()
+        if isinstance(outcome, Ran):
+            await self._settle(outcome)
+        elif isinstance(outcome, MayHaveRun) and self.attempts > 0:
+            grants.hold(self._reservation, run_ids=self._run_ids)
+        else:
+            grants.cancel(self._reservation)
+        return outcome
+
+    async def _claim_and_run(self) -> Outcome | AlreadyRan:
+        request = self.request
+        if request.route.idempotent:
+            return await self._attempt_all()
+        refusal = await self._services.settler.claim(
+            request.key, self._claimant, deadline=self._deadline
+        )
+        if refusal is not None:
+            self._record("claim_refused", outcome=type(refusal).__name__)
+            return AlreadyRan(refusal) if isinstance(refusal, Ran) else refusal
+        outcome = await self._attempt_all()
+        if isinstance(outcome, NotRun):
+            self._services.settler.release_claim(request.key, self._claimant)
+        return outcome
+
+    async def _attempt_all(self) -> Outcome:
+        """Try targets until one runs the request or no retry is permitted."""
+        dispatch = self._services.dispatch
+        dispatch.retries(self.request.route).record_request()
+        avoid: set[str] = set()
+        unknown: MayHaveRun | None = None
+        while True:
+            turn = await dispatch.wait_turn(self.request, self._deadline)
+            if isinstance(turn, NotRun):
+                return unknown or turn
+            choice = dispatch.choose(self.request, frozenset(avoid))
+            if isinstance(choice, NotRun):
+                turn.release()
+                outcome = choice
+                avoid.clear()
+            else:
+                outcome = await self._attempt(choice, turn)
+                if isinstance(outcome, Ran):
+                    return outcome
+                avoid.add(choice.target)
+            if isinstance(outcome, MayHaveRun):
+                unknown = outcome
+            if not await self._may_retry(outcome):
+                return unknown or outcome
+
+    async def _may_retry(self, outcome: NotRun | MayHaveRun) -> bool:
+        """Wait before a retry; returns False if the outcome is final."""
+        route, now = self.request.route, self._services.timers.now()
+        if isinstance(outcome, MayHaveRun) and not route.idempotent:
+            return False
+        if isinstance(outcome, NotRun) and outcome.reason not in RETRIED_REASONS:
+            return False
+        if self._counts_as_failure(outcome):
+            self._failures += 1
+            if self._failures >= self._services.settings.limits.attempts:
+                return False
+            if not self._services.dispatch.retries(route).permits_retry():
+                return False
+            self._deadline = max(self._deadline, now + RETRY_WAIT_S)
+        elif now >= self._deadline:
+            return False
+        if outcome.reason is Reason.FENCED and not await self._reserve_again():
+            return False
+        if not self._rewind(outcome):
+            return False
+        await trio.sleep(backoff_s(max(1, self.attempts), random.random()))
+        return True
+
+    def _counts_as_failure(self, outcome: NotRun | MayHaveRun) -> bool:
+        """Whether the retry counts against the retry budget.
+
+        A request that isn't urgent goes back to the queue when the targets are
+        full; that is waiting rather than a retry.
+        """
+        if outcome.reason in FREE_RETRY_REASONS:
+            return False
+        is_urgent = self.request.request_class.priority == 0
+        return is_urgent or outcome.reason is not Reason.OVERLOADED
+
+    def _rewind(self, outcome: Outcome) -> bool:
+        if outcome.reason is Reason.TARGET_FAILED and self.pipe.was_read:
+            # Bytes that the caller has already seen may be wrong.
+            return False
+        if self.pipe.rewind():
+            self._relayed = Relayed()
+        return True
+
+    async def _reserve_again(self) -> bool:
+        """Replace a reservation whose payer was fenced."""
+        grants = self._services.grants
+        grants.payer_was_fenced(self._reservation.payer)
+        reservation = await grants.reserve(
+            self.request.key,
+            self.request.worst_case,
+            deadline=self._deadline,
+        )
+        if isinstance(reservation, NotRun):
+            return False
+        self._reservation = reservation
+        return True
+
+    async def _attempt(self, choice: Choice, turn) -> Outcome:
+        """Run the request at the chosen target."""
+        self.attempts += 1
+        run = self._make_run()
+        self._record(
+            "routed",
+            route=self.request.route_name,
+            organisation=self.request.organisation,
+            target=choice.target,
+            cost=choice.cost,
+            reason=choice.reason,
+            attempt=run.attempt,
+            run=run.run_id,
+        )
+        link = self._services.agents.by_target.get(choice.target)
+        try:
+            if link is None:
+                raise AgentUnreachableError(choice.target)
+            link.post(run)
+        except AgentUnreachableError as error:
+            return NotRun(Reason.CONNECTION_FAILED, str(error))
+        finally:
+            turn.release()
+        self._run_ids.append(run.run_id)
+        self._services.view.sent(
+            choice.target,
+            run.run_id,
+            tokens=self.request.worst_case,
+            prefixes=self.request.prefixes,
+            now=self._services.timers.now(),
+        )
+        return await self._follow(run, choice.target, link)
+
+    async def _follow(self, run: Run, target: str, link) -> Outcome:
+        services = self._services
+        attempt = Attempt(
+            run_id=run.run_id,
+            key=run.key,
+            link=link,
+            assembler=Assembler(relayed=self._relayed),
+            pipe=self.pipe,
+            relink_wait_s=services.settings.limits.relink_wait_s,
+        )
+        self.target = target
+        self.is_placed.set()
+        try:
+            with trio.move_on_after(run.deadline_s + RUN_GRACE_S):
+                outcome = await attempt.follow()
+                self.ended = attempt.ended
+                return outcome
+            services.agents.post_if_connected(target, CancelRun(run_id=run.run_id))
+            return MayHaveRun(Reason.DEADLINE_PASSED, "the run took too long")
+        finally:
+            attempt.close()
+            self._relayed = attempt.assembler.relayed()
+            services.view.ended(target, run.run_id)
+            services.dispatch.pump()
+
+    async def _settle(self, outcome: Ran) -> None:
+        """Bill the run; waits a bounded time until that is durable."""
+        services, reservation = self._services, self._reservation
+        services.grants.settle(reservation, outcome.tokens)
+        record = UsageRecord(
+            run_id=self._run_ids[-1],
+            key=self.request.key,
+            payer=reservation.payer,
+            grant_id=reservation.grant_id,
+            tokens=outcome.tokens,
+        )
+        is_durable = services.settler.settle_run(
+            record=record,
+            target=self.target,
+            outcome=outcome,
+            claimant=None if self.request.route.idempotent else self._claimant,
+            refund=lambda: services.grants.refund(reservation, outcome.tokens),
+        )
+        services.metrics.incr("spend", outcome.tokens)
+        with trio.move_on_after(services.settings.limits.settle_wait_s):
+            await is_durable.wait()
+
+    def _make_run(self) -> Run:
+        request, reservation = self.request, self._reservation
+        return Run(
+            run_id=uuid.uuid4().hex,
+            key=request.key,
+            attempt=self.attempts,
+            payer=reservation.payer,
+            grant_id=reservation.grant_id,
+            reserved=reservation.tokens,
+            idempotent=request.route.idempotent,
+            priority=request.request_class.priority,
+            deadline_s=request.request_class.run_s,
+            model=request.route.model,
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            method=request.method,
+            path=request.path,
+            content_type=request.content_type,
+            body=request.body,
+            cost_tokens=request.route.cost_tokens,
+        )
+
+    def _record(self, event: str, **fields: object) -> None:
+        self._services.decisions.record(self.request.request_id, event, **fields)
+
+    @staticmethod
+    def _unread_limit(services: Services, request: CallerRequest) -> int:
+        limits = services.settings.limits
+        return limits.unread_bytes if request.stream else limits.answer_bytes
--- /dev/null
+++ b/src/lavenderfold/router/_lives.py
@@ -0,0 +1,104 @@
+"""The requests that this router carries now or carried lately."""
+
+import logging
+from collections import OrderedDict
+
+from lavenderfold.budgets import LedgerClient, pack_request_id
+from lavenderfold.identifiers import RequestKey
+from lavenderfold.outcomes import MayHaveRun, Ran, Reason
+from lavenderfold.router._life import RequestLife
+from lavenderfold.router._refusals import AlreadyRan, bad_request
+from lavenderfold.router._requests import CallerRequest
+from lavenderfold.router._services import Services
+
+ENDED_KEPT = 2000
+LEDGER_READ_WAIT_S = 2.0
+
+logger = logging.getLogger("lavenderfold.router")
+
+
+class Lives:
+    """Starts requests and finds them by their key."""
+
+    def __init__(self, *, services: Services):
+        self.active = 0
+        self._services = services
+        self._life_by_key: dict[RequestKey, RequestLife] = {}
+        self._ended: OrderedDict[RequestKey, RequestLife] = OrderedDict()
+
+    def start(self, request: CallerRequest) -> RequestLife:
+        """Start a request in a task of its own."""
+        life = RequestLife(services=self._services, request=request)
+        self._life_by_key[request.key] = life
+        self._ended.pop(request.key, None)
+        self.active += 1
+        self._services.nursery.start_soon(self._run, life)
+        return life
+
+    def find(self, key: RequestKey) -> RequestLife | None:
+        """Return the request if it's active or ended lately."""
+        return self._life_by_key.get(key) or self._ended.get(key)
+
+    async def _run(self, life: RequestLife) -> None:
+        key = life.request.key
+        try:
+            await life.run()
+        except Exception:
+            # A fault in one request must not end those of all other callers.
+            logger.exception("request_failed", extra={"request_id": key.request_id})
+            life.fail(MayHaveRun(Reason.TARGET_FAILED, "internal error"))
+        finally:
+            self.active -= 1
+            life.request = life.request.without_content()
+            if self._life_by_key.get(key) is life:
+                del self._life_by_key[key]
+                self._ended[key] = life
+            while len(self._ended) > ENDED_KEPT:
+                self._ended.popitem(last=False)
+
+
+class RequestStates:
+    """Tells callers the state of their requests."""
+
+    def __init__(self, *, lives: Lives, ledger: LedgerClient):
+        self._lives = lives
+        self._ledger = ledger
+
+    async def state(self, key: RequestKey) -> dict:
+        """Return the state as JSON fields. Raises RefusedError if unknown."""
+        life = self._lives.find(key)
+        if life is not None:
+            return {"request_id": key.request_id, **_state_of(life)}
+        record = (await self._ledger.read(key.budget)).ok()
+        if record is None:
+            raise bad_request(
+                "the ledger can't be reached", status=503, kind="unavailable"
+            )
+        claim = record.claims_by_id.get(pack_request_id(key.request_id))
+        tokens = record.usage(key.request_id)
+        fields = {"request_id": key.request_id, "state": "ended"}
+        if tokens is not None:
+            return {**fields, "outcome": "ran", "tokens": tokens}
+        if claim is not None:
+            is_known = isinstance(claim.outcome, Ran)
+            return {**fields, "outcome": "ran" if is_known else "may_have_run"}
+        raise bad_request("no such request", status=404, kind="unknown_request")
+
+
+def _state_of(life: RequestLife) -> dict:
+    outcome = life.outcome
+    if isinstance(outcome, AlreadyRan):
+        outcome = outcome.outcome
+    fields = {
+        "state": life.state,
+        "route": life.request.route_name,
+        "target": life.target,
+        "attempts": life.attempts,
+    }
+    if isinstance(outcome, Ran):
+        ran = {"outcome": "ran", "tokens": outcome.tokens, "length": outcome.length}
+        return {**fields, **ran, "digest": outcome.digest}
+    if outcome is not None:
+        name = "may_have_run" if isinstance(outcome, MayHaveRun) else "not_run"
+        return {**fields, "outcome": name, "reason": outcome.reason.value}
+    return fields
--- /dev/null
+++ b/src/lavenderfold/router/_services.py
@@ -0,0 +1,47 @@
+"""What the tasks of a router share."""
+
+from collections.abc import Callable
+
+import trio
+
+from lavenderfold.config import FleetConfig
+from lavenderfold.metrics import Metrics
+from lavenderfold.router._agents import AgentLinks
+from lavenderfold.router._decisions import Decisions
+from lavenderfold.router._dispatch import Dispatch
+from lavenderfold.router._grants import GrantKeeper
+from lavenderfold.router._settings import RouterSettings
+from lavenderfold.router._settlement import Settler
+from lavenderfold.routing import LoadView
+from lavenderfold.timers import TimerService
+
+
+class Services:
+    """The parts of one router by what they do."""
+
+    def __init__(
+        self,
+        *,
+        settings: RouterSettings,
+        timers: TimerService,
+        metrics: Metrics,
+        nursery: trio.Nursery,
+        config: Callable[[], FleetConfig],
+        decisions: Decisions,
+        view: LoadView,
+        agents: AgentLinks,
+        dispatch: Dispatch,
+        grants: GrantKeeper,
+        settler: Settler,
+    ):
+        self.settings = settings
+        self.timers = timers
+        self.metrics = metrics
+        self.nursery = nursery
+        self.config = config
+        self.decisions = decisions
+        self.view = view
+        self.agents = agents
+        self.dispatch = dispatch
+        self.grants = grants
+        self.settler = settler
--- /dev/null
+++ b/src/lavenderfold/router/_settings.py
@@ -0,0 +1,45 @@
+"""The settings file of a router."""
+
+import msgspec
+
+from lavenderfold.settings import Address
+
+
+class RouterLimits(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Bounds of one router. Names that end in ``_s`` are seconds."""
+
+    body_bytes: int = 4 * 1024 * 1024
+    answer_bytes: int = 16 * 1024 * 1024
+    unread_bytes: int = 1024 * 1024
+    queue_length: int = 1000
+    attempts: int = 4
+    settle_wait_s: float = 0.25
+    drain_s: float = 120.0
+    request_age_s: float = 600.0
+    retention_s: float = 86_400.0
+    relink_wait_s: float = 3.0
+    hand_back_wait_s: float = 1.0
+    link_batch_s: float = 0.005
+    ledger_batch_s: float = 0.02
+    member_lease_s: float = 15.0
+    decisions: int = 5000
+
+
+class RouterSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """The whole settings file. ``peers`` are the peer addresses of other routers."""
+
+    router: str
+    region: str
+    failure_domain: str
+    listen: Address
+    operator_listen: Address
+    peer_listen: Address
+    store_address: Address
+    peers: list[Address] = msgspec.field(default_factory=list)
+    statsd_address: Address | None = None
+    shard_count: int = 16
+    limits: RouterLimits = msgspec.field(default_factory=RouterLimits)
--- a/src/lavenderfold/routing/_choice.py
+++ b/src/lavenderfold/routing/_choice.py
@@ -17,7 +17,7 @@
 REGION_COST_S = 0.3
 REGION_LINK_BYTES_PER_S = 15_000_000 / 8
 ANSWER_BYTES_PER_TOKEN = 6
-AFFINITY_BLOCKS = 2
+AFFINITY_BLOCKS = 4
 # Load above the mean at which a prefix's home target passes requests on.
 HOME_LOAD_FACTOR = 1.25
 # Runs beyond the slots that keep an engine busy between two reports.
--- a/src/lavenderfold/routing/_prefix.py
+++ b/src/lavenderfold/routing/_prefix.py
@@ -1,13 +1,11 @@
 """Prompt tokens and the hashes of a prompt's leading blocks."""
 
-import re
-
 import xxhash
 
-PREFIX_BLOCK_TOKENS = 32
-PREFIX_BLOCKS_LIMIT = 64
-
-_token = re.compile(r"\S+")
+# Block size and chaining are those of the engines' cache events, so that the
+# hashes can be compared.
+PREFIX_BLOCK_TOKENS = 16
+PREFIX_BLOCKS_LIMIT = 128
 
 
 def count_tokens(text: str) -> int:
@@ -21,13 +19,12 @@
     Blocks hold PREFIX_BLOCK_TOKENS tokens; a last block that isn't full has no
     hash. Two prompts share hash ``i`` if their first ``i + 1`` blocks are equal.
     """
-    digest = xxhash.xxh64()
+    words = prompt.split(maxsplit=PREFIX_BLOCKS_LIMIT * PREFIX_BLOCK_TOKENS)
+    words = words[: PREFIX_BLOCKS_LIMIT * PREFIX_BLOCK_TOKENS]
     hashes = []
-    for count, match in enumerate(_token.finditer(prompt), start=1):
-        digest.update(match.group().encode("utf-8", "surrogatepass"))
-        digest.update(b" ")
-        if count % PREFIX_BLOCK_TOKENS == 0:
-            hashes.append(digest.intdigest())
-            if len(hashes) == PREFIX_BLOCKS_LIMIT:
-                break
+    value = 0
+    for end in range(PREFIX_BLOCK_TOKENS, len(words) + 1, PREFIX_BLOCK_TOKENS):
+        block = " ".join(words[end - PREFIX_BLOCK_TOKENS : end])
+        value = xxhash.xxh64_intdigest(block.encode(), seed=value)
+        hashes.append(value)
     return hashes
