--- a/tests/test_foundations.py
+++ b/tests/test_foundations.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+import msgspec
 import pytest
 import trio
 
@@ -64,9 +65,31 @@
     assert "given twice" in str(error)
 
 
-def test_wrong_type_names_file_and_key():
-    error = convert({"host": "127.0.0.1", "port": "x"}, Address, path="s.yaml")
-    assert str(error.unwrap_err()).startswith("s.yaml: port: Expected `int`")
+class ExampleSettings(msgspec.Struct, forbid_unknown_fields=True):
+    listen: Address
+    port: int = 0
+
+
+@pytest.mark.parametrize(
+    ("value", "fault"),
+    [
+        ({"listen": "::1:1", "port": "x"}, "s.yaml: port: Expected `int`"),
+        ({"listen": "localhost:1"}, "s.yaml: listen: "),
+        ({"listen": "127.0.0.1:65536"}, "s.yaml: listen: expected IP:PORT"),
+        ({"listen": {"host": "127.0.0.1", "port": 1}}, "s.yaml: listen: "),
+        ({"listen": "[::1]:1", "colour": 1}, "s.yaml: file: "),
+    ],
+)
+def test_wrong_value_names_file_and_key(value, fault):
+    error = convert(value, ExampleSettings, path="s.yaml").unwrap_err()
+    assert str(error).startswith(fault)
+
+
+def test_address_is_read_from_text():
+    """A struct type in its place made every settings file with IP:PORT fail."""
+    given = convert({"listen": "[::1]:80"}, ExampleSettings, path="s.yaml")
+    assert given.unwrap().listen == Address(host="::1", port=80)
+    assert str(given.unwrap().listen) == "[::1]:80"
 
 
 def test_log_line_quotes_values_that_hold_spaces():
@@ -214,3 +237,42 @@
             await link.receive()
 
     trio.run(check)
+
+
+@pytest.mark.parametrize(
+    "data", [b"\xff\xff\xff\xff", b"\x00\x00\x00\x01\xc0", b"\x00\x00\x00\x05\x91"]
+)
+def test_link_closes_on_bytes_that_are_no_batch(data):
+    """A peer of another protocol must not stop or block the listener."""
+    closed = trio.Event()
+
+    async def serve_link(link: Link):
+        with pytest.raises(LinkClosedError):
+            await link.receive()
+        assert link.closed
+        closed.set()
+
+    async def check():
+        listener = Listener(address=ANY_PORT, message_type=ToAgent)
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(listener.run, serve_link)
+            stream = await trio.open_tcp_stream(address.host, address.port)
+            await stream.send_all(data)
+            await stream.aclose()
+            with trio.fail_after(10):
+                await closed.wait()
+            nursery.cancel_scope.cancel()
+
+    trio.run(check)
+
+
+def test_link_whose_peer_stops_reading_closes():
+    """A frozen peer must not make the queue of messages grow without bound."""
+
+    async def check():
+        link = connect(address=Address(host="127.0.0.1", port=1), message_type=ToRouter)
+        with pytest.raises(LinkClosedError):
+            while True:
+                link.post(Heartbeat(revision=1))
+
+    trio.run(check)
