Add the operators' command line

Cause: operators change the fleet through a folder of files and need to see what a change does and what the fleet runs with. Change: lavenderfoldctl with check, plan, apply, status, budget and explain; exit codes 0, 1 and 2; errors name file, key and expectation. Conclusion: status and explain are written against the routers' pages as specified and have not met a router; budget has not met a ledger.

--- /dev/null
+++ b/src/lavenderfold/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line, ``lavenderfoldctl``."""
--- /dev/null
+++ b/src/lavenderfold/ctl/__main__.py
@@ -0,0 +1,48 @@
+"""Entry point of ``lavenderfoldctl``."""
+
+import sys
+from collections.abc import Sequence
+
+import trio
+
+from lavenderfold.ctl import _changes, _reports
+from lavenderfold.ctl._errors import EXIT_GOOD, BadInputError, CommandError
+from lavenderfold.ctl._options import USAGE, parse_options
+
+COMMAND_BY_NAME = {
+    "check": _changes.check,
+    "plan": _changes.plan,
+    "apply": _changes.apply,
+    "status": _reports.status,
+    "budget": _reports.budget,
+    "explain": _reports.explain,
+}
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run one command and return its exit code."""
+    try:
+        options = parse_options(argv)
+        if options.help:
+            print(USAGE, end="")
+            return EXIT_GOOD
+        command = COMMAND_BY_NAME.get(options.command)
+        if command is None:
+            known = ", ".join(COMMAND_BY_NAME)
+            raise BadInputError(
+                f"expected a command, one of {known}, got {options.command!r}"
+            )
+        trio.run(command, options)
+    except CommandError as error:
+        print(error, file=sys.stderr)
+        return error.exit_code
+    return EXIT_GOOD
+
+
+def run() -> None:
+    """Run the command line of this process."""
+    sys.exit(main(sys.argv))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/lavenderfold/ctl/_options.py
@@ -0,0 +1,90 @@
+"""Flags of the command line."""
+
+from collections.abc import Sequence
+
+import msgspec
+from absl import flags
+
+from lavenderfold.ctl._errors import BadInputError
+from lavenderfold.settings import Address, parse_address
+
+USAGE = """\
+usage: lavenderfoldctl COMMAND [ARGUMENT] [FLAGS]
+
+  check FOLDER              check a folder of configuration files
+  plan FOLDER --store       show what an apply would change
+  apply FOLDER --store      apply the folder as the next revision
+  status                    show the revision and load of every process
+  budget [ORGANISATION]     show limits, spending and open grants
+  explain REQUEST-ID        show each decision about a request
+
+  --store IP:PORT           the key-value service
+  --routers IP:PORT,...     the routers' operator addresses, for status and explain
+  --base N                  the revision that the folder was edited from
+  --token TEXT              repeats an apply whose result is unknown
+
+Exit codes: 0 good, 1 failure, 2 bad input.
+"""
+
+
+class Options(msgspec.Struct, frozen=True, kw_only=True):
+    """The arguments and flags of one call. ``base`` is a revision number."""
+
+    command: str = ""
+    arguments: list[str] = msgspec.field(default_factory=list)
+    store: Address | None = None
+    routers: list[Address] = msgspec.field(default_factory=list)
+    base: int | None = None
+    token: str = ""
+    help: bool = False
+
+    def argument(self, what: str) -> str:
+        """Return the only argument of the command."""
+        if len(self.arguments) != 1:
+            raise BadInputError(f"{self.command}: expected one argument, {what}")
+        return self.arguments[0]
+
+    def need_store(self) -> Address:
+        """Return the store's address or raise BadInputError."""
+        if self.store is None:
+            raise BadInputError("--store: expected IP:PORT of the key-value service")
+        return self.store
+
+
+def parse_options(argv: Sequence[str]) -> Options:
+    """Parse the command line; raises BadInputError. ``argv[0]`` is the program."""
+    values = flags.FlagValues()
+    values.set_gnu_getopt(True)
+    flags.DEFINE_string("store", "", "IP:PORT of the store.", flag_values=values)
+    flags.DEFINE_list(
+        "routers", [], "IP:PORT of routers' operator addresses.", flag_values=values
+    )
+    flags.DEFINE_integer(
+        "base",
+        None,
+        "Revision that the folder was edited from.",
+        lower_bound=0,
+        flag_values=values,
+    )
+    flags.DEFINE_string("token", "", "Token of an apply to repeat.", flag_values=values)
+    flags.DEFINE_bool("help", False, "Show the usage.", flag_values=values)
+    try:
+        words = values(argv)[1:]
+    except flags.Error as error:
+        raise BadInputError(str(error)) from error
+    return Options(
+        command=words[0] if words else "",
+        arguments=words[1:],
+        store=_address("store", values.store) if values.store else None,
+        routers=[_address("routers", text) for text in values.routers],
+        base=values.base,
+        token=values.token,
+        help=values.help,
+    )
+
+
+def _address(flag: str, text: str) -> Address:
+    try:
+        return parse_address(text)
+    except ValueError as error:
+        raise BadInputError(f"--{flag}: expected IP:PORT, got {text!r}") from error
