Add the morning traces of both example users and their generator

Cause: the demonstration replays a morning of each user. Ruled out: prompts as text, which would make each trace about 0.3 MB; one seed for both users, which gave them the same sequence of times. Conclusion: traces are ready for a replay against a fleet.

--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from functools import partial
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -14,6 +15,7 @@
     UsageEntry,
     pack_request_id,
 )
+from lavenderfold.config import merge_files
 from lavenderfold.http import json_response, serve
 from lavenderfold.identifiers import BudgetKey
 from lavenderfold.replay import (
@@ -42,7 +44,9 @@
 from lavenderfold.store import Store
 from lavenderfold.timers import TimerService
 from standins.config_store import ConfigStore
+from standins.trace_generator import PROFILE_BY_USER, TraceGenerator
 
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 ANY_PORT = Address(host="127.0.0.1", port=0)
 TEXT = b"amber-dusk bright-sky "
 DIGEST = hashlib.sha256(TEXT).hexdigest()
@@ -346,3 +350,25 @@
             nursery.cancel_scope.cancel()
 
     trio.run(check)
+
+
+@pytest.mark.parametrize("user", list(PROFILE_BY_USER))
+def test_committed_trace_is_the_generated_one_and_fits_the_example(user):
+    """A trace that names no configured route would replay nothing but refusals."""
+    text = (EXAMPLES / "traces" / f"{user}.jsonl").read_text(encoding="utf-8")
+    assert encode_trace(TraceGenerator(user=user, seed=1).make()) == text
+    folder = EXAMPLES / user
+    text_by_name = {path.name: path.read_text() for path in folder.glob("*.yaml")}
+    config = merge_files(text_by_name).unwrap()
+    regions = {domain.region for domain in config.failure_domains.values()}
+    for request in decode_trace(text).unwrap():
+        assert request.region in regions
+        assert request.organisation in config.organisations
+        route = config.routes.get(request.route)
+        assert (route is not None) == (request.expected is Expected.RAN)
+        if route is not None and route.kind == "app":
+            assert request.method in route.methods
+            assert (request.worst_case, request.idempotent) == (
+                route.cost_tokens,
+                route.idempotent,
+            )
