--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -270,16 +270,20 @@
         self, module: str, arguments: Sequence[str], *, timeout_s: float = 60.0
     ) -> subprocess.CompletedProcess:
         """Run a command line of the product to its end; its output is text."""
-        return subprocess.run(
-            [sys.executable, "-m", f"lavenderfold.{module}", *arguments],
-            stdin=subprocess.DEVNULL,
-            capture_output=True,
-            text=True,
-            cwd=REPOSITORY,
-            env=self.environment,
-            timeout=timeout_s,
-            check=False,
-        )
+        command = [sys.executable, "-m", f"lavenderfold.{module}", *arguments]
+        try:
+            return subprocess.run(
+                command,
+                stdin=subprocess.DEVNULL,
+                capture_output=True,
+                text=True,
+                cwd=REPOSITORY,
+                env=self.environment,
+                timeout=timeout_s,
+                check=False,
+            )
+        except subprocess.TimeoutExpired as error:
+            raise FleetError(module, f"still running after {timeout_s} s") from error
 
     def _add(
         self,
