Connect the router to other routers, the configuration and reclaim

Cause: the thin router took its configuration from its caller and knew no other router; a dead router's grants stayed held.

Change: peer links carry loans, hand-back requests and configuration

A sign of life under a lease and a reclaim duty under the same lease retire silent routers, fence them at all agents and release their grants through ReclaimPlan. Usage of a failed attempt waits until its request has ended, so that the caller is billed for the answer it got. A run that ends without usage on an unbroken link frees its reservation.

Ruled out: starting with incarnation 0 until the store answers; agents close the older of two links with one incarnation, so two starting routers would have cut each other off. A negative random number stands in.

--- a/src/lavenderfold/router/_agents.py
+++ b/src/lavenderfold/router/_agents.py
@@ -58,18 +58,16 @@
 
 
 class AgentHandlers:
-    """Functions that the agent links call; each takes the target's name first."""
+    """Functions that the agent links call with the target's name."""
 
     def __init__(
         self,
         *,
-        connected: Callable[[str], None],
         lost: Callable[[str], None],
         reported: Callable[[str, LoadReport], None],
         usage_reported: Callable[[str, UsageReport], None],
         fenced: Callable[[str, FenceReport], None],
     ):
-        self.connected = connected
         self.lost = lost
         self.reported = reported
         self.usage_reported = usage_reported
@@ -222,7 +220,6 @@
         self.boot_id = hello.boot_id
         self.up.set()
         log_event(logger, "agent_connected", target=self.name, boot=hello.boot_id)
-        self._handlers.connected(self.name)
 
 
 class AgentLinks:
@@ -280,6 +277,11 @@
             return False
         return True
 
+    def post_all(self, message: Any) -> None:
+        """Send to all agents that are connected."""
+        for target in self.by_target:
+            self.post_if_connected(target, message)
+
     def is_connected(self, target: str) -> bool:
         link = self.by_target.get(target)
         return link is not None and link.is_connected
--- a/src/lavenderfold/router/_attempt.py
+++ b/src/lavenderfold/router/_attempt.py
@@ -42,6 +42,7 @@
         self._names = [run_id]
         self._changed = trio.Event()
         self._is_lost = False
+        self._was_lost = False
         self._is_stalled = False
         self._resumed_at = -RESUME_PERIOD_S
         link.attach(run_id, self)
@@ -72,8 +73,14 @@
 
     def on_link_lost(self) -> None:
         self._is_lost = True
+        self._was_lost = True
         self._wake()
 
+    @property
+    def is_accounted(self) -> bool:
+        """Whether the agent ended the run on a link that never broke."""
+        return self.ended is not None and not self._was_lost
+
     def close(self) -> None:
         """Stop receiving messages."""
         for name in self._names:
--- a/src/lavenderfold/router/_face.py
+++ b/src/lavenderfold/router/_face.py
@@ -23,6 +23,7 @@
     bad_request,
     error_response,
     refusal_of,
+    unknown_request,
 )
 from lavenderfold.router._relay import AnswerSource, Relay, targets_of
 from lavenderfold.router._requests import (
@@ -48,6 +49,7 @@
         relay: Relay,
         states: RequestStates,
         is_draining: Callable[[], bool],
+        has_config: Callable[[], bool],
     ):
         limits = services.settings.limits
         self.open_requests = 0
@@ -56,6 +58,7 @@
         self._relay = relay
         self._states = states
         self._is_draining = is_draining
+        self._has_config = has_config
         self._check = RequestCheck(request_age_s=limits.request_age_s)
 
     async def handle(self, request: HttpRequest, writer: ResponseWriter) -> None:
@@ -72,7 +75,8 @@
 
     async def _route(self, request: HttpRequest, writer: ResponseWriter) -> None:
         if request.path == "/healthz":
-            status = 503 if self._is_draining() else 200
+            is_serving = self._has_config() and not self._is_draining()
+            status = 200 if is_serving else 503
             await writer.send(json_response(status, {"draining": self._is_draining()}))
             return
         is_call = request.path == COMPLETIONS_PATH or request.path.startswith(
@@ -80,6 +84,9 @@
         )
         if not is_call and not request.path.startswith(REQUESTS_PREFIX):
             raise bad_request("no such path", status=404, kind="unknown_path")
+        if not self._has_config():
+            refusal = NotRun(Reason.NOT_READY, "there is no configuration yet")
+            raise refusal_of(refusal, request_id=None)
         budget = self._authenticate(request)
         if self._is_draining():
             raise refusal_of(NotRun(Reason.DRAINING), request_id=None)
@@ -200,7 +207,7 @@
         wants_answer = request_id.endswith(ANSWER_SUFFIX)
         request_id = request_id.removesuffix(ANSWER_SUFFIX)
         if request_id_time(request_id).is_err():
-            raise bad_request("no such request", status=404, kind="unknown_request")
+            raise unknown_request("no such request")
         key = RequestKey(budget, request_id)
         if wants_answer:
             await self._resume(key, request, writer)
@@ -222,7 +229,7 @@
                     MayHaveRun(Reason.CONNECTION_LOST, "some agents can't be reached"),
                     request_id=key.request_id,
                 )
-            raise bad_request("no such answer", status=404, kind="unknown_request")
+            raise unknown_request("no such answer")
         try:
             if found.run.kind is RouteKind.MODEL:
                 await self._stream(key.request_id, found.run.pipe, writer, offset)
--- a/src/lavenderfold/router/_formats.py
+++ b/src/lavenderfold/router/_formats.py
@@ -52,11 +52,17 @@
 
 
 def completion_response(request_id: str, outcome: Ran, body: bytes) -> HttpResponse:
-    """Return a model's whole answer as JSON."""
+    """Return a model's whole answer as JSON.
+
+    Beside ``id`` and ``usage`` it has the fields of a stream's end.
+    """
     value = {
         "id": request_id,
         "text": body.decode("utf-8", "replace"),
         "digest": outcome.digest,
+        "length": outcome.length,
+        "tokens": outcome.tokens,
+        "request_id": request_id,
         "usage": {"tokens": outcome.tokens},
     }
     response = json_response(200, value)
--- a/src/lavenderfold/router/_grants.py
+++ b/src/lavenderfold/router/_grants.py
@@ -1,7 +1,7 @@
 """The router's money: reservations from grants, orders, loans, hand-backs."""
 
 import logging
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 
 import trio
@@ -20,17 +20,22 @@
 from lavenderfold.config import Budget, FleetConfig
 from lavenderfold.identifiers import BudgetKey, RequestKey
 from lavenderfold.logs import log_event
+from lavenderfold.messages import Loan, LoanRequest, LoanReturn
 from lavenderfold.metrics import Metrics
 from lavenderfold.outcomes import NotRun, Reason
-from lavenderfold.router._money_peers import MoneyPeers
+from lavenderfold.router._peers import PeerLinks
 from lavenderfold.timers import TimerService
 
 # How long an order may take before other routers are asked for a loan.
 LOAN_AFTER_S = 0.5
 LOAN_PERIOD_S = 1.0
+# Borrowing for several requests at once saves each of them a round trip.
+LOAN_FACTOR = 4
 # A spent budget is asked again at this pace while requests wait for it.
 SPENT_RETRY_S = 0.5
 ORDER_POLL_S = 0.1
+# Reports of runs that are still open are needed until those end.
+REPORTED_KEPT = 4096
 
 logger = logging.getLogger("lavenderfold.router.grants")
 
@@ -45,6 +50,7 @@
     def __init__(self):
         self.waiting: dict[object, int] = {}
         self.changed = trio.Event()
+        self.arrived = trio.Event()
         self.is_fetching = False
         self.spent: BudgetSpent | None = None
         self.refusals = 0
@@ -53,11 +59,29 @@
     def waiting_tokens(self) -> int:
         return sum(self.waiting.values())
 
+    def add(self, tokens: int) -> object:
+        """Add a waiting request; returns its key in ``waiting``."""
+        ticket = object()
+        self.waiting[ticket] = tokens
+        self.arrived.set()
+        self.arrived = trio.Event()
+        return ticket
+
     def wake(self) -> None:
         self.changed.set()
         self.changed = trio.Event()
 
 
+class _Held:
+    """A reservation that stays charged until one of its runs is accounted for."""
+
+    __slots__ = ("reservation", "run_ids")
+
+    def __init__(self, reservation: Reservation, run_ids: list[str]):
+        self.reservation = reservation
+        self.run_ids = run_ids
+
+
 class GrantKeeper:
     """Reserves tokens for requests and keeps the pool of grants filled."""
 
@@ -66,7 +90,7 @@
         *,
         pool: GrantPool,
         ledger: LedgerClient,
-        peers: MoneyPeers,
+        peers: PeerLinks,
         timers: TimerService,
         metrics: Metrics,
         nursery: trio.Nursery,
@@ -83,10 +107,23 @@
         self._config = config
         self._revision = revision
         self._own_fenced = own_fenced
+        self._registered = trio.Event()
         self._need_by_key: dict[BudgetKey, _Need] = {}
         self._limit_revision_by_key: dict[BudgetKey, int] = {}
         self._open_reservations: Counter[BudgetKey] = Counter()
-        self._held_by_run_id: dict[str, Reservation] = {}
+        self._held_by_run_id: dict[str, _Held] = {}
+        self._reported_by_run_id: OrderedDict[str, int] = OrderedDict()
+
+    @property
+    def is_registered(self) -> bool:
+        """Whether this router may hold grants of its own."""
+        return self.pool.incarnation > 0
+
+    def registered(self, incarnation: int) -> None:
+        """Hold grants as ``incarnation`` from now on."""
+        self.pool.incarnation = incarnation
+        self._registered.set()
+        self.wake_all()
 
     async def reserve(
         self, request: RequestKey, tokens: int, *, deadline: float
@@ -105,8 +142,7 @@
             return reservation
         need = self._need(request.budget)
         refusals = need.refusals
-        ticket = object()
-        need.waiting[ticket] = tokens
+        ticket = need.add(tokens)
         try:
             while True:
                 self._start_fetch(request.budget)
@@ -136,20 +172,33 @@
             self._release(reservation.key)
 
     def refund(self, reservation: Reservation, tokens: int) -> None:
-        """Free tokens that the ledger had billed before."""
-        self.pool.refund(reservation, tokens)
+        """Free tokens of a settled run whose request had been billed before."""
+        self.pool.refund(reservation, max(0, tokens))
         self._need(reservation.key).wake()
 
     def hold(self, reservation: Reservation, *, run_ids: list[str]) -> None:
         """Keep the tokens of runs whose usage is unknown until it's reported."""
         for run_id in run_ids:
-            self._held_by_run_id[run_id] = reservation
+            if run_id in self._reported_by_run_id:
+                self.settle(reservation, self._reported_by_run_id[run_id])
+                return
+        for run_id in run_ids:
+            self._held_by_run_id[run_id] = _Held(reservation, run_ids)
+
+    def has_reported(self, run_ids: list[str]) -> bool:
+        """Return whether an agent reported usage of one of these runs."""
+        return any(run_id in self._reported_by_run_id for run_id in run_ids)
 
     def usage_reported(self, run_id: str, tokens: int) -> None:
-        """End a held reservation: an agent reported what its run used."""
-        reservation = self._held_by_run_id.pop(run_id, None)
-        if reservation is not None:
-            self.settle(reservation, tokens)
+        """Note what a run used; ends its reservation if that was held."""
+        self._reported_by_run_id[run_id] = tokens
+        if len(self._reported_by_run_id) > REPORTED_KEPT:
+            self._reported_by_run_id.popitem(last=False)
+        held = self._held_by_run_id.get(run_id)
+        if held is not None:
+            for each in held.run_ids:
+                self._held_by_run_id.pop(each, None)
+            self.settle(held.reservation, tokens)
 
     def payer_was_fenced(self, payer: int) -> None:
         """Forget what a fenced incarnation pays for."""
@@ -162,6 +211,29 @@
         for need in self._need_by_key.values():
             need.wake()
 
+    def lend(self, request: LoanRequest) -> Loan:
+        """Lend free tokens to another router."""
+        loan = self.pool.lend(request.key, request.tokens, request.loan_id)
+        log_event(
+            logger,
+            "loan_given",
+            budget=request.key,
+            grant=loan.grant_id,
+            loan=loan.loan_id,
+            wanted=request.tokens,
+            tokens=loan.tokens,
+        )
+        self._metrics.incr("grants.lent", loan.tokens)
+        return loan
+
+    def take_back(self, returned: LoanReturn) -> None:
+        """Free the unused part of a loan that this router gave."""
+        log_event(
+            logger, "loan_returned", loan=returned.loan_id, tokens=returned.tokens
+        )
+        self.pool.take_back(returned)
+        self.wake_all()
+
     async def tend(self) -> None:
         """Order, hand back and return loans where that is due."""
         held = self.pool.keys()
@@ -238,6 +310,9 @@
         """Open grants until no request waits and the pool is filled."""
         try:
             while (budget := self._budget(key)) is not None:
+                if not self.is_registered:
+                    await self._borrow_until_registered(key, need)
+                    return
                 order = self.pool.order(
                     key,
                     budget=budget,
@@ -253,6 +328,13 @@
         finally:
             need.is_fetching = False
 
+    async def _borrow_until_registered(self, key: BudgetKey, need: _Need) -> None:
+        """Serve waiting requests from loans while the store has no number for us."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._borrow_after_a_while, key, need)
+            await self._registered.wait()
+            nursery.cancel_scope.cancel()
+
     async def _open_or_borrow(
         self, order: GrantOrder, budget: Budget, need: _Need
     ) -> None:
@@ -312,15 +394,17 @@
             self._limit_revision_by_key[key] = revision
 
     async def _borrow_after_a_while(self, key: BudgetKey, need: _Need) -> None:
+        """Borrow while an order isn't answered, as in an outage of the store."""
         await trio.sleep(LOAN_AFTER_S)
         while True:
+            arrived = need.arrived
             if need.waiting:
-                smallest = min(need.waiting.values())
-                wanted = max(smallest, need.waiting_tokens)
+                wanted = need.waiting_tokens * LOAN_FACTOR
                 for loan in await self._peers.ask_loans(key, wanted):
                     self.pool.add_loan(loan)
-                    need.wake()
-            await trio.sleep(LOAN_PERIOD_S)
+                need.wake()
+            with trio.move_on_after(LOAN_PERIOD_S):
+                await arrived.wait()
 
     async def _hand_back_all(self, due: list[HandBack]) -> None:
         for hand_back in due:
--- a/src/lavenderfold/router/_life.py
+++ b/src/lavenderfold/router/_life.py
@@ -49,6 +49,8 @@
         self.attempts = 0
         self._failures = 0
         self._run_ids: list[str] = []
+        self._is_accounted = True
+        self._used_tokens = 0
         self._services = services
         self._reservation = None
         self._relayed = Relayed()
@@ -103,11 +105,18 @@
         if isinstance(reservation, NotRun):
             return reservation
         self._reservation = reservation
+        try:
+            return await self._run_and_account()
+        finally:
+            self._services.settler.end_tries(self._run_ids)
+
+    async def _run_and_account(self) -> Outcome | AlreadyRan:
+        grants = self._services.grants
         outcome = await self._claim_and_run()
         if isinstance(outcome, Ran):
             await self._settle(outcome)
         elif isinstance(outcome, MayHaveRun) and self.attempts > 0:
-            grants.hold(self._reservation, run_ids=self._run_ids)
+            self._hold()
         else:
             grants.cancel(self._reservation)
         return outcome
@@ -232,6 +241,7 @@
         finally:
             turn.release()
         self._run_ids.append(run.run_id)
+        self._services.settler.begin_try(run.run_id)
         self._services.view.sent(
             choice.target,
             run.run_id,
@@ -254,7 +264,8 @@
         self.target = target
         self.is_placed.set()
         try:
-            with trio.move_on_after(run.deadline_s + RUN_GRACE_S):
+            run_s = self.request.request_class.run_s
+            with trio.move_on_after(run.deadline_s + run_s + RUN_GRACE_S):
                 outcome = await attempt.follow()
                 self.ended = attempt.ended
                 return outcome
@@ -262,13 +273,27 @@
             return MayHaveRun(Reason.DEADLINE_PASSED, "the run took too long")
         finally:
             attempt.close()
+            self._is_accounted &= attempt.is_accounted
             self._relayed = attempt.assembler.relayed()
             services.view.ended(target, run.run_id)
             services.dispatch.pump()
 
+    def _hold(self) -> None:
+        """Keep the tokens charged unless all runs certainly used nothing.
+
+        On a link that stayed open an agent reports usage before the end of the
+        run, so that an end without a report means that there is none.
+        """
+        grants = self._services.grants
+        if self._is_accounted and not grants.has_reported(self._run_ids):
+            grants.cancel(self._reservation)
+        else:
+            grants.hold(self._reservation, run_ids=self._run_ids)
+
     async def _settle(self, outcome: Ran) -> None:
         """Bill the run; waits a bounded time until that is durable."""
         services, reservation = self._services, self._reservation
+        self._used_tokens = outcome.tokens
         services.grants.settle(reservation, outcome.tokens)
         record = UsageRecord(
             run_id=self._run_ids[-1],
@@ -282,12 +307,23 @@
             target=self.target,
             outcome=outcome,
             claimant=None if self.request.route.idempotent else self._claimant,
-            refund=lambda: services.grants.refund(reservation, outcome.tokens),
+            refund=self._refund,
         )
         services.metrics.incr("spend", outcome.tokens)
         with trio.move_on_after(services.settings.limits.settle_wait_s):
             await is_durable.wait()
 
+    def _refund(self, billed_tokens: int) -> None:
+        """Free what this run used, because its request was billed before.
+
+        If that bill may come from an earlier attempt on the same reservation,
+        its tokens stay charged.
+        """
+        tokens = self._used_tokens
+        if len(self._run_ids) > 1:
+            tokens -= billed_tokens
+        self._services.grants.refund(self._reservation, tokens)
+
     def _make_run(self) -> Run:
         request, reservation = self.request, self._reservation
         return Run(
@@ -299,7 +335,7 @@
             reserved=reservation.tokens,
             idempotent=request.route.idempotent,
             priority=request.request_class.priority,
-            deadline_s=request.request_class.run_s,
+            deadline_s=max(RETRY_WAIT_S, self._deadline - self._services.timers.now()),
             model=request.route.model,
             prompt=request.prompt,
             max_tokens=request.max_tokens,
--- a/src/lavenderfold/router/_lives.py
+++ b/src/lavenderfold/router/_lives.py
@@ -7,7 +7,7 @@
 from lavenderfold.identifiers import RequestKey
 from lavenderfold.outcomes import MayHaveRun, Ran, Reason
 from lavenderfold.router._life import RequestLife
-from lavenderfold.router._refusals import AlreadyRan, bad_request
+from lavenderfold.router._refusals import AlreadyRan, bad_request, unknown_request
 from lavenderfold.router._requests import CallerRequest
 from lavenderfold.router._services import Services
 
@@ -82,7 +82,7 @@
         if claim is not None:
             is_known = isinstance(claim.outcome, Ran)
             return {**fields, "outcome": "ran" if is_known else "may_have_run"}
-        raise bad_request("no such request", status=404, kind="unknown_request")
+        raise unknown_request("no such request")
 
 
 def _state_of(life: RequestLife) -> dict:
--- /dev/null
+++ b/src/lavenderfold/router/_parts.py
@@ -0,0 +1,180 @@
+"""The parts of a router and how they are connected."""
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from lavenderfold import metrics
+from lavenderfold.budgets import GrantPool, LedgerClient
+from lavenderfold.messages import LoadReport, Loan, LoanRequest
+from lavenderfold.router._agents import AgentHandlers, AgentLinks
+from lavenderfold.router._decisions import Decisions
+from lavenderfold.router._dispatch import Dispatch
+from lavenderfold.router._face import CallerFace
+from lavenderfold.router._grants import GrantKeeper
+from lavenderfold.router._lives import Lives, RequestStates
+from lavenderfold.router._operator import OperatorFace
+from lavenderfold.router._peers import PeerHandlers, PeerLinks
+from lavenderfold.router._reclaim import Reclaimer
+from lavenderfold.router._relay import Relay
+from lavenderfold.router._services import Services
+from lavenderfold.router._settlement import Settler
+from lavenderfold.routing import LoadView
+from lavenderfold.store import Store
+from lavenderfold.timers import TimerService
+
+if TYPE_CHECKING:
+    from lavenderfold.router._router import Router
+
+
+class Parts:
+    """Builds the parts of one router; ``router`` owns incarnation and state."""
+
+    def __init__(
+        self,
+        *,
+        router: "Router",
+        timers: TimerService,
+        store: Store,
+        nursery: trio.Nursery,
+    ):
+        self._router = router
+        self._settings = router.settings
+        self._timers = timers
+        self._nursery = nursery
+        self._metrics = metrics.connect(
+            address=self._settings.statsd_address, prefix="lavenderfold.router"
+        )
+        limits = self._settings.limits
+        self.view = LoadView()
+        self.ledger = LedgerClient(
+            store=store,
+            timers=timers,
+            shard_count=self._settings.shard_count,
+            batch_window_s=limits.ledger_batch_s,
+            retention_s=limits.retention_s,
+        )
+        self.dispatch = Dispatch(
+            view=self.view,
+            timers=timers,
+            region=self._settings.region,
+            queue_length=limits.queue_length,
+        )
+        self.agents = self._build_agents()
+        self.peers = self._build_peers()
+        self.grants = self._build_grants()
+        self.settler = Settler(
+            ledger=self.ledger,
+            agents=self.agents,
+            nursery=nursery,
+            timers=timers,
+            usage_reported=self.grants.usage_reported,
+        )
+        services = self._build_services()
+        self.lives = Lives(services=services)
+        self.callers = CallerFace(
+            services=services,
+            lives=self.lives,
+            relay=Relay(services=services),
+            states=RequestStates(lives=self.lives, ledger=self.ledger),
+            is_draining=lambda: router.is_draining,
+            has_config=lambda: router.state.revision > 0,
+        )
+        self.operators = OperatorFace(
+            services=services,
+            incarnation=lambda: router.incarnation,
+            revision=lambda: router.state.revision,
+            is_draining=lambda: router.is_draining,
+        )
+        self.reclaimer = self._build_reclaimer(store)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request, settlement or caller's connection is in progress."""
+        return (
+            self.lives.active == 0
+            and self.settler.is_idle
+            and self.callers.open_requests == 0
+        )
+
+    def _build_agents(self) -> AgentLinks:
+        handlers = AgentHandlers(
+            lost=self.view.disconnected,
+            reported=self._take_load,
+            usage_reported=lambda *args: self.settler.take_report(*args),
+            fenced=lambda _, report: self.reclaimer.take_report(report),
+        )
+        return AgentLinks(
+            handlers=handlers,
+            hello=self._router.hello,
+            timers=self._timers,
+            batch_window_s=self._settings.limits.link_batch_s,
+        )
+
+    def _build_peers(self) -> PeerLinks:
+        watcher = self._router.watcher
+        handlers = PeerHandlers(
+            lend=self._lend,
+            take_back=lambda returned: self.grants.take_back(returned),
+            hand_back_free=lambda key: self.grants.hand_back_free(key),
+            snapshot=self._router.state.snapshot,
+            take_snapshot=lambda snapshot: watcher.offer(snapshot, source="peer"),
+        )
+        return PeerLinks(
+            settings=self._settings,
+            timers=self._timers,
+            hello=self._router.peer_hello,
+            handlers=handlers,
+        )
+
+    def _build_grants(self) -> GrantKeeper:
+        router = self._router
+        return GrantKeeper(
+            pool=GrantPool(incarnation=router.incarnation),
+            ledger=self.ledger,
+            peers=self.peers,
+            timers=self._timers,
+            metrics=self._metrics,
+            nursery=self._nursery,
+            config=lambda: router.state.config,
+            revision=lambda: router.state.revision,
+            own_fenced=router.register_again,
+        )
+
+    def _build_services(self) -> Services:
+        return Services(
+            settings=self._settings,
+            timers=self._timers,
+            metrics=self._metrics,
+            nursery=self._nursery,
+            config=lambda: self._router.state.config,
+            decisions=Decisions(limit=self._settings.limits.decisions),
+            view=self.view,
+            agents=self.agents,
+            dispatch=self.dispatch,
+            grants=self.grants,
+            settler=self.settler,
+        )
+
+    def _build_reclaimer(self, store: Store) -> Reclaimer:
+        router = self._router
+        return Reclaimer(
+            settings=self._settings,
+            store=store,
+            ledger=self.ledger,
+            agents=self.agents,
+            membership=router.membership,
+            sign_of_life=router.sign_of_life,
+            timers=self._timers,
+            config=lambda: router.state.config,
+        )
+
+    def _lend(self, request: LoanRequest) -> Loan:
+        if self._router.is_draining:
+            # What is lent now couldn't be handed back at exit.
+            request = LoanRequest(loan_id=request.loan_id, key=request.key, tokens=0)
+        return self.grants.lend(request)
+
+    def _take_load(self, target: str, report: LoadReport) -> None:
+        self.view.report(target, report, now=self._timers.now())
+        self.dispatch.pump()
--- /dev/null
+++ b/src/lavenderfold/router/_peers.py
@@ -0,0 +1,301 @@
+"""Links to other routers: loans, hand-backs and configuration."""
+
+import logging
+import random
+import uuid
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+import trio
+
+from lavenderfold.identifiers import BudgetKey
+from lavenderfold.links import Link, LinkClosedError, Listener, connect
+from lavenderfold.logs import log_event
+from lavenderfold.messages import (
+    HandBackDone,
+    HandBackRequest,
+    Heartbeat,
+    Loan,
+    LoanRequest,
+    LoanReturn,
+    PeerHello,
+    Snapshot,
+    SnapshotRequest,
+    ToPeer,
+)
+from lavenderfold.router._settings import RouterSettings
+from lavenderfold.routing import backoff_s
+from lavenderfold.settings import Address
+from lavenderfold.timers import TimerService
+
+HEARTBEAT_S = 1.0
+SILENCE_LIMIT_S = 5.0
+LOAN_ANSWER_WAIT_S = 0.4
+# Each asked lender costs a round trip while a request waits.
+LENDERS_ASKED_LIMIT = 8
+
+logger = logging.getLogger("lavenderfold.router.peers")
+
+
+class PeerHandlers:
+    """Functions of the router that its peers' messages lead to."""
+
+    def __init__(
+        self,
+        *,
+        lend: Callable[[LoanRequest], Loan],
+        take_back: Callable[[LoanReturn], None],
+        hand_back_free: Callable[[BudgetKey], Awaitable[int]],
+        snapshot: Callable[[], Snapshot],
+        take_snapshot: Callable[[Snapshot], None],
+    ):
+        self.lend = lend
+        self.take_back = take_back
+        self.hand_back_free = hand_back_free
+        self.snapshot = snapshot
+        self.take_snapshot = take_snapshot
+
+
+class Peer:
+    """An open link to another router and what it said about itself."""
+
+    def __init__(self, *, link: Link, now: float):
+        self.link = link
+        self.heard_at = now
+        self.hello: PeerHello | None = None
+
+    def post(self, message: Any) -> bool:
+        """Send a message; returns whether the link was open."""
+        try:
+            self.link.post(message)
+        except LinkClosedError:
+            return False
+        return True
+
+
+class PeerLinks:
+    """The links to other routers, opened by either side."""
+
+    def __init__(
+        self,
+        *,
+        settings: RouterSettings,
+        timers: TimerService,
+        hello: Callable[[], PeerHello],
+        handlers: PeerHandlers,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._hello = hello
+        self._handlers = handlers
+        self._peers: list[Peer] = []
+        self._answer_by_id: dict[object, trio.MemorySendChannel] = {}
+        self._lender_by_loan_id: dict[str, int] = {}
+        self._unreturned: list[LoanReturn] = []
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve and open links until cancelled; reports the bound address."""
+        window_s = self._settings.limits.link_batch_s
+        listener = Listener(
+            address=self._settings.peer_listen,
+            message_type=ToPeer,
+            batch_window_s=window_s,
+        )
+        async with trio.open_nursery() as nursery:
+            bound = await nursery.start(listener.run, self._serve)
+            for address in self._settings.peers:
+                if address not in (bound, self._settings.peer_listen):
+                    nursery.start_soon(self._keep_open, address)
+            task_status.started(bound)
+
+    def connected(self) -> list[Peer]:
+        """Return one peer for each router that is connected, the near ones first."""
+        by_router = {
+            peer.hello.incarnation: peer
+            for peer in self._peers
+            if peer.hello is not None
+            and not peer.link.closed
+            and peer.hello.incarnation != self._hello().incarnation
+        }
+        return sorted(by_router.values(), key=self._distance)
+
+    async def ask_hand_backs(self, key: BudgetKey, holders: Iterable[int]) -> int:
+        """Ask holders to hand back; return the tokens that came back."""
+        wanted = set(holders)
+        asked = [
+            peer
+            for peer in self.connected()
+            if peer.hello.incarnation in wanted and peer.post(HandBackRequest(key=key))
+        ]
+        returned = 0
+        with trio.move_on_after(self._settings.limits.hand_back_wait_s):
+            for peer in asked:
+                answer = await self._answer((peer.hello.incarnation, key))
+                returned += answer.tokens
+        return returned
+
+    async def ask_loans(self, key: BudgetKey, tokens: int) -> list[Loan]:
+        """Ask near routers first for loans of ``tokens`` in all."""
+        loans: list[Loan] = []
+        for peer in self.connected()[:LENDERS_ASKED_LIMIT]:
+            if tokens <= 0:
+                break
+            loan = await self._ask_loan(peer, key, tokens)
+            if loan is not None and loan.tokens > 0:
+                tokens -= loan.tokens
+                loans.append(loan)
+        return loans
+
+    def return_loans(self, returned: list[LoanReturn]) -> None:
+        """Return the unused parts of loans; keeps those of absent lenders."""
+        self._unreturned += returned
+        if not self._unreturned:
+            return
+        peer_by_incarnation = {
+            peer.hello.incarnation: peer for peer in self.connected()
+        }
+        kept = []
+        for each in self._unreturned:
+            lender = self._lender_by_loan_id.get(each.loan_id)
+            peer = peer_by_incarnation.get(lender)
+            if peer is None or not peer.post(each):
+                kept.append(each)
+            else:
+                del self._lender_by_loan_id[each.loan_id]
+        self._unreturned = kept
+
+    def announce(self) -> None:
+        """Tell all peers this router's revision and incarnation now."""
+        for peer in self.connected():
+            peer.post(self._hello())
+
+    def _distance(self, peer: Peer) -> tuple[bool, bool]:
+        return (
+            peer.hello.region != self._settings.region,
+            peer.hello.failure_domain != self._settings.failure_domain,
+        )
+
+    async def _ask_loan(self, peer: Peer, key: BudgetKey, tokens: int) -> Loan | None:
+        loan_id = uuid.uuid4().hex
+        self._lender_by_loan_id[loan_id] = peer.hello.incarnation
+        request = LoanRequest(loan_id=loan_id, key=key, tokens=tokens)
+        if not peer.post(request):
+            return None
+        with trio.move_on_after(LOAN_ANSWER_WAIT_S):
+            loan = await self._answer(loan_id)
+            log_event(
+                logger,
+                "loan_received",
+                budget=key,
+                lender=peer.hello.router,
+                loan=loan_id,
+                tokens=loan.tokens,
+            )
+            return loan
+        return None
+
+    async def _answer(self, name: object) -> Any:
+        """Wait for the answer that is known by ``name``."""
+        send, receive = trio.open_memory_channel(1)
+        self._answer_by_id[name] = send
+        try:
+            return await receive.receive()
+        finally:
+            if self._answer_by_id.get(name) is send:
+                del self._answer_by_id[name]
+
+    def _resolve(self, name: object, answer: Any) -> bool:
+        waiting = self._answer_by_id.pop(name, None)
+        if waiting is None:
+            return False
+        waiting.send_nowait(answer)
+        return True
+
+    async def _keep_open(self, address: Address) -> None:
+        failures = 0
+        while True:
+            link = connect(
+                address=address,
+                message_type=ToPeer,
+                batch_window_s=self._settings.limits.link_batch_s,
+            )
+            was_up = False
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(link.run)
+                    was_up = await self._serve(link)
+                    nursery.cancel_scope.cancel()
+            finally:
+                link.close()
+            failures = 1 if was_up else failures + 1
+            await trio.sleep(backoff_s(failures, random.random()))
+
+    async def _serve(self, link: Link) -> bool:
+        """Exchange messages until the link closes; returns whether it was up."""
+        peer = Peer(link=link, now=self._timers.now())
+        self._peers.append(peer)
+        try:
+            async with trio.open_nursery() as nursery:
+                peer.post(self._hello())
+                nursery.start_soon(self._send_heartbeats, peer)
+                await self._receive(peer, nursery)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._peers.remove(peer)
+        return peer.hello is not None
+
+    async def _receive(self, peer: Peer, nursery: trio.Nursery) -> None:
+        try:
+            while True:
+                for message in await peer.link.receive():
+                    peer.heard_at = self._timers.now()
+                    self._take(peer, message, nursery)
+        except LinkClosedError:
+            return
+
+    async def _send_heartbeats(self, peer: Peer) -> None:
+        while True:
+            await trio.sleep(HEARTBEAT_S)
+            if self._timers.now() - peer.heard_at > SILENCE_LIMIT_S:
+                peer.link.close()
+                return
+            peer.post(Heartbeat(revision=self._hello().revision))
+
+    def _take(self, peer: Peer, message: Any, nursery: trio.Nursery) -> None:
+        match message:
+            case PeerHello():
+                peer.hello = message
+                self._compare(peer, message.revision)
+                self.return_loans([])
+            case Heartbeat(revision=revision):
+                self._compare(peer, revision)
+            case LoanRequest():
+                peer.post(self._handlers.lend(message))
+            case Loan(loan_id=loan_id, tokens=tokens):
+                if not self._resolve(loan_id, message):
+                    # The answer came too late for the request that waited.
+                    peer.post(LoanReturn(loan_id=loan_id, tokens=tokens))
+            case LoanReturn():
+                self._handlers.take_back(message)
+            case HandBackRequest(key=key):
+                nursery.start_soon(self._hand_back, peer, key)
+            case HandBackDone(key=key) if peer.hello is not None:
+                self._resolve((peer.hello.incarnation, key), message)
+            case SnapshotRequest(revision=revision):
+                snapshot = self._handlers.snapshot()
+                if snapshot.revision > revision:
+                    peer.post(snapshot)
+            case Snapshot():
+                self._handlers.take_snapshot(message)
+
+    def _compare(self, peer: Peer, revision: int) -> None:
+        """Fetch the peer's configuration if it's newer than this router's."""
+        own = self._hello().revision
+        if revision > own:
+            peer.post(SnapshotRequest(revision=own))
+
+    async def _hand_back(self, peer: Peer, key: BudgetKey) -> None:
+        tokens = await self._handlers.hand_back_free(key)
+        peer.post(HandBackDone(key=key, tokens=tokens))
--- a/src/lavenderfold/router/_refusals.py
+++ b/src/lavenderfold/router/_refusals.py
@@ -54,6 +54,13 @@
     return RefusedError(status=status, kind=kind, message=message)
 
 
+def unknown_request(what: str) -> RefusedError:
+    """Return the error for a request that can't be found; it may have run."""
+    return RefusedError(
+        status=404, kind="unknown_request", message=what, outcome="may_have_run"
+    )
+
+
 def refusal_of(outcome: Outcome, *, request_id: str | None) -> RefusedError:
     """Return the error that tells the caller an outcome without an answer."""
     if isinstance(outcome, NotRun):
--- a/src/lavenderfold/router/_settings.py
+++ b/src/lavenderfold/router/_settings.py
@@ -24,13 +24,23 @@
     link_batch_s: float = 0.005
     ledger_batch_s: float = 0.02
     member_lease_s: float = 15.0
+    reclaim_period_s: float = 5.0
     decisions: int = 5000
 
+    def __post_init__(self) -> None:
+        for name in self.__struct_fields__:
+            if getattr(self, name) <= 0:
+                raise ValueError(f"{name} must be more than 0")
+
 
 class RouterSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """The whole settings file. ``peers`` are the peer addresses of other routers."""
+    """The whole settings file.
+
+    ``peers`` are the peer addresses of other routers; its own may be among them.
+    ``vm_list_address`` is the platform's list of VMs, for reclaim.
+    """
 
     router: str
     region: str
@@ -41,5 +51,15 @@
     store_address: Address
     peers: list[Address] = msgspec.field(default_factory=list)
     statsd_address: Address | None = None
+    vm_list_address: Address | None = None
     shard_count: int = 16
     limits: RouterLimits = msgspec.field(default_factory=RouterLimits)
+
+    def __post_init__(self) -> None:
+        for name in ("router", "region", "failure_domain"):
+            if not getattr(self, name):
+                raise ValueError(f"{name} must not be empty")
+        if self.shard_count < 1:
+            raise ValueError("shard_count must be at least 1")
+        if len(set(self.peers)) != len(self.peers):
+            raise ValueError("peers must not name one address twice")
--- a/src/lavenderfold/router/_settlement.py
+++ b/src/lavenderfold/router/_settlement.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 
+import msgspec
 import trio
 from result import Err, Ok
 
@@ -28,6 +29,13 @@
 logger = logging.getLogger("lavenderfold.router.settlement")
 
 
+class _Report(msgspec.Struct, frozen=True):
+    """Usage that an agent reported of a run whose request goes on."""
+
+    target: str
+    record: UsageRecord
+
+
 class Settler:
     """Writes to the ledger in tasks of their own until each write is durable."""
 
@@ -38,14 +46,15 @@
         agents: AgentLinks,
         timers: TimerService,
         nursery: trio.Nursery,
-        usage_settled: Callable[[str, int], None],
+        usage_reported: Callable[[str, int], None],
     ):
         self.open_by_run_id: dict[str, trio.Event] = {}
         self._ledger = ledger
         self._agents = agents
         self._timers = timers
         self._nursery = nursery
-        self._usage_settled = usage_settled
+        self._usage_reported = usage_reported
+        self._report_by_tried_run_id: dict[str, _Report | None] = {}
 
     @property
     def is_idle(self) -> bool:
@@ -58,11 +67,11 @@
         target: str,
         outcome: Ran | None = None,
         claimant: str | None = None,
-        refund: Callable[[], None] | None = None,
+        refund: Callable[[int], None] | None = None,
     ) -> trio.Event:
         """Bill a run and finish its claim; the event is set once durable.
 
-        ``refund`` is called if the request was billed before.
+        ``refund`` is called with the tokens if the request was billed before.
         """
         is_durable = self.open_by_run_id.get(record.run_id)
         if is_durable is None:
@@ -73,10 +82,16 @@
         return is_durable
 
     def take_report(self, target: str, report: UsageReport) -> None:
-        """Bill usage that an agent keeps because no router confirmed it."""
+        """Bill usage that an agent keeps because no router confirmed it.
+
+        While a request is still being tried, the usage of a failed attempt
+        waits, so that the request is billed for the answer that it gets.
+        """
         for record in report.records:
-            self._usage_settled(record.run_id, record.tokens)
-            if record.run_id not in self.open_by_run_id:
+            self._usage_reported(record.run_id, record.tokens)
+            if record.run_id in self._report_by_tried_run_id:
+                self._report_by_tried_run_id[record.run_id] = _Report(target, record)
+            elif record.run_id not in self.open_by_run_id:
                 log_event(
                     logger,
                     "usage_taken",
@@ -87,6 +102,17 @@
                 )
                 self.settle_run(record=record, target=target)
 
+    def begin_try(self, run_id: str) -> None:
+        """Note that a run belongs to a request that hasn't ended."""
+        self._report_by_tried_run_id[run_id] = None
+
+    def end_tries(self, run_ids: list[str]) -> None:
+        """Bill what was reported of these runs, now that their request ended."""
+        for run_id in run_ids:
+            report = self._report_by_tried_run_id.pop(run_id, None)
+            if report is not None:
+                self.settle_run(record=report.record, target=report.target)
+
     async def claim(
         self, key: RequestKey, claimant: str, *, deadline: float
     ) -> Outcome | None:
@@ -139,7 +165,7 @@
         target: str,
         claimant: str | None,
         outcome: Ran | None,
-        refund: Callable[[], None] | None,
+        refund: Callable[[int], None] | None,
         is_durable: trio.Event,
     ) -> None:
         key = record.key
@@ -160,7 +186,7 @@
         self._agents.post_if_connected(target, stored)
 
     async def _bill(
-        self, record: UsageRecord, refund: Callable[[], None] | None
+        self, record: UsageRecord, refund: Callable[[int], None] | None
     ) -> None:
         result = await self.write(
             Settle(
@@ -180,4 +206,4 @@
             result=type(result).__name__,
         )
         if isinstance(result, AlreadySettled) and refund is not None:
-            refund()
+            refund(result.tokens)
--- a/src/lavenderfold/routing/_load.py
+++ b/src/lavenderfold/routing/_load.py
@@ -9,8 +9,9 @@
 # A run that was sent this shortly before a report arrived may have crossed it
 # on the link, so that the report doesn't count it yet.
 REPORT_TRAVEL_S = 0.05
-# Cache events are late: a prefix that was just sent may be missing from reports.
-PREFIX_EVENT_LAG_S = 10.0
+# Reports name only the prefixes stored last, and late. The router's own history
+# stands for the others until an engine has probably evicted them.
+PREFIX_HISTORY_S = 300.0
 PREFIX_HISTORY_LIMIT = 1024
 LEAST_TOKENS_PER_S = 50.0
 
@@ -101,7 +102,7 @@
         if not report.prefixes_known:
             return
         self.reported_prefixes = frozenset(report.prefixes)
-        oldest = now - PREFIX_EVENT_LAG_S
+        oldest = now - PREFIX_HISTORY_S
         self.history = {
             prefix: sent_at
             for prefix, sent_at in self.history.items()
