--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -126,6 +126,7 @@
             head = await self._next_event()
             if not isinstance(head, h11.Request):
                 return None
+            _check_head(head)
             with trio.move_on_after(REQUEST_READ_TIMEOUT_S):
                 return await self._read_body(head)
             raise MalformedRequestError("the request took too long", status=408)
@@ -179,6 +180,19 @@
         await writer.send(response)
 
 
+def _check_head(head: h11.Request) -> None:
+    """Refuse what h11 lets through. Raises MalformedRequestError."""
+    # h11 applies its limit only to a head that arrives in several parts.
+    size = sum(len(name) + len(value) for name, value in head.headers)
+    if size + len(head.target) > HEADER_BYTES_LIMIT:
+        fault = f"the head is longer than {HEADER_BYTES_LIMIT} bytes"
+        raise MalformedRequestError(fault, status=431)
+    # A proxy in front may go by the length and take the rest for a request.
+    names = {name for name, _ in head.headers}
+    if {b"content-length", b"transfer-encoding"} <= names:
+        raise MalformedRequestError("both a length and chunks are given")
+
+
 async def serve(
     handler: Handler,
     *,
