Test the whole path with real processes

Cause: parts that pass alone may disagree on messages, ids and amounts. Change: tests/test_whole_path.py starts store, engine, service, two agents and a router, serves two requests of each route, compares ledger, targets and answers, and sends 41 kinds of bad input. The launcher ends members in groups, routers first. Ruled out: ending all members at once; the router then waits 5 s for the store that is gone already, and leaving the context took 6.1 s.

--- a/scripts/configured_fleet.py
+++ b/scripts/configured_fleet.py
@@ -234,6 +234,7 @@
             "peer_listen": place.peer_listen,
             "store_address": self._seen_from(place.region, self.store.address),
             "peers": peers,
+            "vm_list_address": self["vm-list"].address,
         }
         self.add_product(
             place.name, "router", settings, address=place.listen, is_ready=is_healthy
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -29,6 +29,7 @@
 POLL_S = 0.02
 HTTP_TIMEOUT_S = 10.0
 LOG_TAIL_LINES = 15
+STAND_INS = "standins"
 
 
 class FleetError(Exception):
@@ -66,7 +67,10 @@
 
 
 class Member:
-    """One process of the fleet with its command, log and control address."""
+    """One process of the fleet with its command, log and control address.
+
+    Members of one ``group``, such as all agents, are ended together.
+    """
 
     def __init__(
         self,
@@ -76,10 +80,12 @@
         log: Path,
         environment: Mapping[str, str],
         is_ready: Callable[["Member"], bool],
-        address: str = "",
+        address: str,
+        group: str,
     ):
         self.name = name
         self.address = address
+        self.group = group
         self._command = command
         self._log = log
         self._environment = environment
@@ -221,12 +227,19 @@
         return self.member_by_name[name]
 
     def stop(self) -> None:
-        """End every member: gracefully if it follows in time, else by force."""
-        for member in self.member_by_name.values():
-            member.ask_to_end()
-        deadline = time.monotonic() + STOP_TIMEOUT_S
-        for member in self.member_by_name.values():
-            member.end_by(deadline)
+        """End every member: gracefully if it follows in time, else by force.
+
+        Members end in the reverse order of their start and in groups, because
+        a process that shuts down still needs the services that it uses.
+        """
+        members = list(self.member_by_name.values())
+        for group in reversed(list(dict.fromkeys(each.group for each in members))):
+            ending = [member for member in members if member.group == group]
+            for member in ending:
+                member.ask_to_end()
+            deadline = time.monotonic() + STOP_TIMEOUT_S
+            for member in ending:
+                member.end_by(deadline)
         self._temporary.cleanup()
 
     def address(self) -> str:
@@ -243,7 +256,7 @@
             for item in (value if isinstance(value, list) else [value])
         ]
         command = [sys.executable, "-m", f"standins.{module}", *flags]
-        return self._add(name, command, address, _is_announced)
+        return self._add(name, command, address, _is_announced, group=STAND_INS)
 
     def add_product(
         self,
@@ -259,7 +272,7 @@
         path.write_text(yaml.safe_dump(dict(settings)), encoding="utf-8")
         command = [sys.executable, "-m", f"lavenderfold.{module}"]
         command.append(f"--settings={path}")
-        return self._add(name, command, address, is_ready)
+        return self._add(name, command, address, is_ready, group=module)
 
     def wait_ready(self) -> None:
         """Wait until every member serves. Raises FleetError."""
@@ -291,6 +304,8 @@
         command: Sequence[str],
         address: str,
         is_ready: Callable[[Member], bool],
+        *,
+        group: str,
     ) -> Member:
         if name in self.member_by_name:
             raise FleetError(name, "is given twice")
@@ -301,6 +316,7 @@
             environment=self.environment,
             is_ready=is_ready,
             address=address,
+            group=group,
         )
         self.member_by_name[name] = member
         member.start()
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,279 @@
+"""A small fleet of real processes: router, two agents, engine, service, store."""
+
+import hashlib
+import socket
+import time
+
+import pytest
+import trio
+
+from lavenderfold.identifiers import make_request_id
+from lavenderfold.replay import (
+    EvidenceReader,
+    Player,
+    PlayOptions,
+    RequestKind,
+    Router,
+    TraceRequest,
+    format_results,
+    judge,
+    select_checks,
+)
+from lavenderfold.settings import parse_address
+from lavenderfold.store import Store
+from lavenderfold.timers import TimerService
+from scripts.configured_fleet import ConfiguredFleet
+from standins.texts import answer_text
+
+SECRET = "test-key"
+KEY = f"north.{SECRET}"
+CONFIGURATION = f"""\
+failure_domains:
+  west-1: {{region: west}}
+request_classes:
+  quick: {{priority: 0, wait_s: 15}}
+  record: {{priority: 1, wait_s: 15}}
+targets:
+  writer-1:
+    kind: model
+    agent: 127.0.0.1:1
+    vm: vm-1
+    failure_domain: west-1
+    models: [writer]
+  log-1:
+    kind: app
+    agent: 127.0.0.1:2
+    vm: vm-2
+    failure_domain: west-1
+    service: log
+routes:
+  ask: {{kind: model, request_class: quick, model: writer, max_tokens: 100}}
+  sign:
+    kind: app
+    request_class: record
+    idempotent: false
+    service: log
+    cost_tokens: 7
+  read:
+    kind: app
+    request_class: record
+    service: log
+    cost_tokens: 2
+    methods: [GET]
+  closed: {{kind: app, request_class: record, service: log, organisations: [south]}}
+organisations:
+  north:
+    keys:
+      k: {{sha256: {hashlib.sha256(KEY.encode()).hexdigest()}, budget: main}}
+    budgets: {{main: {{prepaid: {{first: 5000}}}}}}
+  south: {{}}
+"""
+PROMPT = "what changed length:20"
+ANSWER_DIGEST = hashlib.sha256(answer_text(PROMPT, 30).encode()).hexdigest()
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("configuration")
+    (folder / "10-all.yaml").write_text(CONFIGURATION)
+    options = {"step_s": 0.005}
+    with ConfiguredFleet(
+        folder=folder, routers_per_region=1, engine_options=options
+    ) as fleet:
+        yield fleet
+
+
+def make_trace() -> list[TraceRequest]:
+    """Return two requests of each route."""
+    common = {"offset_s": 0.0, "organisation": "north", "region": "west"}
+    asks = [
+        TraceRequest(
+            **common,
+            route="ask",
+            kind=RequestKind.QUICK,
+            size=len(PROMPT),
+            prompt=PROMPT,
+            max_tokens=30,
+            stream=stream,
+            worst_case=33,
+            answer_digest=ANSWER_DIGEST,
+        )
+        for stream in (True, False)
+    ]
+    signs = [
+        TraceRequest(
+            **common,
+            route="sign",
+            kind=RequestKind.SIGN_OFF,
+            size=40,
+            path=f"lamp/{number}",
+            idempotent=False,
+            worst_case=7,
+            answer_part=f"lamp/{number}",
+        )
+        for number in range(2)
+    ]
+    reads = [
+        TraceRequest(
+            **common,
+            route="read",
+            kind=RequestKind.FETCH,
+            size=0,
+            method="GET",
+            path=f"station/{number}",
+            worst_case=2,
+            answer_part=f"station/{number}",
+        )
+        for number in range(2)
+    ]
+    return asks + signs + reads
+
+
+def make_reader(fleet) -> EvidenceReader:
+    return EvidenceReader(
+        store=Store(address=parse_address(fleet.store.address)),
+        targets=[parse_address(each.address) for each in fleet.stand_in_targets],
+        settle_s=15.0,
+    )
+
+
+def read_state(fleet) -> tuple:
+    """Return what ran and what was charged so far."""
+
+    async def read():
+        return await make_reader(fleet).read([], {})
+
+    evidence = trio.run(read)
+    charged = {
+        str(key): (budget.settled, budget.unexplained, budget.tokens_by_request_id)
+        for key, budget in evidence.after.items()
+    }
+    return sorted((run.target, run.request_id) for run in evidence.runs), charged
+
+
+def test_each_route_is_served_and_billed_once(fleet):
+    """Parts that pass alone may still disagree on messages, ids or amounts."""
+    (place,) = fleet.places
+
+    async def play():
+        reader = make_reader(fleet)
+        before = await reader.read_budgets()
+        options = PlayOptions(
+            routers=[Router(place.region, parse_address(place.listen))],
+            key_secret=SECRET,
+            time_scale=0.0,
+        )
+        player = Player(options=options, timers=TimerService())
+        records = await player.play(make_trace())
+        return records, await reader.read(records, before)
+
+    records, evidence = trio.run(play)
+    verdict = judge(
+        records, evidence, check_by_name=select_checks(faults_injected=False)
+    )
+    assert verdict.holds, format_results(records, verdict)
+    (budget,) = evidence.after.values()
+    asked = sum(record.stated_tokens or 0 for record in records)
+    assert budget.settled == asked + 2 * 7 + 2 * 2
+    assert len(evidence.runs) == len(records)
+
+
+def request_id(age_s: float = 0.0) -> str:
+    return make_request_id(unix_time=time.time() - age_s, random_bits=1)
+
+
+def raw(
+    line: str,
+    body: bytes = b"",
+    *,
+    key: str | None = KEY,
+    headers: tuple[str, ...] = (),
+) -> bytes:
+    """Return the bytes of an HTTP request."""
+    lines = [f"{line} HTTP/1.1", "host: router", f"content-length: {len(body)}"]
+    if key is not None:
+        lines.append(f"authorization: Bearer {key}")
+    return "\r\n".join([*lines, *headers, "", ""]).encode("latin-1") + body
+
+
+def ask(body: bytes, **options) -> bytes:
+    return raw("POST /v1/completions", body, **options)
+
+
+GOOD_BODY = b'{"model": "ask", "prompt": "hello", "max_tokens": 5}'
+CHUNKED_BODY = b"%x\r\n%b\r\n0\r\n\r\n" % (len(GOOD_BODY), GOOD_BODY)
+BODY_BYTES_LIMIT = 4 * 1024 * 1024
+ID_HEADER = "idempotency-key: "
+BAD_INPUT = {
+    "malformed JSON": ask(b'{"model": '),
+    "JSON of another shape": ask(b"[1, 2]"),
+    "text that is not UTF-8": ask(GOOD_BODY.replace(b"hello", b"\xff\xfe")),
+    "unknown field": ask(GOOD_BODY.replace(b"{", b'{"priority": 0, ', 1)),
+    "missing max_tokens": ask(b'{"model": "ask", "prompt": "hello"}'),
+    "max_tokens of 0": ask(GOOD_BODY.replace(b"5", b"0")),
+    "negative max_tokens": ask(GOOD_BODY.replace(b"5", b"-5")),
+    "max_tokens above the route's": ask(GOOD_BODY.replace(b"5", b"101")),
+    "max_tokens beyond 64 bits": ask(GOOD_BODY.replace(b"5", b"9" * 30)),
+    "empty prompt": ask(GOOD_BODY.replace(b"hello", b" ")),
+    "unknown route": ask(GOOD_BODY.replace(b'"ask"', b'"nothing"')),
+    "application route as model": ask(GOOD_BODY.replace(b'"ask"', b'"sign"')),
+    # One byte too many: with more, the router's close could overtake its answer.
+    "body too large": ask(b"x" * (BODY_BYTES_LIMIT + 1)),
+    "no key": ask(GOOD_BODY, key=None),
+    "wrong key": ask(GOOD_BODY, key="north.wrong"),
+    "unknown organisation": ask(GOOD_BODY, key=f"west.{SECRET}"),
+    "key without a secret": ask(GOOD_BODY, key="north"),
+    "two keys": ask(GOOD_BODY, headers=(f"authorization: Bearer {KEY}",)),
+    "another scheme": ask(GOOD_BODY, key=None, headers=("authorization: Basic eA==",)),
+    "id that is no UUID": ask(GOOD_BODY, headers=(ID_HEADER + "1",)),
+    "id of version 4": ask(
+        GOOD_BODY, headers=(ID_HEADER + "5f0c9c58-3b0e-4c39-9f5e-0d3f6b3f7a11",)
+    ),
+    "id too old": ask(GOOD_BODY, headers=(ID_HEADER + request_id(3600.0),)),
+    "id of the future": ask(GOOD_BODY, headers=(ID_HEADER + request_id(-3600.0),)),
+    "two ids": ask(GOOD_BODY, headers=(ID_HEADER + request_id(),) * 2),
+    "wrong method": raw("GET /v1/completions"),
+    "wrong method of a route": raw("POST /v1/apps/read/station/1"),
+    "sign-off without an id": raw("POST /v1/apps/sign/lamp/1"),
+    "model route as application": raw("POST /v1/apps/ask/lamp/1"),
+    "route of another organisation": raw("POST /v1/apps/closed/lamp/1"),
+    "path that climbs": raw("GET /v1/apps/read/../sign/lamp/1"),
+    "path that climbs, encoded": raw("GET /v1/apps/read/%2e%2e/sign/lamp/1"),
+    "unknown path": raw("POST /v2/completions", GOOD_BODY),
+    "unknown request": raw(f"GET /v1/requests/{request_id()}"),
+    "answer of an unknown request": raw(f"GET /v1/requests/{request_id()}/answer"),
+    "malformed Last-Event-ID": raw(
+        f"GET /v1/requests/{request_id()}/answer", headers=("last-event-id: -1",)
+    ),
+    "not HTTP": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+    "header too long": ask(GOOD_BODY, headers=("x: " + "y" * 40_000,)),
+    "header without a colon": ask(GOOD_BODY, headers=("nonsense",)),
+    "two lengths": ask(GOOD_BODY, headers=("content-length: 3",)),
+    "length and chunks": ask(CHUNKED_BODY, headers=("transfer-encoding: chunked",)),
+    "no host": ask(GOOD_BODY).replace(b"host: router\r\n", b""),
+}
+
+
+def send(address: str, data: bytes) -> bytes:
+    """Send bytes and return the start of the answer."""
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=15) as connection:
+        connection.sendall(data)
+        return connection.recv(65536)
+
+
+def test_bad_input_is_refused_and_neither_run_nor_charged(fleet):
+    """Input from callers must never cost tokens or reach a target unchecked."""
+    (place,) = fleet.places
+    before = read_state(fleet)
+    wrong = {}
+    for name, data in BAD_INPUT.items():
+        answer = send(place.listen, data)
+        status = answer.split(b" ")[1][:3] if answer.startswith(b"HTTP/1.1 ") else b""
+        if not status.startswith(b"4"):
+            wrong[name] = answer[:200]
+    assert wrong == {}
+    assert read_state(fleet) == before
+    # The router still serves; an answer to good input shows that the table
+    # fails for its faults and not for a mistake of its own.
+    assert send(place.listen, ask(GOOD_BODY)).startswith(b"HTTP/1.1 200 ")
