Match the targets' counts with requests and add a contest for a small budget

Cause: an agent names a run at the engine ORGANISATION/BUDGET/REQUEST/RUN, and a call of a service without the run. The replay looked the counts up by the bare request id, found none, and so "refused means not run" and "no double sign-off" held whatever had happened. Ruled out: the bare request id at the engine; the agent needs a name for each run. Conclusion: the run checks compare something now, and a test asserts that they do.

--- a/scripts/configured_fleet.py
+++ b/scripts/configured_fleet.py
@@ -112,7 +112,12 @@
         """Check and apply the folder as the next revision; return the output."""
         folder = str(self.folder)
         checked = self.control("check", folder)
-        applied = self.control("apply", folder, f"--store={self.store.address}")
+        applied = self.control(
+            "apply",
+            folder,
+            f"--store={self.store.address}",
+            f"--base={self.revision}",
+        )
         self.revision += 1
         return checked + applied
 
--- a/src/lavenderfold/replay/__main__.py
+++ b/src/lavenderfold/replay/__main__.py
@@ -77,8 +77,8 @@
         idle_timeout_s=FLAGS.idle_timeout_s,
         request_timeout_s=FLAGS.request_timeout_s,
     )
-    if not requests or not options.routers:
-        raise UsageError("--trace and --router: expected at least one of each")
+    if not (requests and options.routers and FLAGS.target):
+        raise UsageError("--trace, --router, --target: expected one of each at least")
     before = await reader.read_budgets()
     records = await Player(options=options, timers=TimerService()).play(requests)
     evidence = await reader.read(records, before)
--- a/src/lavenderfold/replay/_checks.py
+++ b/src/lavenderfold/replay/_checks.py
@@ -205,25 +205,39 @@
 def check_expectations(
     records: Sequence[CallRecord], evidence: Evidence
 ) -> list[Finding]:
-    """Each request ended as the trace says."""
+    """Each request ended as the trace says, and ran if it says so."""
+    runs_by_id = evidence.runs_by_request_id()
     findings = []
     for record in records:
-        wanted = record.request.expected
-        lost = record.outcome is CallOutcome.RAN and not record.answered
-        if record.fault or lost or record.outcome.value != wanted.value:
-            got = record.fault or f"{record.outcome} ({record.reason})"
-            findings.append(Finding(record.name, f"expected {wanted}, got {got}"))
+        fault = _expectation_fault(record)
+        # Without this, counts that can't be matched would satisfy every check
+        # that nothing ran.
+        if record.outcome is CallOutcome.RAN and not runs_by_id[record.request_id]:
+            fault = "no target counted its run"
+        if fault:
+            findings.append(Finding(record.name, fault))
     return findings
 
 
 def check_arrivals(records: Sequence[CallRecord], evidence: Evidence) -> list[Finding]:
     """Each request that may repeat arrived, whatever failed meanwhile."""
-    return [
-        finding
-        for record in records
-        if record.request.idempotent and record.request.expected is Expected.RAN
-        for finding in check_expectations([record], evidence)
-    ]
+    findings = []
+    for record in records:
+        fault = _expectation_fault(record)
+        must_arrive = record.request.expected is Expected.RAN
+        if fault and must_arrive and record.request.idempotent:
+            findings.append(Finding(record.name, fault))
+    return findings
+
+
+def _expectation_fault(record: CallRecord) -> str:
+    wanted = record.request.expected
+    unexpected = wanted is not Expected.ANY and record.outcome.value != wanted.value
+    lost = record.outcome is CallOutcome.RAN and not record.answered
+    if not (record.fault or lost or unexpected):
+        return ""
+    got = record.fault or f"{record.outcome} ({record.reason})"
+    return f"expected {wanted}, got {got}"
 
 
 def _billing_fault(record: CallRecord, bills: list[tuple[BudgetKey, int]]) -> str:
--- a/src/lavenderfold/replay/_evidence.py
+++ b/src/lavenderfold/replay/_evidence.py
@@ -6,7 +6,7 @@
 import trio
 
 from lavenderfold.http import HttpClient, HttpClientError, HttpRequest
-from lavenderfold.identifiers import BudgetKey
+from lavenderfold.identifiers import BudgetKey, request_id_time
 from lavenderfold.replay._checks import BudgetEvidence, Evidence, RunEvidence
 from lavenderfold.replay._ledger import read_ledger
 from lavenderfold.replay._records import CallOutcome, CallRecord
@@ -83,14 +83,23 @@
     return [
         RunEvidence(
             target=str(address),
-            request_id=request_id,
-            tokens=stats.tokens_by_request_id.get(request_id),
+            request_id=_request_id(name),
+            tokens=stats.tokens_by_request_id.get(name),
         )
-        for request_id, count in stats.runs_by_request_id.items()
+        for name, count in stats.runs_by_request_id.items()
         for _ in range(count)
     ]
 
 
+def _request_id(name: str) -> str:
+    """Return the request id in the name that an agent gives a run.
+
+    The name also holds organisation and budget, and at engines the run's id.
+    """
+    parts = name.split("/")
+    return next((part for part in parts if request_id_time(part).is_ok()), name)
+
+
 def _billed(budgets: dict[BudgetKey, BudgetEvidence]) -> set[str]:
     return {
         request_id
--- a/src/lavenderfold/replay/_exchange.py
+++ b/src/lavenderfold/replay/_exchange.py
@@ -93,7 +93,7 @@
 class Exchange:
     """Sends one request and fills ``answer`` with what comes back.
 
-    ``on_part`` is called for each part of an answer. A router that sends
+    ``on_part`` is called for each part of a streamed answer. A router that sends
     nothing for ``idle_timeout_s`` is given up like a broken connection.
     """
 
@@ -170,7 +170,6 @@
             raise ResponseLostError(self._client.address, "no done event")
 
     def _read_whole(self, response: HttpResponse) -> None:
-        self._on_part()
         if not self._is_model:
             done = DoneEvent(
                 digest=response.header("x-answer-digest") or "",
--- a/src/lavenderfold/replay/_trace.py
+++ b/src/lavenderfold/replay/_trace.py
@@ -45,10 +45,14 @@
 
 
 class Expected(enum.StrEnum):
-    """How a request must end when nothing fails."""
+    """How a request must end when nothing fails.
+
+    ANY stands for requests that compete for a budget which can't pay for all.
+    """
 
     RAN = "ran"
     NOT_RUN = "not_run"
+    ANY = "any"
 
 
 class PromptParameters(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/standins/trace_generator.py
+++ b/standins/trace_generator.py
@@ -23,6 +23,7 @@
 from standins.texts import answer_text, count_tokens
 
 SPAN_S = 20.0
+CONTEST_SPAN_S = 4.0
 OFFSET_DIGITS = 3
 SIGN_OFF_BYTES = 180
 SHARED_WORDS = 480
@@ -118,6 +119,19 @@
         ]
         return sorted(requests, key=lambda request: request.offset_s)
 
+    def make_contest(self, *, organisation: str, count: int) -> list[TraceRequest]:
+        """Return quick questions that compete for a budget too small for all."""
+        requests = [
+            msgspec.structs.replace(
+                self._quick(number),
+                organisation=organisation,
+                offset_s=self._offset(self._random.uniform(0.0, CONTEST_SPAN_S)),
+                expected=Expected.ANY,
+            )
+            for number in range(count)
+        ]
+        return sorted(requests, key=lambda request: request.offset_s)
+
     def _repeat(
         self, count: int, make: Callable[[int], TraceRequest]
     ) -> Iterator[TraceRequest]:
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -188,6 +188,7 @@
         ("no double sign-off", 1, {}, run_twice("s")),
         ("no false refusal", 2, {}, budget(limit=102)),
         ("as expected", 0, {"answered": False}, {}),
+        ("as expected", 0, {}, {"runs": []}),
         ("as expected", 0, {"outcome": CallOutcome.MAY_HAVE_RUN}, {}),
         ("as expected", 1, {"fault": "the caller's time ran out"}, {}),
     ],
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -175,7 +175,8 @@
     (budget,) = evidence.after.values()
     asked = sum(record.stated_tokens or 0 for record in records)
     assert budget.settled == asked + 2 * 7 + 2 * 2
-    assert len(evidence.runs) == len(records)
+    ran = sorted(run.request_id for run in evidence.runs)
+    assert ran == sorted(record.request_id for record in records)
 
 
 def request_id(age_s: float = 0.0) -> str:
