--- a/src/lavenderfold/budgets/_holdings.py
+++ b/src/lavenderfold/budgets/_holdings.py
@@ -55,8 +55,8 @@
 class Account:
     """The holdings of one budget and the demand measured for it.
 
-    ``unmet`` is the smallest reservation that failed since the last answer to an
-    order; ``available`` is what the ledger said was left at ``answered_at``.
+    ``unmet`` is the smallest reservation that failed since the last grant;
+    ``available`` is what the ledger said was left at ``answered_at``.
     """
 
     __slots__ = (
@@ -116,7 +116,6 @@
             return
         self.answered_at = self.order.issued
         self.available = available
-        self.unmet = None
         self.order = None
 
     def minimum(self, waiting_tokens: int) -> int:
--- a/src/lavenderfold/budgets/_pool.py
+++ b/src/lavenderfold/budgets/_pool.py
@@ -146,6 +146,7 @@
         """Add a grant that the ledger opened; a repeat changes nothing."""
         account = self._account(key)
         account.end_order(grant_id, available)
+        account.unmet = None
         if grant_id in self._ended:
             return
         self._remember_end(grant_id)
@@ -316,10 +317,24 @@
 
     def free(self, key: BudgetKey) -> int:
         """Return the tokens that can be reserved, in all holdings together."""
+        return sum(self.free_by_grant(key).values())
+
+    def free_by_grant(self, key: BudgetKey) -> dict[str, int]:
+        """Return the tokens that can be reserved, by the grant that pays."""
         account = self._accounts.get(key)
-        if account is None:
-            return 0
-        return sum(holding.free for holding in account.holdings)
+        free: dict[str, int] = {}
+        for holding in account.holdings if account else ():
+            free[holding.grant_id] = free.get(holding.grant_id, 0) + holding.free
+        return free
+
+    def held_by_grant(self, key: BudgetKey) -> dict[str, int]:
+        """Return the tokens of own grants: free, reserved and lent."""
+        account = self._accounts.get(key)
+        held: dict[str, int] = {}
+        for holding in account.own if account else ():
+            tokens = holding.free + holding.reserved + holding.lent
+            held[holding.grant_id] = held.get(holding.grant_id, 0) + tokens
+        return held
 
     def keys(self) -> list[BudgetKey]:
         """Return the budgets of which something is held, ordered or handed back."""
--- /dev/null
+++ b/tests/test_budget_machine.py
@@ -0,0 +1,199 @@
+"""A state machine over the budget decisions, with the faults of section 1.4."""
+
+from hypothesis import event, settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from tests.fleet_model import BUDGET, KEY, Agent, Fleet, Router
+
+INDEX = st.integers(0, 5)
+TOKENS = st.integers(1, 40)
+FAULT = st.sampled_from(["", "", "after", "before"])
+# How far a request gets at once; the other rules take it further later.
+STAGE = st.sampled_from(["sent", "open", "finished", "reported"])
+
+
+def pick(items, index):
+    return items[index % len(items)]
+
+
+class BudgetMachine(RuleBasedStateMachine):
+    """Guards P1 and P2: overspend, double bills, lost bills, stuck money."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet()
+        self.fleet.set_limit(BUDGET.limit)
+
+    def router(self, index) -> Router | None:
+        active = [router for router in self.fleet.routers if router.active]
+        return pick(active, index) if active else None
+
+    def agent(self, index) -> Agent | None:
+        living = [agent for agent in self.fleet.agents if agent.alive]
+        return pick(living, index) if living else None
+
+    @rule(index=INDEX, at=INDEX, tokens=TOKENS, stage=STAGE, fault=FAULT)
+    def request(self, index, at, tokens, stage, fault):
+        self.admit(index, at, self.fleet.new_request(tokens), tokens, stage, fault)
+
+    @precondition(lambda self: self.fleet.tokens_by_request)
+    @rule(index=INDEX, at=INDEX, number=INDEX, stage=STAGE, fault=FAULT)
+    def retry_request(self, index, at, number, stage, fault):
+        """A caller whose connection broke sends the id again, anywhere."""
+        recent = list(self.fleet.tokens_by_request.items())[-3:]
+        self.admit(index, at, *pick(recent, number), stage, fault)
+
+    def admit(self, index, at, request_id, tokens, stage, fault):
+        router = self.router(index)
+        if router is None:
+            return
+        router.admit(request_id, tokens)
+        router.fetch()
+        router.commit(fault=fault)
+        if stage != "sent":
+            self.advance_runs(at, tokens % 5, stage)
+
+    @rule(at=INDEX, share=st.integers(0, 4), stage=STAGE)
+    def advance_runs(self, at, share, stage):
+        """Deliver what is under way; run it and report it, if ``stage`` says so."""
+        agent = self.agent(at)
+        if agent is None:
+            return
+        for attempt in list(self.fleet.in_flight):
+            self.fleet.deliver(attempt, agent)
+        if stage in ("finished", "reported"):
+            for attempt in list(agent.open.values()):
+                self.fleet.finish(attempt, attempt.wanted * share // 4)
+        if stage == "reported":
+            self.report_usage(at, None, "")
+
+    @rule(at=INDEX, index=INDEX, fault=FAULT)
+    def report_usage(self, at, index, fault):
+        """The agent reports to any router, or with None to the runs' own."""
+        agent = self.agent(at)
+        for record in list(agent.usage.values()) if agent else []:
+            router = self.fleet.owner(record) if index is None else self.router(index)
+            if router is None or not router.active:
+                continue
+            if self.fleet.connected(agent.region, router.region):
+                router.learn_usage(record, agent)
+                router.commit(fault=fault)
+
+    @rule(index=INDEX, fault=FAULT)
+    def commit(self, index, fault):
+        router = self.router(index)
+        if router is not None:
+            router.fetch()
+            router.commit(fault=fault)
+
+    @rule(index=INDEX)
+    def give_up_waiting(self, index):
+        router = self.router(index)
+        if router is not None:
+            router.refuse_waiting()
+
+    @rule(index=INDEX, pressed=st.booleans(), fault=FAULT)
+    def hand_back(self, index, pressed, fault):
+        router = self.router(index)
+        if router is not None:
+            router.hand_back(pressed=pressed)
+            router.commit(fault=fault)
+
+    @rule(seconds=st.integers(1, 700))
+    def pass_time(self, seconds):
+        self.fleet.now += seconds
+
+    @rule(index=INDEX, number=INDEX, tokens=TOKENS, repeated=st.booleans())
+    def lend(self, index, number, tokens, repeated):
+        lender, borrower = self.router(index), self.router(number)
+        if lender is None or lender is borrower:
+            return
+        if self.fleet.connected(lender.region, borrower.region):
+            loan_id = f"loan-{self.fleet.next_number()}"
+            for _ in range(2 if repeated else 1):
+                borrower.pool.add_loan(lender.pool.lend(KEY, tokens, loan_id))
+            borrower.admit_waiting()
+
+    @rule(index=INDEX, lost=st.booleans(), repeated=st.booleans())
+    def return_loans(self, index, lost, repeated):
+        borrower = self.router(index)
+        if borrower is not None:
+            borrower.return_loans(lost=lost, repeated=repeated)
+
+    @rule(index=INDEX, what=st.sampled_from(["kill", "pause", "wake", "start"]))
+    def change_router(self, index, what):
+        router = pick(self.fleet.routers, index)
+        if what == "kill":
+            router.alive = False
+        elif what in ("pause", "wake"):
+            router.paused = what == "pause"
+        elif not router.alive and self.fleet.reaches_store(router.region):
+            self.fleet.restart_router(router)
+
+    @rule(index=INDEX, what=st.sampled_from(["kill", "lose VM", "start"]))
+    def change_agent(self, index, what):
+        agent = pick(self.fleet.agents, index)
+        if what == "start":
+            self.fleet.restart_agent(agent)
+            return
+        self.fleet.kill_agent(agent)
+        if what == "lose VM":
+            self.fleet.lose_vm(agent)
+
+    @rule(what=st.sampled_from(["store down", "cut", "heal", "heal"]))
+    def change_network(self, what):
+        self.fleet.store_up = what != "store down"
+        self.fleet.cut = what == "cut"
+
+    @precondition(lambda self: self.fleet.store_up)
+    @rule(tokens=st.integers(-40, 60))
+    def change_limit(self, tokens):
+        """A top-up, also during a cut, or a lowered limit."""
+        self.fleet.set_limit(max(0, self.fleet.record.limit + tokens))
+
+    @precondition(lambda self: self.fleet.store_up)
+    @rule(index=INDEX, by=INDEX, fault=FAULT, asked=st.integers(0, 3))
+    def reclaim(self, index, by, fault, asked):
+        """The lease of a router lapsed: it's dead, paused or only slow."""
+        router = pick(self.fleet.routers, index)
+        self.fleet.start_reclaim(router.pool.incarnation)
+        self.continue_reclaim(len(self.fleet.plans) - 1, by, fault, asked)
+
+    @precondition(lambda self: self.fleet.plans)
+    @rule(number=INDEX, by=INDEX, fault=FAULT, asked=st.integers(0, 3))
+    def continue_reclaim(self, number, by, fault, asked):
+        """Ask one agent, or both if ``asked`` exceeds 1, and decide."""
+        plan, duty = pick(self.fleet.plans, number), self.router(by)
+        if duty is None or not self.fleet.reaches_store(duty.region):
+            return
+        agents = self.fleet.agents if asked > 1 else [self.fleet.agents[asked]]
+        for agent in agents:
+            if self.fleet.connected(duty.region, agent.region):
+                self.fleet.ask_agent(plan, agent)
+        self.fleet.finish_reclaim(plan, duty)
+        duty.commit(fault=fault)
+
+    @invariant()
+    def money_is_covered(self):
+        self.fleet.check_money()
+
+    def teardown(self):
+        """End all faults, let everything finish, then check bills and grants."""
+        fleet = self.fleet
+        event("false refusals", min(fleet.false_refusals, 5))
+        fleet.store_up, fleet.cut = True, False
+        expected = fleet.requests_to_bill()
+        fleet.settle_everything()
+        for request_id in expected:
+            billed = fleet.record.usage(request_id)
+            assert billed is not None, "a finished run isn't billed"
+        fleet.check_held()
+        fleet.shut_down()
+        assert fleet.record.grants_by_id == {}, "money is stuck in a grant"
+        fleet.check_money()
+
+
+TestBudgetMachine = BudgetMachine.TestCase
+TestBudgetMachine.settings = settings(
+    max_examples=200, stateful_step_count=30, derandomize=True, deadline=None
+)
