Write the replay's records to a file on request

Cause: after a failed outcome the exchanges of the request are needed. Ruled out: logging each exchange, which buries the tables of a morning.

--- a/src/lavenderfold/replay/__main__.py
+++ b/src/lavenderfold/replay/__main__.py
@@ -6,12 +6,15 @@
 
 import sys
 from collections.abc import Sequence
+from pathlib import Path
 
+import msgspec
 import trio
 from absl import app, flags
 
 from lavenderfold import logs
 from lavenderfold.replay import (
+    CallRecord,
     EvidenceError,
     EvidenceReader,
     Player,
@@ -46,6 +49,9 @@
 flags.DEFINE_float("idle_timeout_s", 10.0, "A router silent for longer has failed.")
 flags.DEFINE_float("request_timeout_s", 120.0, "Time for a request with retries.")
 flags.DEFINE_float("settle_s", 15.0, "Wait for usage to reach the ledger.", 0.0)
+flags.DEFINE_string(
+    "records", "", "File to write: each request with its exchanges, as JSON lines."
+)
 flags.DEFINE_bool(
     "faults_injected",
     False,
@@ -81,6 +87,7 @@
         raise UsageError("--trace, --router, --target: expected one of each at least")
     before = await reader.read_budgets()
     records = await Player(options=options, timers=TimerService()).play(requests)
+    _write_records(records)
     evidence = await reader.read(records, before)
     checks = select_checks(faults_injected=FLAGS.faults_injected)
     verdict = judge(records, evidence, check_by_name=checks)
@@ -88,6 +95,16 @@
     return verdict.holds
 
 
+def _write_records(records: Sequence[CallRecord]) -> None:
+    if not FLAGS.records:
+        return
+    lines = [msgspec.json.encode(record) + b"\n" for record in records]
+    try:
+        Path(FLAGS.records).write_bytes(b"".join(lines))
+    except OSError as error:
+        raise UsageError(f"--records: {error}") from error
+
+
 def _load_traces(paths: Sequence[str]) -> list[TraceRequest]:
     requests = []
     for path in paths:
