Log every error answer and wait longer for runs that may not repeat

Cause: refusals before admission (keys, input, drain) left no log line; a target's rate of the last second made the queue look hopeless while an idle engine started up; a link that stalled for two seconds was cut, which turned a sign-off in flight into "may have run".

Change: one line for each error answer; the queue's estimate uses the best recent rate of each target; the link is cut after 5 s while the load view still avoids a silent target after 2 s; a run that may not repeat waits 15 s for its agent's link (relink_wait_once_s), others 3 s. Metrics for admitted requests and false-refusal candidates.

Ruled out: keeping a silent link open without bound; a peer that vanished without closing would hold its callers until the run's time limit.

--- a/src/lavenderfold/router/_agents.py
+++ b/src/lavenderfold/router/_agents.py
@@ -28,8 +28,9 @@
 
 HEARTBEAT_S = 0.5
 # An agent that sends nothing for this long is taken for unreachable, even if
-# the transport still looks open.
-SILENCE_LIMIT_S = 2.0
+# the transport still looks open. The load view avoids it earlier; the link stays
+# a while, because runs in flight survive a short stall without a new link.
+SILENCE_LIMIT_S = 5.0
 RETIRE_LINGER_S = 10.0
 
 logger = logging.getLogger("lavenderfold.router.agents")
--- a/src/lavenderfold/router/_dispatch.py
+++ b/src/lavenderfold/router/_dispatch.py
@@ -25,8 +25,8 @@
 # Requests reserve their worst case and use about half of it, so a queue is
 # hopeless only if half of its tokens don't fit into the waiting time.
 EXPECTED_SHARE_OF_WORST_CASE = 0.5
-# A target may start a run this much after the caller's class would like; the
-# queue, not the target, holds the requests that wait longer.
+# Work that would wait longer than this at the target waits in the queue here,
+# where it can still go to another target.
 TARGET_WAIT_LIMIT_S = 30.0
 
 
@@ -73,7 +73,7 @@
     def is_hopeless(self, view: LoadView, entry: QueueEntry, *, now: float) -> bool:
         """Return whether the queue is too long for the entry's deadline."""
         rate = sum(
-            view.load(each.target).latest.tokens_per_s
+            view.load(each.target).best_rate
             for each in self.candidates
             if view.state(each.target, now=now) is TargetState.READY
         )
--- a/src/lavenderfold/router/_face.py
+++ b/src/lavenderfold/router/_face.py
@@ -1,10 +1,12 @@
 """The HTTP interface for callers."""
 
+import logging
 from collections.abc import Callable
 
 from lavenderfold.config import RouteKind
 from lavenderfold.http import HttpRequest, ResponseWriter, json_response
 from lavenderfold.identifiers import BudgetKey, RequestKey, request_id_time
+from lavenderfold.logs import log_event
 from lavenderfold.outcomes import MayHaveRun, NotRun, Ran, Reason
 from lavenderfold.router._answers import AnswerPipe
 from lavenderfold.router._formats import (
@@ -37,6 +39,8 @@
 REQUESTS_PREFIX = "/v1/requests/"
 ANSWER_SUFFIX = "/answer"
 
+logger = logging.getLogger("lavenderfold.router")
+
 
 class CallerFace:
     """Answers callers' HTTP requests."""
@@ -68,6 +72,15 @@
             await self._route(request, writer)
         except RefusedError as error:
             self._services.metrics.incr(f"answered.{error.kind}")
+            log_event(
+                logger,
+                "answered_with_error",
+                request_id=error.request_id,
+                path=request.path,
+                status=error.status,
+                reason=error.kind,
+                outcome=error.outcome,
+            )
             if not writer.started:
                 await writer.send(error_response(error))
         finally:
@@ -180,10 +193,10 @@
         while (data := await pipe.read()) is not None:
             now = clock()
             if not writer.started:
-                self._services.metrics.timing("first_part", (now - started_at) * 1000)
+                self._services.metrics.timing("first_token", (now - started_at) * 1000)
                 await self._start_stream(request_id, writer)
             else:
-                self._services.metrics.timing("between_parts", (now - last_at) * 1000)
+                self._services.metrics.timing("between_tokens", (now - last_at) * 1000)
             last_at = now
             await writer.write(events.encode(data))
         if not isinstance(pipe.result, Ran):
--- a/src/lavenderfold/router/_grants.py
+++ b/src/lavenderfold/router/_grants.py
@@ -24,6 +24,7 @@
 from lavenderfold.messages import Loan, LoanRequest, LoanReturn
 from lavenderfold.metrics import Metrics
 from lavenderfold.outcomes import NotRun, Reason
+from lavenderfold.router._needs import HeldReservation, Need
 from lavenderfold.router._peers import PeerLinks
 from lavenderfold.timers import TimerService
 
@@ -41,53 +42,6 @@
 logger = logging.getLogger("lavenderfold.router.grants")
 
 
-class _Need:
-    """The requests that wait for tokens of one budget.
-
-    ``spent`` is the ledger's last answer if that was a refusal; ``refusals``
-    counts those after which the holders had been asked to hand back.
-    """
-
-    def __init__(self):
-        self.waiting: dict[object, int] = {}
-        self.changed = trio.Event()
-        self.arrived = trio.Event()
-        self.is_settled = trio.Event()
-        self.is_settled.set()
-        self.spent: BudgetSpent | None = None
-        self.refusals = 0
-
-    @property
-    def is_fetching(self) -> bool:
-        return not self.is_settled.is_set()
-
-    @property
-    def waiting_tokens(self) -> int:
-        return sum(self.waiting.values())
-
-    def add(self, tokens: int) -> object:
-        """Add a waiting request; returns its key in ``waiting``."""
-        ticket = object()
-        self.waiting[ticket] = tokens
-        self.arrived.set()
-        self.arrived = trio.Event()
-        return ticket
-
-    def wake(self) -> None:
-        self.changed.set()
-        self.changed = trio.Event()
-
-
-class _Held:
-    """A reservation that stays charged until one of its runs is accounted for."""
-
-    __slots__ = ("reservation", "run_ids")
-
-    def __init__(self, reservation: Reservation, run_ids: list[str]):
-        self.reservation = reservation
-        self.run_ids = run_ids
-
-
 class GrantKeeper:
     """Reserves tokens for requests and keeps the pool of grants filled."""
 
@@ -115,10 +69,10 @@
         self._own_fenced = own_fenced
         self._registered = trio.Event()
         self._is_closing = False
-        self._need_by_key: dict[BudgetKey, _Need] = {}
+        self._need_by_key: dict[BudgetKey, Need] = {}
         self._limit_revision_by_key: dict[BudgetKey, int] = {}
         self._open_reservations: Counter[BudgetKey] = Counter()
-        self._held_by_run_id: dict[str, _Held] = {}
+        self._held_by_run_id: dict[str, HeldReservation] = {}
         self._reported_by_run_id: OrderedDict[str, int] = OrderedDict()
 
     @property
@@ -190,7 +144,7 @@
                 self.settle(reservation, self._reported_by_run_id[run_id])
                 return
         for run_id in run_ids:
-            self._held_by_run_id[run_id] = _Held(reservation, run_ids)
+            self._held_by_run_id[run_id] = HeldReservation(reservation, run_ids)
 
     def has_reported(self, run_ids: list[str]) -> bool:
         """Return whether an agent reported usage of one of these runs."""
@@ -291,23 +245,27 @@
             del self._open_reservations[key]
         self._need(key).wake()
 
-    def _need(self, key: BudgetKey) -> _Need:
-        return self._need_by_key.setdefault(key, _Need())
+    def _need(self, key: BudgetKey) -> Need:
+        return self._need_by_key.setdefault(key, Need())
 
     def _budget(self, key: BudgetKey) -> Budget | None:
         organisation = self._config().organisations.get(key.organisation)
         return organisation.budgets.get(key.budget) if organisation else None
 
-    def _is_spent_for_good(self, key: BudgetKey, need: _Need, refusals: int) -> bool:
+    def _is_spent_for_good(self, key: BudgetKey, need: Need, refusals: int) -> bool:
         """Return whether no tokens can come back from any open grant."""
         if need.spent is None or need.refusals == refusals:
             return False
         others = [each for each in need.spent.holders if each != self.pool.incarnation]
         return not others and not self._open_reservations[key]
 
-    def _refusal(self, need: _Need) -> NotRun:
+    def _refusal(self, need: Need) -> NotRun:
         if need.spent is not None:
             left = need.spent.available
+            if left > 0 or need.spent.holders:
+                # Money that others hold or that is too little for this request
+                # may turn out to be unspent in the end.
+                self._metrics.incr("false_refusal_candidates")
             return NotRun(Reason.BUDGET_SPENT, f"{left} tokens are left in the budget")
         return NotRun(Reason.BUDGET_UNAVAILABLE, "no grant could be opened in time")
 
@@ -318,7 +276,7 @@
         need.is_settled = trio.Event()
         self._nursery.start_soon(self._fetch, key, need)
 
-    async def _fetch(self, key: BudgetKey, need: _Need) -> None:
+    async def _fetch(self, key: BudgetKey, need: Need) -> None:
         """Open grants until no request waits and the pool is filled."""
         try:
             while (budget := self._budget(key)) is not None:
@@ -340,14 +298,14 @@
         finally:
             need.is_settled.set()
 
-    async def _borrow_until_registered(self, key: BudgetKey, need: _Need) -> None:
+    async def _borrow_until_registered(self, key: BudgetKey, need: Need) -> None:
         """Serve waiting requests from loans while the store has no number for us."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._borrow_after_a_while, key, need)
             await self._registered.wait()
             nursery.cancel_scope.cancel()
 
-    async def _open(self, order: GrantOrder, budget: Budget, need: _Need) -> None:
+    async def _open(self, order: GrantOrder, budget: Budget, need: Need) -> None:
         """Open a grant; borrows while the store doesn't answer."""
         result = None
         async with trio.open_nursery() as nursery:
@@ -379,7 +337,7 @@
                 await trio.sleep(SPENT_RETRY_S)
 
     async def _find_tokens(
-        self, key: BudgetKey, spent: BudgetSpent, need: _Need
+        self, key: BudgetKey, spent: BudgetSpent, need: Need
     ) -> None:
         """Ask all holders to hand back what they don't use.
 
@@ -407,7 +365,7 @@
         if (await self._ledger.submit(operation)).is_ok():
             self._limit_revision_by_key[key] = revision
 
-    async def _borrow_after_a_while(self, key: BudgetKey, need: _Need) -> None:
+    async def _borrow_after_a_while(self, key: BudgetKey, need: Need) -> None:
         """Borrow while an order isn't answered, as in an outage of the store."""
         await trio.sleep(LOAN_AFTER_S)
         while True:
--- a/src/lavenderfold/router/_life.py
+++ b/src/lavenderfold/router/_life.py
@@ -78,6 +78,7 @@
             organisation=request.organisation,
             worst_case=request.worst_case,
         )
+        self._services.metrics.incr("admitted")
         outcome = await self._reserve_and_run()
         if isinstance(outcome, NotRun):
             self._record("refused", reason=outcome.reason, detail=outcome.detail)
@@ -261,7 +262,7 @@
             link=link,
             assembler=Assembler(relayed=self._relayed),
             pipe=self.pipe,
-            relink_wait_s=services.settings.limits.relink_wait_s,
+            relink_wait_s=self._relink_wait_s(),
         )
         self.target = target
         self.is_placed.set()
@@ -304,6 +305,16 @@
         self._record("usage_above_reservation", tokens=outcome.tokens, limit=reserved)
         return msgspec.structs.replace(outcome, tokens=reserved)
 
+    def _relink_wait_s(self) -> float:
+        """Return how long to wait for a lost link.
+
+        What may not repeat has nowhere else to go, so it waits longer.
+        """
+        limits = self._services.settings.limits
+        if self.request.route.idempotent:
+            return limits.relink_wait_s
+        return limits.relink_wait_once_s
+
     async def _settle(self, outcome: Ran) -> None:
         """Bill the run; waits a bounded time until that is durable."""
         services, reservation = self._services, self._reservation
--- a/src/lavenderfold/router/_settings.py
+++ b/src/lavenderfold/router/_settings.py
@@ -8,7 +8,11 @@
 class RouterLimits(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Bounds of one router. Names that end in ``_s`` are seconds."""
+    """Bounds of one router. Names that end in ``_s`` are seconds.
+
+    ``relink_wait_s`` is how long a run waits for its agent's link to come back,
+    ``relink_wait_once_s`` the same for a run that may not be repeated.
+    """
 
     body_bytes: int = 4 * 1024 * 1024
     answer_bytes: int = 16 * 1024 * 1024
@@ -20,6 +24,7 @@
     request_age_s: float = 600.0
     retention_s: float = 86_400.0
     relink_wait_s: float = 3.0
+    relink_wait_once_s: float = 15.0
     hand_back_wait_s: float = 1.0
     link_batch_s: float = 0.005
     ledger_batch_s: float = 0.02
--- a/src/lavenderfold/routing/_load.py
+++ b/src/lavenderfold/routing/_load.py
@@ -14,6 +14,8 @@
 PREFIX_HISTORY_S = 300.0
 PREFIX_HISTORY_LIMIT = 1024
 LEAST_TOKENS_PER_S = 50.0
+# Per report: with four reports a second the best rate halves in about a minute.
+RATE_DECAY = 0.997
 
 
 class TargetState(enum.Enum):
@@ -39,6 +41,7 @@
     __slots__ = (
         "latest",
         "reported_at",
+        "best_rate",
         "reported_prefixes",
         "history",
         "unreported_by_run",
@@ -49,6 +52,7 @@
     def __init__(self):
         self.latest: LoadReport | None = None
         self.reported_at = 0.0
+        self.best_rate = 0.0
         self.reported_prefixes: frozenset[int] = frozenset()
         self.history: dict[int, float] = {}
         self.unreported_by_run: dict[str, _SentRun] = {}
@@ -71,7 +75,9 @@
         if self.latest is None or self.free_slots > 0:
             return 0.0
         unreported = sum(run.tokens for run in self.unreported_by_run.values())
-        rate = max(self.latest.tokens_per_s, LEAST_TOKENS_PER_S)
+        # The reported rate is that of the last second, which an engine that was
+        # idle until then hasn't filled yet.
+        rate = max(self.best_rate, LEAST_TOKENS_PER_S)
         # Without queued work the target is only full: one run has to end first.
         backlog = self.latest.queued_tokens + unreported
         return max(backlog, 1) / rate
@@ -94,6 +100,7 @@
     def install(self, report: LoadReport, *, now: float) -> None:
         self.latest = report
         self.reported_at = now
+        self.best_rate = max(report.tokens_per_s, self.best_rate * RATE_DECAY)
         self.ended_since = 0
         for run_id, run in list(self.unreported_by_run.items()):
             if run.sent_at <= now - REPORT_TRAVEL_S:
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -52,6 +52,7 @@
     "link_batch_s": 0.001,
     "ledger_batch_s": 0.002,
     "relink_wait_s": 0.3,
+    "relink_wait_once_s": 0.3,
     "member_lease_s": 0.6,
     "reclaim_period_s": 0.2,
 }
