Let a router's settings replace agents' addresses (files of router)

Cause: every router reads an agent's address from the one configuration, so that a relay between the regions could carry the calls to the store and between routers, but not the links between routers and agents. Ruled out: telling callers of the relay apart by their source address, which is the same for all processes on loopback; a store for each region. Change: agent_address_by_target in RouterSettings, applied when a configuration is installed; empty by default.

--- a/src/lavenderfold/router/_router.py
+++ b/src/lavenderfold/router/_router.py
@@ -4,9 +4,10 @@
 import secrets
 from functools import partial
 
+import msgspec
 import trio
 
-from lavenderfold.config import ConfigState, ConfigWatcher, Revisions
+from lavenderfold.config import ConfigState, ConfigWatcher, FleetConfig, Revisions
 from lavenderfold.http import serve
 from lavenderfold.logs import log_event
 from lavenderfold.messages import PeerHello, RouterHello
@@ -136,7 +137,8 @@
 
     def _config_installed(self) -> None:
         config = self.state.config
-        self._parts.agents.install(config, self._nursery)
+        reachable = _with_addresses(config, self.settings.agent_address_by_target)
+        self._parts.agents.install(reachable, self._nursery)
         self._parts.dispatch.install(config)
         self._parts.grants.wake_all()
         self._parts.peers.announce()
@@ -181,3 +183,15 @@
         while True:
             await trio.sleep(TEND_PERIOD_S)
             await self._parts.grants.tend()
+
+
+def _with_addresses(
+    config: FleetConfig, address_by_target: dict[str, Address]
+) -> FleetConfig:
+    targets = {
+        name: msgspec.structs.replace(
+            target, agent=address_by_target.get(name, target.agent)
+        )
+        for name, target in config.targets.items()
+    }
+    return msgspec.structs.replace(config, targets=targets)
--- a/src/lavenderfold/router/_settings.py
+++ b/src/lavenderfold/router/_settings.py
@@ -45,6 +45,8 @@
 
     ``peers`` are the peer addresses of other routers; its own may be among them.
     ``vm_list_address`` is the platform's list of VMs, for reclaim.
+    ``agent_address_by_target`` replaces addresses of the configuration that this
+    router can't use, as behind a tunnel or a relay between regions.
     """
 
     router: str
@@ -55,6 +57,7 @@
     peer_listen: Address
     store_address: Address
     peers: list[Address] = msgspec.field(default_factory=list)
+    agent_address_by_target: dict[str, Address] = msgspec.field(default_factory=dict)
     statsd_address: Address | None = None
     vm_list_address: Address | None = None
     shard_count: int = 16
