Route all traffic between regions through the link relay

Cause: partitions must cut routers from the agents of the other region too. Change: ConfiguredFleet(link=...) gives each region relay addresses for the store, the routers and the agents of the other one. The replay's callers leave a router only if it fails or shuts down; a refusal made them move before, across the link. "budget_unavailable" counts as a refusal for lack of money, and the results tell how many requests were served after such a refusal. Ruled out: failing the check for a request that was refused and served on its retry; the count is printed instead.

--- a/scripts/configured_fleet.py
+++ b/scripts/configured_fleet.py
@@ -42,9 +42,9 @@
 class ConfiguredFleet(Fleet):
     """The processes of one configuration folder, started on entry.
 
-    ``engine_options`` are flags of the model engines. With ``link`` the calls
-    between regions to the store and between routers go through a link relay,
-    member ``link``, with these flags; the store is in the first region.
+    ``engine_options`` are flags of the model engines. With ``link`` everything
+    between regions goes through a link relay, member ``link``, with these
+    flags; the store is in the first region.
     """
 
     def __init__(
@@ -63,7 +63,8 @@
         self.revision = 0
         self._engine_options = dict(engine_options or {})
         self._link = link
-        self._link_address: dict[str, str] = {}
+        self._region_by_address: dict[str, str] = {}
+        self._link_by_address: dict[str, str] = {}
         domains = self.config.failure_domains
         self.regions = list(dict.fromkeys(domain.region for domain in domains.values()))
         self.places = [
@@ -198,7 +199,7 @@
         self.add_stand_in(f"{name}-stand-in", "model_engine", **options)
 
     def _add_agent(self, name: str, target: Target) -> None:
-        region = self.config.failure_domains[target.failure_domain].region
+        region = self._region(target)
         settings = {
             "target": name,
             "vm": target.vm,
@@ -223,13 +224,10 @@
         )
 
     def _add_router(self, place: RouterPlace) -> None:
-        peers = [
-            other.peer_listen
-            if other.region == place.region
-            else self._seen_from(place.region, other.peer_listen)
-            for other in self.places
-            if other is not place
-        ]
+        def seen(address: str) -> str:
+            return self._seen_from(place.region, address)
+
+        agents = {name: str(each.agent) for name, each in self.config.targets.items()}
         settings = {
             "router": place.name,
             "region": place.region,
@@ -237,8 +235,13 @@
             "listen": place.listen,
             "operator_listen": place.operator_listen,
             "peer_listen": place.peer_listen,
-            "store_address": self._seen_from(place.region, self.store.address),
-            "peers": peers,
+            "store_address": seen(self.store.address),
+            "peers": [
+                seen(other.peer_listen) for other in self.places if other is not place
+            ],
+            "agent_address_by_target": {
+                name: seen(agent) for name, agent in agents.items()
+            },
             "vm_list_address": self["vm-list"].address,
         }
         self.add_product(
@@ -249,17 +252,28 @@
         """Start the relay that carries what crosses between regions."""
         if self._link is None:
             return
-        far_ends = [self.store.address, *(place.peer_listen for place in self.places)]
-        self._link_address = {far_end: self.address() for far_end in far_ends}
-        forwards = [f"{near}={far}" for far, near in self._link_address.items()]
+        self._region_by_address = {
+            self.store.address: self.regions[0],
+            **{place.peer_listen: place.region for place in self.places},
+            **{str(each.agent): self._region(each) for each in self._targets},
+        }
+        self._link_by_address = {far: self.address() for far in self._region_by_address}
+        forwards = [f"{near}={far}" for far, near in self._link_by_address.items()]
         self.add_stand_in("link", "link_relay", forward=forwards, **self._link)
         self["link"].wait_ready()
 
     def _seen_from(self, region: str, address: str) -> str:
-        """Return the address under which a region reaches another one."""
-        if address == self.store.address and region == self.regions[0]:
+        """Return the address under which a region reaches a process."""
+        if self._region_by_address.get(address) == region:
             return address
-        return self._link_address.get(address, address)
+        return self._link_by_address.get(address, address)
+
+    @property
+    def _targets(self) -> list[Target]:
+        return list(self.config.targets.values())
+
+    def _region(self, target: Target) -> str:
+        return self.config.failure_domains[target.failure_domain].region
 
     def _find_fault(self, place: RouterPlace) -> str:
         try:
--- a/src/lavenderfold/replay/_checks.py
+++ b/src/lavenderfold/replay/_checks.py
@@ -13,7 +13,7 @@
 from lavenderfold.replay._records import CallOutcome, CallRecord
 from lavenderfold.replay._trace import Expected
 
-SPENT_REASON = "budget_spent"
+MONEY_REASONS = frozenset({"budget_spent", "budget_unavailable"})
 
 
 class BudgetEvidence(msgspec.Struct, frozen=True, kw_only=True):
@@ -179,27 +179,36 @@
 def check_false_refusals(
     records: Sequence[CallRecord], evidence: Evidence
 ) -> list[Finding]:
-    """No request was refused for lack of money that was there.
+    """No request was refused for lack of money while money was left anywhere.
 
     Money that is unused after the replay was unused at every earlier time, so
-    a refusal is certainly false if the request's most would still fit. The
-    lower of the limits before and after is taken, in case of a top-up.
+    a refusal is certainly false if the request's worst case would still fit.
+    The lower of the limits before and after is taken, in case of a top-up.
     """
-    left: Counter[str] = Counter()
+    left_by_organisation: Counter[str] = Counter()
     for key, after in evidence.after.items():
         limit = min(after.limit, evidence.before.get(key, after).limit)
-        unspent = limit - after.settled - after.unexplained
-        left[key.organisation] = max(left[key.organisation], unspent)
-    return [
-        Finding(
-            record.name,
-            f"refused as spent, {left[record.request.organisation]} tokens were left",
-        )
+        left = limit - after.settled - after.unexplained
+        most = max(left_by_organisation[key.organisation], left)
+        left_by_organisation[key.organisation] = most
+    findings = []
+    for record in records:
+        refused = record.outcome is CallOutcome.NOT_RUN
+        left = left_by_organisation[record.request.organisation]
+        fits = 0 < record.request.worst_case <= left
+        if refused and fits and record.reason in MONEY_REASONS:
+            fault = f"{record.reason}, but {left} tokens were left"
+            findings.append(Finding(record.name, fault))
+    return findings
+
+
+def count_late_money(records: Sequence[CallRecord]) -> int:
+    """Return how many requests ran after a refusal for lack of money."""
+    return sum(
+        record.outcome is CallOutcome.RAN
+        and any(attempt.reason in MONEY_REASONS for attempt in record.attempts)
         for record in records
-        if record.outcome is CallOutcome.NOT_RUN
-        and record.reason == SPENT_REASON
-        and 0 < record.request.worst_case <= left[record.request.organisation]
-    ]
+    )
 
 
 def check_expectations(
--- a/src/lavenderfold/replay/_results.py
+++ b/src/lavenderfold/replay/_results.py
@@ -6,7 +6,12 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from lavenderfold.replay._checks import Check, Evidence, Finding
+from lavenderfold.replay._checks import (
+    Check,
+    Evidence,
+    Finding,
+    count_late_money,
+)
 from lavenderfold.replay._records import CallOutcome, CallRecord
 from lavenderfold.replay._trace import RequestKind
 
@@ -97,6 +102,9 @@
     lines.append("")
     for name, findings in verdict.findings_by_check.items():
         lines += _format_check(name, findings)
+    late = count_late_money(records)
+    if late:
+        lines.append(f"refused for lack of money at first, then served: {late}")
     return "\n".join(lines)
 
 
--- a/src/lavenderfold/replay/_steps.py
+++ b/src/lavenderfold/replay/_steps.py
@@ -12,6 +12,8 @@
 # Refusals that a later attempt can turn into an answer.
 RETRYABLE_STATUSES = frozenset({429, 502, 503, 504})
 FINAL_REASONS = frozenset({"budget_spent"})
+# Refusals that concern the router rather than the request.
+LEAVING_REASONS = frozenset({"draining", "not_ready"})
 
 
 class Decision(msgspec.Struct, frozen=True):
@@ -35,10 +37,10 @@
     if last.outcome is CallOutcome.RAN or len(attempts) >= ATTEMPTS_LIMIT:
         return STOP
     if not last.sent:
-        return _elsewhere(last.step, attempts)
+        return _next(last.step, attempts)
     if last.status == 0:
         step = Step.ASK if last.step is Step.ASK else _after_lost_answer(request)
-        return _elsewhere(step, attempts)
+        return _next(step, attempts)
     return _after_answer(request, attempts)
 
 
@@ -67,21 +69,21 @@
     if last.step is not Step.POST and last.status == NOT_FOUND:
         return _after_not_found(request, attempts)
     if last.active:
-        return _elsewhere(Step.RESUME, attempts)
+        return _next(Step.RESUME, attempts)
     if last.outcome is CallOutcome.NOT_RUN:
         return _after_refusal(attempts)
     if last.step is not Step.POST and last.status in RETRYABLE_STATUSES:
-        return _elsewhere(last.step, attempts)
+        return _next(last.step, attempts)
     if request.idempotent and last.status in RETRYABLE_STATUSES:
-        return _elsewhere(Step.POST, attempts)
+        return _next(Step.POST, attempts)
     return STOP
 
 
 def _after_not_found(request: TraceRequest, attempts: list[Attempt]) -> Decision:
     if request.idempotent:
-        return _elsewhere(Step.POST, attempts)
+        return _next(Step.POST, attempts)
     if attempts[-1].step is Step.RESUME:
-        return _elsewhere(Step.ASK, attempts)
+        return _next(Step.ASK, attempts)
     # Nobody knows the request; whether it ran can't be learnt any more.
     return STOP
 
@@ -93,13 +95,14 @@
         return STOP
     if not asked and last.status not in RETRYABLE_STATUSES:
         return STOP
-    return _elsewhere(Step.POST, attempts)
+    return _next(Step.POST, attempts)
 
 
-def _elsewhere(step: Step, attempts: list[Attempt]) -> Decision:
+def _next(step: Step, attempts: list[Attempt]) -> Decision:
+    last = attempts[-1]
     wait_s = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2 ** (len(attempts) - 1))
     return Decision(
         step,
-        wait_s=max(wait_s, attempts[-1].retry_after_s),
-        change_router=True,
+        wait_s=max(wait_s, last.retry_after_s),
+        change_router=last.status == 0 or last.reason in LEAVING_REASONS,
     )
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -93,6 +93,9 @@
     )
 
 
+UNREACHED = refusal("budget_unavailable")
+
+
 def good_case() -> tuple[list[CallRecord], Evidence]:
     """Return a model answer, a sign-off and a refusal, all in order."""
     answer = CallRecord(
@@ -187,6 +190,7 @@
         ("no overspend", 0, {"stated_tokens": 97}, {}),
         ("no double sign-off", 1, {}, run_twice("s")),
         ("no false refusal", 2, {}, budget(limit=102)),
+        ("no false refusal", 2, {"attempts": [UNREACHED]}, budget(limit=102)),
         ("as expected", 0, {"answered": False}, {}),
         ("as expected", 0, {}, {"runs": []}),
         ("as expected", 0, {"outcome": CallOutcome.MAY_HAVE_RUN}, {}),
@@ -244,6 +248,18 @@
     assert next_step(request_, attempts).step is step
 
 
+def test_caller_leaves_a_router_only_if_it_fails_or_shuts_down():
+    """Callers that move for every refusal would cross the link between regions."""
+    for attempt, moves in (
+        (LOST, True),
+        (UNSENT, True),
+        (refusal("draining"), True),
+        (refusal("overloaded"), False),
+        (MISSED, False),
+    ):
+        assert next_step(ASK, [attempt]).change_router is moves
+
+
 def test_refusal_after_a_lost_answer_does_not_prove_that_nothing_ran():
     attempts = [LOST, refusal("overloaded")]
     assert final_outcome(ASK, attempts) is CallOutcome.MAY_HAVE_RUN
