--- a/bench/budget_policies.py
+++ b/bench/budget_policies.py
@@ -164,11 +164,15 @@
 
     async def ask_hand_backs(self, key: BudgetKey, holders: list[int]) -> int:
         await trio.sleep(2 * ONE_WAY_S)
-        returned = 0
         for other in self._reachable():
             if self._keepers[other].pool.incarnation in holders:
-                returned += await self._keepers[other].hand_back_free(key)
-        return returned
+                self._keepers[other].hand_backs.press(key, self._tokens_returned)
+        await trio.sleep(2 * BATCH_WINDOW_S)
+        return 0
+
+    def _tokens_returned(self, tokens: int) -> None:
+        if tokens:
+            self._keepers[self._place].tokens_returned(KEY)
 
     async def ask_loans(self, key: BudgetKey, tokens: int) -> list[Loan]:
         await trio.sleep(2 * ONE_WAY_S)
@@ -224,7 +228,7 @@
     return timers
 
 
-def grant_policies(
+async def grant_policies(
     stores: list[FaultyStore],
     scenario: Scenario,
     nursery: trio.Nursery,
@@ -255,12 +259,45 @@
             if grant.holder == DYING_ROUTER + 1:
                 await clients[0].submit(Reclaim(KEY, grant_id, 0))
 
+    async def live(place: int, keeper: GrantKeeper, parts: trio.Nursery) -> None:
+        """Tend a router's grants until it dies."""
+        parts.start_soon(tend, keeper)
+        if scenario.fault == "router_dies" and place == DYING_ROUTER:
+            await trio.sleep(FAULT_START_S)
+            parts.cancel_scope.cancel()
+
+    async def run_router(
+        place: int, *, task_status: trio.TaskStatus[GrantKeeper]
+    ) -> None:
+        async with trio.open_nursery() as parts:
+            parts.start_soon(clients[place].run)
+            keeper = make_keeper(place, parts)
+            task_status.started(keeper)
+            await live(place, keeper, parts)
+
+    def make_keeper(place: int, parts: trio.Nursery) -> GrantKeeper:
+        return GrantKeeper(
+            pool=GrantPool(incarnation=place + 1),
+            ledger=clients[place],
+            peers=MemoryPeers(place=place, keepers=keepers, scenario=scenario),
+            timers=make_timers(),
+            metrics=NullMetrics(),
+            nursery=parts,
+            config=lambda: config(place),
+            revision=lambda: revision(place),
+            own_fenced=lambda payer: None,
+        )
+
     if scenario.fault == "router_dies":
         nursery.start_soon(reclaim_after_death)
 
     def make_reserve(keeper: GrantKeeper, client: LedgerClient) -> Reserve:
         async def reserve(request: RequestKey, deadline: float) -> Finish | None:
             held = await keeper.reserve(request, WORST_CASE_TOKENS, deadline=deadline)
+            place = keeper.pool.incarnation - 1
+            if scenario.is_dead(place):
+                # The caller of a router that died asks the other one.
+                return await reserves[place ^ 1](request, deadline)
             if isinstance(held, NotRun):
                 return None
 
@@ -276,19 +313,7 @@
 
     reserves = []
     for place, client in enumerate(clients):
-        nursery.start_soon(client.run)
-        keeper = keepers[place] = GrantKeeper(
-            pool=GrantPool(incarnation=place + 1),
-            ledger=client,
-            peers=MemoryPeers(place=place, keepers=keepers, scenario=scenario),
-            timers=make_timers(),
-            metrics=NullMetrics(),
-            nursery=nursery,
-            config=lambda place=place: config(place),
-            revision=lambda place=place: revision(place),
-            own_fenced=lambda payer: None,
-        )
-        nursery.start_soon(tend, keeper)
+        keeper = keepers[place] = await nursery.start(run_router, place)
         reserves.append(make_reserve(keeper, client))
     return reserves, clients
 
@@ -405,7 +430,9 @@
     clients: list[LedgerClient] = []
     async with trio.open_nursery() as nursery:
         if policy == "grants":
-            reserves, clients = grant_policies(stores, scenario, nursery, preference)
+            reserves, clients = await grant_policies(
+                stores, scenario, nursery, preference
+            )
         elif policy == "equal split":
             reserves = equal_split(scenario)
         else:
