--- a/src/lavenderfold/budgets/_holdings.py
+++ b/src/lavenderfold/budgets/_holdings.py
@@ -65,6 +65,7 @@
         "rate",
         "typical",
         "drawn_at",
+        "wanted_at",
         "unmet",
         "available",
         "order",
@@ -78,6 +79,7 @@
         self.rate = DrawRate()
         self.typical = 0
         self.drawn_at: float | None = None
+        self.wanted_at: float | None = None
         self.unmet: int | None = None
         self.available: int | None = None
         self.order: PendingOrder | None = None
@@ -93,9 +95,11 @@
     def own(self) -> list[Holding]:
         return [holding for holding in self.holdings if not holding.loan_id]
 
-    @property
-    def is_idle(self) -> bool:
-        return not self.holdings and self.order is None and not self.hand_backs
+    def is_idle(self, *, now: float, idle_s: float) -> bool:
+        """Return whether nothing is held or under way and nothing was wanted."""
+        if self.holdings or self.order is not None or self.hand_backs:
+            return False
+        return self.wanted_at is None or now - self.wanted_at >= idle_s
 
     def pick(self, tokens: int) -> Holding | None:
         """Return the holding that should pay: own before borrowed, tightest fit.
--- a/src/lavenderfold/budgets/_pool.py
+++ b/src/lavenderfold/budgets/_pool.py
@@ -93,6 +93,7 @@
         """Reserve the most that a run can use; None if no holding has it free."""
         account = self._account(key)
         account.typical = tokens
+        account.wanted_at = now
         holding = account.pick(tokens)
         if holding is None:
             account.unmet = min(tokens, account.unmet or tokens)
@@ -221,7 +222,7 @@
             )
         due = account.hand_back_due(now)
         due += account.hand_back(excess, now=now, next_id=self._next_id)
-        if account.is_idle and idle_s >= budget.ride_out_s:
+        if account.is_idle(now=now, idle_s=budget.ride_out_s):
             del self._accounts[key]
         return due
 
