--- a/src/lavenderfold/agent/_run_table.py
+++ b/src/lavenderfold/agent/_run_table.py
@@ -5,7 +5,7 @@
 window, after the replies).
 """
 
-from collections import OrderedDict, defaultdict
+from collections import OrderedDict, defaultdict, deque
 from itertools import count
 
 import msgspec
@@ -30,6 +30,9 @@
 from lavenderfold.messages import Run, RunAccepted, RunEnded, RunUnknown
 from lavenderfold.outcomes import MayHaveRun, NotRun, Ran, Reason
 
+# Ids of runs that are no longer kept take a few per cent of a kept run's memory.
+CLOSED_PER_REMEMBERED = 4
+
 
 class Abort(msgspec.Struct, frozen=True):
     """A running run that must be stopped at the target, and why."""
@@ -43,6 +46,7 @@
 
     A run that ends as not run is forgotten except for its id, so that its
     request may be sent again while a late duplicate of the order is ignored.
+    The same holds for idempotent runs whose answer is no longer kept.
     """
 
     def __init__(self, *, limits: Limits):
@@ -58,8 +62,9 @@
             True: OrderedDict(),
             False: OrderedDict(),
         }
+        self._ended_by_age: deque[RunRecord] = deque()
         self._answers = EndedAnswers(limits=limits)
-        self._refused_at: OrderedDict[str, float] = OrderedDict()
+        self._closed_at: OrderedDict[str, float] = OrderedDict()
         self._replies: list[Delivery] = []
         self._dirty: dict[str, RunRecord] = {}
 
@@ -95,7 +100,7 @@
         refusal: NotRun | None = None,
     ) -> Submission | NotRun | MayHaveRun:
         """Queue a run or refuse it; ``refusal`` says that the caller wants so."""
-        if order.run_id in self._record_by_id or order.run_id in self._refused_at:
+        if order.run_id in self._record_by_id or order.run_id in self._closed_at:
             return Submission.DUPLICATE
         outcome = self._repetition(order) or refusal or self._shortage(order)
         if outcome is not None:
@@ -161,6 +166,7 @@
         record.ended_at = now
         record.drop_input()
         self._ended[record.order.idempotent][run_id] = record
+        self._ended_by_age.append(record)
         self._dirty.pop(run_id, None)
         self._answers.add(record)
         self._reply_with_whole(record)
@@ -291,7 +297,7 @@
         if isinstance(outcome, NotRun) and order.key in self._records_by_key:
             # Another attempt may have run, so the request can't be called not run.
             outcome = MayHaveRun(outcome.reason, outcome.detail)
-        self._remember_refused(order.run_id, now)
+        self._close(order.run_id, now)
         ended = RunEnded(run_id=order.run_id, outcome=outcome)
         self._replies.append(Delivery(link, ended))
         return outcome
@@ -305,14 +311,14 @@
     def _end_as_not_run(self, record: RunRecord, outcome: NotRun, now: float) -> None:
         record.state = RunState.ENDED
         record.outcome = outcome
+        record.ended_at = now
         self._replies += end_messages(record)
         self._drop(record)
-        self._remember_refused(record.run_id, now)
 
-    def _remember_refused(self, run_id: str, now: float) -> None:
-        self._refused_at[run_id] = now
-        if len(self._refused_at) > self._limits.remembered_runs:
-            self._refused_at.popitem(last=False)
+    def _close(self, run_id: str, now: float) -> None:
+        self._closed_at[run_id] = now
+        if len(self._closed_at) > self._limits.remembered_runs * CLOSED_PER_REMEMBERED:
+            self._closed_at.popitem(last=False)
 
     def _expire_queue(self, now: float) -> None:
         for record in self._queue:
@@ -336,17 +342,24 @@
 
     def _forget(self, now: float) -> None:
         oldest = now - self._limits.buffer_retention_s
-        for ended in self._ended.values():
-            while ended and next(iter(ended.values())).ended_at <= oldest:
-                self._drop(next(iter(ended.values())))
-        while self._refused_at and next(iter(self._refused_at.values())) <= oldest:
-            self._refused_at.popitem(last=False)
+        while self._ended_by_age and self._ended_by_age[0].ended_at <= oldest:
+            record = self._ended_by_age.popleft()
+            self._answers.drop(record)
+            if record.run_id in self._ended[True]:
+                self._drop(record)
+        oldest = now - self._limits.repeat_memory_s
+        unrepeatable = self._ended[False]
+        while unrepeatable and next(iter(unrepeatable.values())).ended_at <= oldest:
+            self._drop(next(iter(unrepeatable.values())))
+        while self._closed_at and next(iter(self._closed_at.values())) <= oldest:
+            self._closed_at.popitem(last=False)
 
     def _drop(self, record: RunRecord) -> None:
         self._answers.drop(record)
         self._dirty.pop(record.run_id, None)
         self._ended[record.order.idempotent].pop(record.run_id, None)
         del self._record_by_id[record.run_id]
+        self._close(record.run_id, record.ended_at)
         same_key = self._records_by_key[record.order.key]
         same_key.remove(record)
         if not same_key:
--- a/src/lavenderfold/agent/_settings.py
+++ b/src/lavenderfold/agent/_settings.py
@@ -21,7 +21,9 @@
     """Bounds in runs, bytes and seconds.
 
     ``slots`` runs are at the target at once; ``queue_length`` more may wait,
-    with ``queue_bytes`` of prompts and bodies in all. ``remembered_runs`` bounds
+    with ``queue_bytes`` of prompts and bodies in all. A non-idempotent request
+    isn't run again within ``repeat_memory_s`` of its end; that must exceed the
+    age at which routers refuse a request id. ``remembered_runs`` bounds
     the runs whose ids are kept to recognise duplicates, ``unsettled_usage`` the
     usage records that no router has confirmed.
     """
@@ -32,6 +34,7 @@
     run_buffer_bytes: int = MEBIBYTE
     buffer_bytes: int = 48 * MEBIBYTE
     buffer_retention_s: float = 600.0
+    repeat_memory_s: float = 3600.0
     orphan_timeout_s: float = 600.0
     run_limit_s: float = 600.0
     drain_limit_s: float = 120.0
@@ -51,6 +54,8 @@
         if self.slots * self.run_buffer_bytes > self.buffer_bytes:
             # Answers of open runs can't be evicted, so they must all fit.
             raise ValueError("buffer_bytes must hold slots times run_buffer_bytes")
+        if self.repeat_memory_s < self.buffer_retention_s:
+            raise ValueError("repeat_memory_s must be at least buffer_retention_s")
 
 
 class AgentSettings(
--- a/tests/agent_support.py
+++ b/tests/agent_support.py
@@ -7,7 +7,7 @@
 import trio
 
 from lavenderfold.agent import Agent, AgentSettings, Limits, TargetKind
-from lavenderfold.http import HttpResponse, serve
+from lavenderfold.http import HttpResponse, json_response, serve
 from lavenderfold.identifiers import BudgetKey, RequestKey
 from lavenderfold.links import LinkClosedError, connect
 from lavenderfold.messages import (
@@ -20,6 +20,8 @@
 )
 from lavenderfold.settings import Address
 from lavenderfold.timers import TimerService
+from standins.engine_core import EngineOptions
+from standins.model_engine import ModelEngine
 from standins.target_common import serve_target
 
 ANY_PORT = Address(host="127.0.0.1", port=0)
@@ -46,13 +48,36 @@
         self.fenced.add(incarnation)
 
 
-class FakeStore:
-    """Serves a key-value service without the member record."""
+class PausingEngine(ModelEngine):
+    """Stops its steps once a stream has some words, until it's released.
+
+    Tests that act in the middle of a run don't depend on its speed this way.
+    """
+
+    def __init__(self):
+        super().__init__(options=EngineOptions(step_s=0.001, report_lag_s=0.0))
+        self.released = False
+        self._step = self.engine.step
+        self.engine.step = self._step_until_pause
+
+    def _step_until_pause(self, *, now):
+        streams = self.engine.stream_by_id.values()
+        if self.released or all(len(stream.words) < 10 for stream in streams):
+            self._step(now=now)
+
+
+class FakePlatform:
+    """A key-value service without the member record, and the list of VMs."""
 
     def __init__(self):
         self.up = True
+        self.vm_state = "live"
 
     async def handle(self, request, writer):
+        if request.path == "/v1/vms":
+            listed = [{"name": "v", "state": self.vm_state}]
+            await writer.send(json_response(200, {"vms": listed}))
+            return
         assert request.path == "/v1/kv/members/routers"
         await writer.send(HttpResponse(status=404 if self.up else 503))
 
@@ -63,6 +88,7 @@
     def __init__(self, address):
         self.link = connect(address=address, message_type=ToRouter)
         self.messages = []
+        self.closed = trio.Event()
         self._arrived = trio.Event()
 
     async def run(self):
@@ -71,7 +97,7 @@
                 self.messages += await self.link.receive()
                 self._wake()
         except LinkClosedError:
-            self._wake()
+            self.closed.set()
 
     async def wait_for(self, accept):
         """Return the first message for which ``accept`` holds."""
@@ -140,7 +166,7 @@
 
 @asynccontextmanager
 async def running_agent(target, *, kind, limits=LIMITS, store_up=True):
-    store = FakeStore()
+    store = FakePlatform()
     store.up = store_up
     async with trio.open_nursery() as nursery:
         target_address = await nursery.start(serve_target, target, ANY_PORT)
@@ -157,6 +183,7 @@
             listen=ANY_PORT,
             target_address=target_address,
             store_address=store_address,
+            vm_list_address=store_address,
             limits=limits,
         )
         agent = Agent(
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 import trio
+import trio.lowlevel
 
 from lavenderfold import settings as settings_files
 from lavenderfold.agent import AgentSettings, Limits, TargetKind
@@ -12,6 +13,7 @@
 from lavenderfold.agent._target import make_app_call
 from lavenderfold.messages import (
     AgentHello,
+    CancelRun,
     Fence,
     FenceReport,
     Frame,
@@ -28,18 +30,24 @@
 from standins.model_engine import ModelEngine
 from standins.plain_service import PlainService
 from standins.texts import answer_text
-from tests.agent_support import KEY, LIMITS, model_run, running_agent, sign_off
+from tests.agent_support import (
+    KEY,
+    LIMITS,
+    PausingEngine,
+    model_run,
+    running_agent,
+    sign_off,
+)
 
 FAST = EngineOptions(step_s=0.0, report_lag_s=0.0)
-SLOW = EngineOptions(step_s=0.01, report_lag_s=0.0)
 PROMPT = "length:60 tell me about the night sky"
 WHOLE = answer_text(PROMPT, 400).encode()
 PROMPT_TOKENS = 7
 
 
-def in_front_of_engine(check, *, options=FAST, **arguments):
+def in_front_of_engine(check, *, pausing=False, **arguments):
     async def main():
-        engine = ModelEngine(options=options)
+        engine = PausingEngine() if pausing else ModelEngine(options=FAST)
         async with running_agent(engine, kind=TargetKind.MODEL, **arguments) as harness:
             await check(harness)
 
@@ -101,6 +109,7 @@
         second = harness.connect(2)
         offset = len(first.answer("a"))
         second.link.post(ResumeRun(subscription="s", key=KEY, offset=offset))
+        harness.target.released = True
         ended = await second.ended("s")
         assert WHOLE[:offset] + second.answer("s", offset) == WHOLE
         assert isinstance(ended.outcome, Ran)
@@ -108,7 +117,7 @@
         await second.wait_for(usage_of("a"))
         assert list(harness.target.runs_by_request_id.values()) == [1]
 
-    in_front_of_engine(check, options=SLOW)
+    in_front_of_engine(check, pausing=True)
 
 
 def test_drain_refuses_at_once_and_cuts_nothing():
@@ -128,13 +137,14 @@
         await router.wait_for(
             lambda message: isinstance(message, LoadReport) and message.draining
         )
+        harness.target.released = True
         assert isinstance((await router.ended("a")).outcome, Ran)
         assert router.answer("a") == WHOLE
         assert not harness.exited.is_set()
         router.link.post(UsageStored(run_ids=["a"]))
         await harness.exited.wait()
 
-    in_front_of_engine(check, options=SLOW)
+    in_front_of_engine(check, pausing=True)
 
 
 def test_waiting_runs_are_refused_as_not_run_when_the_target_leaves():
@@ -153,10 +163,53 @@
         )
         harness.agent.drain(cause="test")
         assert (await router.ended("b")).outcome == NotRun(Reason.DRAINING)
+        harness.target.released = True
         assert isinstance((await router.ended("a")).outcome, Ran)
         assert len(harness.target.runs_by_request_id) == 1
 
-    in_front_of_engine(check, options=SLOW, limits=limits)
+    in_front_of_engine(check, pausing=True, limits=limits)
+
+
+def test_agent_drains_when_its_vm_is_listed_as_leaving():
+    async def check(harness):
+        router = harness.connect()
+        await router.ready()
+        harness.store.vm_state = "leaving"
+        await harness.exited.wait()
+        assert any(getattr(message, "draining", False) for message in router.messages)
+
+    in_front_of_engine(check)
+
+
+def test_cancelled_run_stops_at_the_engine_and_is_billed_so_far():
+    async def check(harness):
+        router = harness.connect()
+        await router.ready()
+        router.link.post(model_run("a", PROMPT))
+        await router.wait_for_type(Frame)
+        router.link.post(CancelRun(run_id="a"))
+        ended = await router.ended("a")
+        assert ended.outcome == MayHaveRun(Reason.CONNECTION_LOST, "cancelled")
+        report = await router.wait_for(usage_of("a"))
+        words = len(router.answer("a").split())
+        assert report.records[0].tokens == PROMPT_TOKENS + words
+        await router.wait_for(lambda _: harness.target.stats()["cancelled"])
+
+    in_front_of_engine(check, pausing=True)
+
+
+def test_new_link_of_a_router_closes_its_older_one():
+    """An order left in the older link must not run after a resume found nothing."""
+
+    async def check(harness):
+        older = harness.connect(1)
+        await older.ready()
+        newer = harness.connect(1)
+        await newer.ready()
+        await older.closed.wait()
+        assert len(harness.agent._links.readers()) == 1
+
+    in_front_of_engine(check)
 
 
 def test_fenced_payer_is_refused_and_what_it_holds_is_reported():
@@ -172,6 +225,7 @@
         router.link.post(model_run("b", PROMPT, key=other))
         refused = await router.ended("b")
         assert refused.outcome == NotRun(Reason.FENCED, "incarnation 1")
+        harness.target.released = True
         await router.ended("a")
         router.link.post(Fence(incarnation=1))
         held = {"g": PROMPT_TOKENS + 60}
@@ -179,7 +233,7 @@
             lambda message: getattr(message, "held_by_grant_id", None) == held
         )
 
-    in_front_of_engine(check, options=SLOW)
+    in_front_of_engine(check, pausing=True)
 
 
 def test_fence_that_precedes_the_member_record_holds():
