Report a router's listen errors in one line and test its settings file

Cause: an address in use ended the router with a nested traceback, and nothing checked that a misspelt limit is refused.

Change: the first cause goes to standard error, exit code 1 (settings faults keep 2). A table of settings faults; a check that prefix_hashes equals the hashes in the engines' cache events.

Ruled out: treating an address in use as a settings fault with code 2; the file is right, and the same start may succeed later.

--- a/src/lavenderfold/router/__main__.py
+++ b/src/lavenderfold/router/__main__.py
@@ -8,12 +8,14 @@
 from absl import app, flags
 
 from lavenderfold import logs
+from lavenderfold.links import ListenError
 from lavenderfold.router._router import Router
 from lavenderfold.router._settings import RouterSettings
 from lavenderfold.settings import load
 from lavenderfold.store import Store
 from lavenderfold.timers import TimerService
 
+LISTEN_EXIT_CODE = 1
 SETTINGS_EXIT_CODE = 2
 
 SETTINGS = flags.DEFINE_string("settings", None, "The settings file (YAML).")
@@ -42,6 +44,12 @@
         nursery.cancel_scope.cancel()
 
 
+def _first_cause(error: BaseException) -> BaseException:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def _main(_: list[str]) -> int:
     if not SETTINGS.value:
         sys.stderr.write("--settings is required\n")
@@ -52,8 +60,14 @@
         return SETTINGS_EXIT_CODE
     settings = loaded.unwrap()
     logs.configure(process=settings.router, level=LOG_LEVEL.value)
-    trio.run(_serve, settings)
-    return 0
+    try:
+        trio.run(_serve, settings)
+    except* (OSError, ListenError) as errors:
+        sys.stderr.write(f"{_first_cause(errors)}\n")
+        return_code = LISTEN_EXIT_CODE
+    else:
+        return_code = 0
+    return return_code
 
 
 def run() -> None:
--- a/tests/test_router_input.py
+++ b/tests/test_router_input.py
@@ -1,6 +1,10 @@
 """What the router does with input that it can't accept."""
 
+import pytest
+
 from lavenderfold.http import HttpClient, HttpRequest
+from lavenderfold.router import RouterSettings
+from lavenderfold.settings import load
 from tests.router_fleet import (
     ANSWERS,
     SIGNOFF,
@@ -108,3 +112,38 @@
         )
         assert (await client.request(request)).status == 400
     await client.close()
+
+
+SETTINGS = """\
+router: r1
+region: west
+failure_domain: west-1
+listen: 127.0.0.1:8080
+operator_listen: 127.0.0.1:8081
+peer_listen: 127.0.0.1:8082
+store_address: 127.0.0.1:7100
+"""
+
+
+@pytest.mark.parametrize(
+    ("line", "fault"),
+    [
+        ("", ""),
+        ("limits: {queue_length: 10}", ""),
+        ("limits: {queue: 1}", "limits: Object contains unknown field `queue`"),
+        ("limits: {attempts: 0}", "limits: attempts must be more than 0"),
+        ("peers: [127.0.0.1]", "peers[0]: expected IP:PORT, got '127.0.0.1'"),
+        ("peers: [127.0.0.1:1, 127.0.0.1:1]", "file: peers must not name"),
+        ("region: east", "line 8: key 'region' is given twice"),
+        ("shard_count: many", "shard_count: Expected `int`, got `str`"),
+    ],
+)
+def test_settings_file_is_read_strictly(tmp_path, line, fault):
+    """A misspelt limit must not be replaced silently by its default."""
+    path = tmp_path / "router.yaml"
+    path.write_text(SETTINGS + line, encoding="utf-8")
+    loaded = load(path, RouterSettings)
+    if not fault:
+        assert loaded.is_ok()
+    else:
+        assert f"{path}: {fault}" in str(loaded.unwrap_err())
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -19,6 +19,7 @@
     has_room,
     prefix_hashes,
 )
+from standins.texts import prefix_blocks
 
 CHOOSERS = (choose_target, choose_round_robin, choose_least_outstanding)
 MORNING_PROMPT = "sky brightness of the night " * 200
@@ -303,6 +304,8 @@
 @proof
 @given(st.text(alphabet="ab ", max_size=400), st.text(alphabet="ab ", max_size=100))
 def test_prefix_hashes_agree_exactly_on_common_blocks(prompt, tail):
+    """Cache events of the engines are useless unless the hashes are equal."""
     longer = prefix_hashes(prompt + " " + tail)
     assert longer[: len(prefix_hashes(prompt))] == prefix_hashes(prompt)
+    assert prefix_hashes(prompt) == prefix_blocks(prompt)
     assert prefix_hashes("c " + prompt)[:1] != prefix_hashes(prompt)[:1] or not longer
