Keep a tenth of the slots for urgent requests

Ruled out: sending fewer urgent requests beyond the slots; the engines serve them by priority, the missing slots were the cause. Change: has_room leaves URGENT_SHARE_OF_SLOTS free for priority 0.

--- a/src/lavenderfold/routing/_choice.py
+++ b/src/lavenderfold/routing/_choice.py
@@ -22,6 +22,10 @@
 HOME_LOAD_FACTOR = 1.25
 # Runs beyond the slots that keep an engine busy between two reports.
 QUEUED_SHARE_OF_SLOTS = 0.5
+# Slots of all targets together that only urgent requests may take. Without them
+# requests that may wait fill every slot at saturation, and an urgent one waits
+# until one of those ends.
+URGENT_SHARE_OF_SLOTS = 0.1
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -174,15 +178,19 @@
     """Return whether a queued request should be sent to the targets now.
 
     ``reserved`` counts requests that left the queue and weren't sent yet. A
-    request that isn't urgent leaves a few slots free for those that are.
+    request that isn't urgent leaves URGENT_SHARE_OF_SLOTS free.
     """
     room = 0
+    slots = 0
     for candidate in candidates:
         if view.state(candidate.target, now=now) is not TargetState.READY:
             continue
         load = view.load(candidate.target)
+        slots += load.latest.slots
         spare = math.ceil(load.latest.slots * QUEUED_SHARE_OF_SLOTS)
         room += max(0, load.free_slots + (spare if urgent else 0))
+    if not urgent:
+        room -= math.floor(slots * URGENT_SHARE_OF_SLOTS)
     return room > reserved
 
 
