--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -96,7 +96,7 @@
 UNREACHED = refusal("budget_unavailable")
 
 
-def good_case() -> tuple[list[CallRecord], Evidence]:
+def good_records() -> list[CallRecord]:
     """Return a model answer, a sign-off and a refusal, all in order."""
     answer = CallRecord(
         request=ASK,
@@ -130,6 +130,11 @@
         outcome=CallOutcome.NOT_RUN,
         attempts=[refusal("budget_spent", 402)],
     )
+    return [answer, signed, refused]
+
+
+def good_case() -> tuple[list[CallRecord], Evidence]:
+    """Return the good records with the evidence that fits them."""
     before = BudgetEvidence(limit=100, settled=4, tokens_by_request_id={"old": 4})
     after = BudgetEvidence(
         limit=100,
@@ -141,9 +146,8 @@
         RunEvidence(target="engine", request_id="a", tokens=2),
         RunEvidence(target="plain", request_id="s"),
     ]
-    return [answer, signed, refused], Evidence(
-        before={KEY: before}, after={KEY: after}, runs=runs
-    )
+    evidence = Evidence(before={KEY: before}, after={KEY: after}, runs=runs)
+    return good_records(), evidence
 
 
 def failed_checks(records: list[CallRecord], evidence: Evidence) -> set[str]:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -4,6 +4,7 @@
 import socket
 import time
 
+import msgspec
 import pytest
 import trio
 
@@ -83,50 +84,44 @@
         yield fleet
 
 
+COMMON = {"offset_s": 0.0, "organisation": "north", "region": "west"}
+ASK = TraceRequest(
+    **COMMON,
+    route="ask",
+    kind=RequestKind.QUICK,
+    size=len(PROMPT),
+    prompt=PROMPT,
+    max_tokens=30,
+    worst_case=33,
+    answer_digest=ANSWER_DIGEST,
+)
+SIGN = TraceRequest(
+    **COMMON,
+    route="sign",
+    kind=RequestKind.SIGN_OFF,
+    size=40,
+    idempotent=False,
+    worst_case=7,
+)
+READ = TraceRequest(
+    **COMMON,
+    route="read",
+    kind=RequestKind.FETCH,
+    size=0,
+    method="GET",
+    worst_case=2,
+)
+
+
 def make_trace() -> list[TraceRequest]:
     """Return two requests of each route."""
-    common = {"offset_s": 0.0, "organisation": "north", "region": "west"}
-    asks = [
-        TraceRequest(
-            **common,
-            route="ask",
-            kind=RequestKind.QUICK,
-            size=len(PROMPT),
-            prompt=PROMPT,
-            max_tokens=30,
-            stream=stream,
-            worst_case=33,
-            answer_digest=ANSWER_DIGEST,
-        )
-        for stream in (True, False)
-    ]
-    signs = [
-        TraceRequest(
-            **common,
-            route="sign",
-            kind=RequestKind.SIGN_OFF,
-            size=40,
-            path=f"lamp/{number}",
-            idempotent=False,
-            worst_case=7,
-            answer_part=f"lamp/{number}",
-        )
-        for number in range(2)
-    ]
-    reads = [
-        TraceRequest(
-            **common,
-            route="read",
-            kind=RequestKind.FETCH,
-            size=0,
-            method="GET",
-            path=f"station/{number}",
-            worst_case=2,
-            answer_part=f"station/{number}",
-        )
-        for number in range(2)
+    asks = [msgspec.structs.replace(ASK, stream=stream) for stream in (True, False)]
+    calls = [
+        msgspec.structs.replace(request, path=path, answer_part=path)
+        for request in (SIGN, READ)
+        for path in ("lamp/1", "lamp/2")
     ]
-    return asks + signs + reads
+    return asks + calls
 
 
 def make_reader(fleet) -> EvidenceReader:
