--- a/src/lavenderfold/settings.py
+++ b/src/lavenderfold/settings.py
@@ -57,7 +57,11 @@
         return f"Address({str(self)!r})"
 
 
-class _UniqueKeyLoader(yaml.SafeLoader):
+# The loader on libyaml parses about six times as fast as the one in Python.
+_FastLoader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+class _UniqueKeyLoader(_FastLoader):
     """Refuses a mapping that gives one key twice; plain YAML keeps the last."""
 
     def construct_mapping(self, node, deep=False):
