Settle a dead router's runs in the policy benchmark as agents do

The product's agents keep usage until it is durable and refuse a fenced payer; the benchmark did neither.

--- a/bench/budget_policies.py
+++ b/bench/budget_policies.py
@@ -7,6 +7,7 @@
 """
 
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -55,6 +56,7 @@
 BATCH_WINDOW_S = 0.02
 RETENTION_S = 86_400.0
 TEND_S = 1.0
+SETTLE_WAIT_S = 2.0
 PREFERENCES = {
     # Overspend is the worse error: little is set aside at a time.
     "prairie": {"grant_share": 0.0625, "ride_out_s": 300.0},
@@ -72,6 +74,7 @@
         self.randomness = randomness
         self.spent = 0
         self.reserved = 0
+        self.open_by_grant_id: Counter[str] = Counter()
 
     @property
     def is_broken(self) -> bool:
@@ -254,10 +257,14 @@
 
     async def reclaim_after_death() -> None:
         await trio.sleep(FAULT_START_S + RECLAIM_AFTER_S)
+        for keeper in keepers.values():
+            # The agents refuse what the dead router's grants and loans pay for.
+            keeper.payer_was_fenced(DYING_ROUTER + 1)
         record = (await clients[0].read(KEY)).unwrap()
         for grant_id, grant in record.grants_by_id.items():
             if grant.holder == DYING_ROUTER + 1:
-                await clients[0].submit(Reclaim(KEY, grant_id, 0))
+                keep = scenario.open_by_grant_id[grant_id]
+                await clients[0].submit(Reclaim(KEY, grant_id, keep))
 
     async def live(place: int, keeper: GrantKeeper, parts: trio.Nursery) -> None:
         """Tend a router's grants until it dies."""
@@ -301,11 +308,17 @@
             if isinstance(held, NotRun):
                 return None
 
+            scenario.open_by_grant_id[held.grant_id] += WORST_CASE_TOKENS
+
             async def finish(used: int) -> None:
-                keeper.settle(held, used)
-                await client.submit(
-                    Settle(KEY, held.grant_id, request.request_id, used)
-                )
+                scenario.open_by_grant_id[held.grant_id] -= WORST_CASE_TOKENS
+                bill = Settle(KEY, held.grant_id, request.request_id, used)
+                if not scenario.is_dead(place):
+                    keeper.settle(held, used)
+                    if (await client.submit(bill, timeout_s=SETTLE_WAIT_S)).is_ok():
+                        return
+                # The agent keeps the usage and hands it to another router.
+                await clients[0 if scenario.is_dead(place) else place].submit(bill)
 
             return finish
 
