Settle what a grant covers before taking the rest from what is available

Cause: _cover took the covered tokens out of the grant (or out of what was written off) and read record.available before they were counted as settled. They counted as available for that moment, so a settlement above its grant took them twice and raised LedgerInvariantError, which no caller of apply catches.

Ruled out: the late settlement and the settlement without a grant, which take nothing from available or nothing from a grant.

Change: the covered part is settled first, then the rest is taken.

Runs: two new tests in tests/test_ledger.py (grant of 50 in a limit of 100, bill of 120, grant open and written off). Before: both raise 'charges 120 of limit 100'. After: both settle 100 and report 20 tokens as short; tests/test_ledger.py and tests/test_budget_machine.py pass.

Conclusion: a bill above its grant stays within the budget's limit.

--- a/src/lavenderfold/budgets/_apply.py
+++ b/src/lavenderfold/budgets/_apply.py
@@ -168,8 +168,7 @@
         return Done()
     if context.is_late(operation.request_id):
         return _settle_late(operation, request, record, context)
-    covered, short = _cover(operation, record, context)
-    record.settled += covered
+    short = _settle_covered(operation, record, context)
     record.usage_by_id[request] = entry
     return Done() if short is None else GrantMissing(short)
 
@@ -185,20 +184,23 @@
     return Done()
 
 
-def _cover(
+def _settle_covered(
     operation: Settle, record: BudgetRecord, context: _Context
-) -> tuple[int, int | None]:
-    """Take a bill's tokens from its grant; return those found and those short.
+) -> int | None:
+    """Settle a bill's tokens; return those short, or None if its grant had all.
 
-    The shortage is None if the grant covered all. Else the rest is taken from
-    what is available, because the tokens have been used.
+    What the grant lacks is taken from what is available, because the tokens have
+    been used. The grant's part must be settled before that: until then its tokens
+    would count as available once more.
     """
     covered = _take_from_grant(operation.grant_id, operation.tokens, record, context)
     covered += _take_written_off(operation.grant_id, operation.tokens - covered, record)
+    record.settled += covered
     if covered == operation.tokens:
-        return covered, None
+        return None
     extra = min(operation.tokens - covered, record.available)
-    return covered + extra, operation.tokens - covered - extra
+    record.settled += extra
+    return operation.tokens - covered - extra
 
 
 def _take_from_grant(
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -146,6 +146,24 @@
     assert amounts(shard) == (50, 0, 50)
 
 
+def test_settlement_above_its_grant_takes_no_more_than_is_available():
+    """Counting the grant's tokens as free again would end the router's process."""
+    shard = open_budget(limit=100, amount=50)
+    shard, results = run(Settle(KEY, "g", request(1), 120), shard=shard)
+    assert results == [GrantMissing(20)]
+    assert amounts(shard) == (100, 0, 0)
+
+
+def test_settlement_above_a_written_off_grant_takes_no_more_than_is_available():
+    """The same for tokens that were written off before the settlement came."""
+    shard = open_budget(limit=100, amount=50)
+    shard, results = run(
+        WriteOff(KEY, "g"), Settle(KEY, "g", request(1), 120), shard=shard
+    )
+    assert results == [Done(), GrantMissing(20)]
+    assert amounts(shard) == (100, 0, 0)
+
+
 def test_fenced_holder_cannot_hand_back_what_its_runs_hold():
     """A paused router wakes and hands back tokens that were reclaimed."""
     shard, results = run(
