Decide for each grant whether the agents know all its runs

Cause: the agent never set FenceReport.complete, so each reclaim wrote a dead router's whole remainder off as unexplained. Had it been set, one restart of an agent during a router's life would still have made all grants of that router unaccountable.

Ruled out: vouching by the newest hello, or for everything.

Change: RouterHello names the highest grant number so far; an agent process keeps the first one of each incarnation and answers a fence with complete_after; ReclaimPlan releases a grant if every target knows its runs and writes it off otherwise. The agent reads the member record once it listens, so that no earlier process can run requests of an incarnation newer than the record.

Conclusion: only grants that were opened before an agent's restart, or that the agent can't know, are written off.

--- a/src/lavenderfold/agent/_agent.py
+++ b/src/lavenderfold/agent/_agent.py
@@ -98,13 +98,15 @@
             self._nursery = nursery
             self._timers.every(self._limits.report_period_s, self._tick)
             nursery.start_soon(self._timers.run)
-            nursery.start_soon(self._read_member_record)
             nursery.start_soon(
                 _platform.watch_target, self._settings, self._view, self._report_load
             )
             if self._settings.vm_list_address is not None:
                 nursery.start_soon(self._watch_vm_list)
             address = await nursery.start(listener.run, self._serve_link)
+            # While an earlier process still holds the address, incarnations newer
+            # than the record could run requests there.
+            nursery.start_soon(self._read_member_record)
             log_event(
                 logger, "listening", address=address, target=self._settings.target
             )
@@ -194,8 +196,9 @@
                 self._usage.stored(run_ids)
             case Fence(incarnation=incarnation):
                 self._fence(router, incarnation)
-            case RouterHello():
+            case RouterHello(incarnation=incarnation, grant_sequence=sequence):
                 self._links.greet(router, message)
+                self._fences.greet(incarnation, sequence)
                 self._revision = max(self._revision, message.revision)
             case Heartbeat(revision=revision):
                 self._revision = max(self._revision, revision)
@@ -241,10 +244,19 @@
         for grant_id, tokens in self._usage.held(incarnation).items():
             held[grant_id] = held.get(grant_id, 0) + tokens
         report = FenceReport(
-            target=self._settings.target, incarnation=incarnation, held_by_grant_id=held
+            target=self._settings.target,
+            incarnation=incarnation,
+            held_by_grant_id=held,
+            complete_after=self._fences.complete_after(incarnation),
         )
         self._links.post(router.number, report)
-        log_event(logger, "fence", incarnation=incarnation, held=sum(held.values()))
+        log_event(
+            logger,
+            "fence",
+            incarnation=incarnation,
+            held=sum(held.values()),
+            complete_after=report.complete_after,
+        )
 
     async def _place(self, order: PlacementOrder) -> None:
         status = None
--- a/src/lavenderfold/agent/_fencing.py
+++ b/src/lavenderfold/agent/_fencing.py
@@ -17,16 +17,25 @@
         """Accept no more runs paid by an incarnation."""
         ...
 
+    def greet(self, incarnation: int, grant_sequence: int) -> None:
+        """Note a hello of the router with an incarnation."""
+        ...
+
+    def complete_after(self, incarnation: int) -> int | None:
+        """Return the grant number above which all runs are known."""
+        ...
+
 
 GateOpener = Callable[[bytes | None], Gate]
 
 
 class Fences:
-    """Fences that hold from the start, even before the member record is read."""
+    """Fences and hellos count from the start, even before the record is read."""
 
     def __init__(self) -> None:
         self._gate: Gate | None = None
         self._fenced: set[int] = set()
+        self._first_sequence: dict[int, int] = {}
 
     @property
     def ready(self) -> bool:
@@ -34,9 +43,11 @@
         return self._gate is not None
 
     def open(self, gate: Gate) -> None:
-        """Use the gate of the member record; earlier fences are applied to it."""
+        """Use the gate of the member record; it's told what came before."""
         for incarnation in self._fenced:
             gate.fence(incarnation)
+        for incarnation, sequence in self._first_sequence.items():
+            gate.greet(incarnation, sequence)
         self._gate = gate
 
     def admits(self, payer: int) -> bool:
@@ -47,6 +58,17 @@
         if self._gate is not None:
             self._gate.fence(incarnation)
 
+    def greet(self, incarnation: int, grant_sequence: int) -> None:
+        if self._gate is not None:
+            self._gate.greet(incarnation, grant_sequence)
+        else:
+            self._first_sequence.setdefault(incarnation, grant_sequence)
+
+    def complete_after(self, incarnation: int) -> int | None:
+        if self._gate is None:
+            return None
+        return self._gate.complete_after(incarnation)
+
 
 def open_gate(data: bytes | None) -> Gate:
     """Return the gate for the stored member record; None stands for a missing key."""
--- a/src/lavenderfold/budgets/__init__.py
+++ b/src/lavenderfold/budgets/__init__.py
@@ -27,7 +27,12 @@
     Settle,
     WriteOff,
 )
-from lavenderfold.budgets._pool import GrantOrder, GrantPool, Reservation
+from lavenderfold.budgets._pool import (
+    GrantOrder,
+    GrantPool,
+    Reservation,
+    grant_number,
+)
 from lavenderfold.budgets._records import (
     BudgetRecord,
     ClaimEntry,
@@ -78,6 +83,7 @@
     "WriteOff",
     "apply",
     "excess_tokens",
+    "grant_number",
     "order_tokens",
     "pack_request_id",
 ]
--- a/src/lavenderfold/budgets/_pool.py
+++ b/src/lavenderfold/budgets/_pool.py
@@ -87,6 +87,11 @@
         self._fenced: set[int] = set()
         self._sequence = 0
 
+    @property
+    def grant_sequence(self) -> int:
+        """Return a number that no grant ordered so far exceeds and later ones do."""
+        return self._sequence
+
     def reserve(
         self, key: BudgetKey, request_id: str, tokens: int, *, now: float
     ) -> Reservation | None:
@@ -376,3 +381,8 @@
         self._ended[name] = None
         if len(self._ended) > ENDED_IDS_KEPT:
             self._ended.popitem(last=False)
+
+
+def grant_number(grant_id: str) -> int:
+    """Return a grant's number, which grows with each grant that a router orders."""
+    return int(grant_id.rpartition("-")[2])
--- a/src/lavenderfold/members/_reclaim.py
+++ b/src/lavenderfold/members/_reclaim.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from lavenderfold.budgets import LedgerShard, Reclaim, WriteOff
+from lavenderfold.budgets import LedgerShard, Reclaim, WriteOff, grant_number
 from lavenderfold.identifiers import BudgetKey
 from lavenderfold.messages import FenceReport
 
@@ -48,10 +48,11 @@
         """Return the operations; none while a target's answer is missing."""
         if self.missing:
             return []
-        if not self._is_accounted():
-            return [WriteOff(key, grant) for grant, key in self._grants.items()]
         operations: list[Reclaim | WriteOff] = []
         for grant_id, key in self._grants.items():
+            if not self._is_accounted(grant_id):
+                operations.append(WriteOff(key, grant_id))
+                continue
             held = self._held(grant_id, self._report_by_target)
             operations.append(Reclaim(key, grant_id, held))
             if self._held(grant_id, self._gone):
@@ -59,11 +60,15 @@
                 operations.append(WriteOff(key, grant_id))
         return operations
 
-    def _is_accounted(self) -> bool:
-        """Return whether the reports cover everything that ran on the grants."""
+    def _is_accounted(self, grant_id: str) -> bool:
+        """Return whether the reports cover everything that ran on a grant."""
         if self._targets - self._report_by_target.keys():
             return False
-        return all(report.complete for report in self._report_by_target.values())
+        number = grant_number(grant_id)
+        return all(
+            report.complete_after is not None and number > report.complete_after
+            for report in self._report_by_target.values()
+        )
 
     def _held(self, grant_id: str, targets: Iterable[str]) -> int:
         return sum(
--- a/src/lavenderfold/messages.py
+++ b/src/lavenderfold/messages.py
@@ -11,13 +11,18 @@
 
 
 class RouterHello(msgspec.Struct, frozen=True, tag=True):
-    """First message of a router on a link to an agent."""
+    """First message of a router on a link to an agent.
+
+    ``grant_sequence`` is the highest number that the router has given to a grant
+    so far; grants that it opens later have higher ones.
+    """
 
     router: str
     incarnation: int
     region: str
     failure_domain: str
     revision: int
+    grant_sequence: int
 
 
 class Run(msgspec.Struct, frozen=True, tag=True, kw_only=True):
@@ -170,14 +175,15 @@
 class FenceReport(msgspec.Struct, frozen=True, tag=True):
     """Answer to ``Fence``: tokens by grant id that open or unbilled runs hold.
 
-    ``complete`` is true if the agent's process is older than the incarnation
-    (``FenceGate.vouches_for``). Otherwise an earlier process may have lost usage.
+    The agent's process knows all runs paid by grants of the incarnation with a
+    number above ``complete_after``: 0 stands for all grants, None for none. An
+    earlier process may have lost usage of runs paid by the others.
     """
 
     target: str
     incarnation: int
     held_by_grant_id: dict[str, int]
-    complete: bool = False
+    complete_after: int | None = None
 
 
 class PeerHello(msgspec.Struct, frozen=True, tag=True):
--- a/src/lavenderfold/router/_router.py
+++ b/src/lavenderfold/router/_router.py
@@ -110,6 +110,7 @@
             region=self.settings.region,
             failure_domain=self.settings.failure_domain,
             revision=self.state.revision,
+            grant_sequence=self._parts.grants.pool.grant_sequence,
         )
 
     def peer_hello(self) -> PeerHello:
--- a/tests/agent_support.py
+++ b/tests/agent_support.py
@@ -47,6 +47,12 @@
     def fence(self, incarnation):
         self.fenced.add(incarnation)
 
+    def greet(self, incarnation, grant_sequence):
+        pass
+
+    def complete_after(self, incarnation):
+        return None
+
 
 class PausingEngine(ModelEngine):
     """Stops its steps once a stream has some words, until it's released.
@@ -148,7 +154,7 @@
         self.exited = trio.Event()
         self._nursery = nursery
 
-    def connect(self, incarnation=1):
+    def connect(self, incarnation=1, grant_sequence=0):
         router = RouterSide(self.address)
         self._nursery.start_soon(router.link.run)
         self._nursery.start_soon(router.run)
@@ -159,6 +165,7 @@
                 region="s",
                 failure_domain="f",
                 revision=0,
+                grant_sequence=grant_sequence,
             )
         )
         return router
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -79,8 +79,8 @@
         for record in self.usage.values():
             if record.payer == incarnation:
                 held[record.grant_id] = held.get(record.grant_id, 0) + record.tokens
-        complete = self.gate.vouches_for(incarnation)
-        return FenceReport(self.target, incarnation, held, complete)
+        known = self.gate.complete_after(incarnation)
+        return FenceReport(self.target, incarnation, held, known)
 
 
 class Router:
@@ -269,6 +269,7 @@
         self.billed_run: dict[str, str] = {}
         self.duplicates: dict[str, int] = {}
         self.gone: list[str] = []
+        self.routers: list[Router] = []
         self.agents = [
             Agent(target="t0", region="west"),
             Agent(target="t1", region="east"),
@@ -315,6 +316,10 @@
     def make_ready(self, agent: Agent) -> None:
         if agent.alive and self.reaches_store(agent.region):
             agent.gate = agent.gate or FenceGate(self.member_record)
+            for router in self.routers:
+                if router.active and self.connected(router.region, agent.region):
+                    pool = router.pool
+                    agent.gate.greet(pool.incarnation, pool.grant_sequence)
 
     def write(self, operations: list) -> list:
         """Apply a batch to the stored value and check the ledger's own sums."""
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -205,7 +205,7 @@
                 self.stored += run_ids
             case Fence(incarnation=incarnation):
                 self.fenced.append(incarnation)
-                link.post(FenceReport(self.name, incarnation, {}, complete=True))
+                link.post(FenceReport(self.name, incarnation, {}, complete_after=0))
 
     def answer_resume(self, message: ResumeRun) -> list:
         if message.key not in [run.key for run in self.runs]:
--- a/tests/test_foundations.py
+++ b/tests/test_foundations.py
@@ -199,7 +199,12 @@
 
     async def use_link(link: Link):
         hello = RouterHello(
-            router="a", incarnation=1, region="r", failure_domain="f", revision=3
+            router="a",
+            incarnation=1,
+            region="r",
+            failure_domain="f",
+            revision=3,
+            grant_sequence=0,
         )
         sent = [hello, make_run("1"), make_run("2"), Heartbeat(revision=4)]
         for message in sent:
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,115 @@
+"""Incarnations, the agent's fence gate and the decisions of a reclaim."""
+
+from lavenderfold.budgets import (
+    LedgerShard,
+    OpenGrant,
+    Reclaim,
+    SetLimit,
+    WriteOff,
+    apply as apply_operations,
+)
+from lavenderfold.identifiers import BudgetKey
+from lavenderfold.members import FenceGate, MemberRecord, ReclaimPlan
+from lavenderfold.messages import FenceReport
+
+KEY = BudgetKey("regina", "main")
+NOW = 1_790_000_000.0
+DEAD = 1
+
+
+def shard_with(*grant_ids: str) -> LedgerShard:
+    operations = [OpenGrant(KEY, grant_id, DEAD, 50, 50) for grant_id in grant_ids]
+    limit = SetLimit(KEY, 1000, 1)
+    return apply_operations(LedgerShard(), [limit, *operations], now_unix=NOW)[0]
+
+
+def plan_for(*grant_ids: str, targets=("t1", "t2")) -> ReclaimPlan:
+    plan = ReclaimPlan(incarnation=DEAD, targets=targets)
+    plan.add_shard(shard_with(*grant_ids))
+    return plan
+
+
+def report(target: str, complete_after: int | None, **held: int) -> FenceReport:
+    by_grant = {grant.replace("_", "1-"): tokens for grant, tokens in held.items()}
+    return FenceReport(target, DEAD, by_grant, complete_after)
+
+
+def gate_after_restart() -> FenceGate:
+    """Return the gate of an agent that started after incarnation 1 registered."""
+    record, incarnation = MemberRecord().register(router="r", boot_id="b")
+    assert incarnation == DEAD
+    return FenceGate(record)
+
+
+def test_restarted_agent_knows_only_grants_numbered_after_the_first_hello():
+    """A later hello must not hide what ran between the two."""
+    gate = gate_after_restart()
+    assert gate.complete_after(DEAD) is None
+    gate.greet(DEAD, 7)
+    gate.greet(DEAD, 3)
+    gate.greet(DEAD, 9)
+    assert gate.complete_after(DEAD) == 7
+
+
+def test_agent_knows_all_of_a_router_newer_than_its_record():
+    """Its first hello may come late, after loans of it were spent here."""
+    gate = gate_after_restart()
+    assert gate.complete_after(DEAD + 1) == 0
+    gate.greet(DEAD + 1, 5)
+    assert gate.complete_after(DEAD + 1) == 0
+
+
+def test_hello_of_a_borrower_says_nothing_about_the_payer():
+    """Runs on a loan come from other routers, also at an earlier process."""
+    record, _ = gate_record_of_two()
+    gate = FenceGate(record)
+    gate.greet(2, 4)
+    assert gate.complete_after(1) is None
+
+
+def gate_record_of_two() -> tuple[MemberRecord, int]:
+    record, _ = MemberRecord().register(router="r1", boot_id="b1")
+    return record.register(router="r2", boot_id="b2")
+
+
+def test_reclaim_decides_for_each_grant():
+    """One restart of an agent must not write off the grants opened after it."""
+    plan = plan_for("1-3", "1-8", "1-12")
+    plan.report(report("t1", 0, _8=20))
+    assert plan.decisions() == []
+    plan.report(report("t2", 8))
+    assert plan.decisions() == [
+        WriteOff(KEY, "1-3"),
+        WriteOff(KEY, "1-8"),
+        Reclaim(KEY, "1-12", 0),
+    ]
+
+
+def test_open_runs_keep_their_tokens():
+    plan = plan_for("1-3")
+    plan.report(report("t1", 0, _3=20))
+    plan.report(report("t2", 2, _3=5))
+    assert plan.decisions() == [Reclaim(KEY, "1-3", 25)]
+
+
+def test_agent_that_knows_nothing_keeps_every_grant_charged():
+    plan = plan_for("1-3")
+    plan.report(report("t1", 0))
+    plan.report(report("t2", None))
+    assert plan.decisions() == [WriteOff(KEY, "1-3")]
+
+
+def test_vm_that_is_gone_without_a_report_keeps_every_grant_charged():
+    plan = plan_for("1-3")
+    plan.report(report("t1", 0))
+    plan.target_gone("t2")
+    assert plan.decisions() == [WriteOff(KEY, "1-3")]
+
+
+def test_runs_of_a_reported_vm_that_is_gone_are_written_off():
+    """What its open runs used can't be reported any more."""
+    plan = plan_for("1-3")
+    plan.report(report("t1", 0, _3=20))
+    plan.report(report("t2", 0))
+    plan.target_gone("t1")
+    assert plan.decisions() == [Reclaim(KEY, "1-3", 20), WriteOff(KEY, "1-3")]
