--- a/src/lavenderfold/agent/_agent.py
+++ b/src/lavenderfold/agent/_agent.py
@@ -14,7 +14,7 @@
 from lavenderfold.agent._fencing import Fences, GateOpener, open_gate
 from lavenderfold.agent._links import RouterLink, RouterLinks
 from lavenderfold.agent._load import TargetView
-from lavenderfold.agent._reports import hello, load_report
+from lavenderfold.agent._reports import fence_report, hello, load_report
 from lavenderfold.agent._run_table import Abort, Delivery, RunTable
 from lavenderfold.agent._runs import RunRecord, Submission, is_model_order
 from lavenderfold.agent._settings import AgentSettings, TargetKind
@@ -26,7 +26,6 @@
 from lavenderfold.messages import (
     CancelRun,
     Fence,
-    FenceReport,
     Frame,
     Heartbeat,
     LoadReport,
@@ -240,13 +239,10 @@
 
     def _fence(self, router: RouterLink, incarnation: int) -> None:
         self._fences.fence(incarnation)
-        held = self._table.held(incarnation)
-        for grant_id, tokens in self._usage.held(incarnation).items():
-            held[grant_id] = held.get(grant_id, 0) + tokens
-        report = FenceReport(
-            target=self._settings.target,
-            incarnation=incarnation,
-            held_by_grant_id=held,
+        report = fence_report(
+            self._settings,
+            incarnation,
+            held=[self._table.held(incarnation), self._usage.held(incarnation)],
             complete_after=self._fences.complete_after(incarnation),
         )
         self._links.post(router.number, report)
@@ -254,7 +250,7 @@
             logger,
             "fence",
             incarnation=incarnation,
-            held=sum(held.values()),
+            held=sum(report.held_by_grant_id.values()),
             complete_after=report.complete_after,
         )
 
--- a/src/lavenderfold/agent/_reports.py
+++ b/src/lavenderfold/agent/_reports.py
@@ -1,9 +1,11 @@
 """What the agent tells routers about itself."""
 
+from collections import Counter
+
 from lavenderfold.agent._load import TargetView
 from lavenderfold.agent._run_table import RunTable
 from lavenderfold.agent._settings import AgentSettings
-from lavenderfold.messages import AgentHello, LoadReport
+from lavenderfold.messages import AgentHello, FenceReport, LoadReport
 
 
 def hello(settings: AgentSettings, view: TargetView, boot_id: str) -> AgentHello:
@@ -41,3 +43,22 @@
         prefixes=prefixes or [],
         prefixes_known=prefixes is not None,
     )
+
+
+def fence_report(
+    settings: AgentSettings,
+    incarnation: int,
+    *,
+    held: list[dict[str, int]],
+    complete_after: int | None,
+) -> FenceReport:
+    """Return the answer to a fence; ``held`` are tokens by grant id, to be added."""
+    held_by_grant_id: Counter[str] = Counter()
+    for tokens_by_grant_id in held:
+        held_by_grant_id.update(tokens_by_grant_id)
+    return FenceReport(
+        target=settings.target,
+        incarnation=incarnation,
+        held_by_grant_id=dict(held_by_grant_id),
+        complete_after=complete_after,
+    )
--- a/tests/agent_support.py
+++ b/tests/agent_support.py
@@ -158,19 +158,21 @@
         router = RouterSide(self.address)
         self._nursery.start_soon(router.link.run)
         self._nursery.start_soon(router.run)
-        router.link.post(
-            RouterHello(
-                router=f"r{incarnation}",
-                incarnation=incarnation,
-                region="s",
-                failure_domain="f",
-                revision=0,
-                grant_sequence=grant_sequence,
-            )
-        )
+        router.link.post(hello_of(incarnation, grant_sequence))
         return router
 
 
+def hello_of(incarnation, grant_sequence=0):
+    return RouterHello(
+        router=f"r{incarnation}",
+        incarnation=incarnation,
+        region="s",
+        failure_domain="f",
+        revision=0,
+        grant_sequence=grant_sequence,
+    )
+
+
 @asynccontextmanager
 async def running_agent(target, *, kind, limits=LIMITS, store_up=True):
     store = FakePlatform()
