Search the ledger for grants to reclaim only while there may be some

Cause: the reclaim duty read all shards every period, though nearly always there was nothing to reclaim.

Ruled out: no search at all without a retired incarnation.

Change: the member record keeps retired incarnations until no shard holds a grant of them; the second read of the record is left out if nobody was retired. A router that registers while the shards are read is no longer taken for dead.

--- a/src/lavenderfold/members/_record.py
+++ b/src/lavenderfold/members/_record.py
@@ -1,5 +1,7 @@
 """The record of live routers, one value in the store (``members/routers``)."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 FIRST_INCARNATION = 1
@@ -22,11 +24,13 @@
     """The live incarnations and the number that the next one gets.
 
     A router is retired here before any agent is asked to fence it, so that an
-    agent that starts afterwards doesn't admit its runs.
+    agent that starts afterwards doesn't admit its runs. ``retired`` are the
+    incarnations that may still hold grants; values of earlier versions lack it.
     """
 
     next_incarnation: int = FIRST_INCARNATION
     live_by_incarnation: dict[int, Member] = msgspec.field(default_factory=dict)
+    retired: list[int] = msgspec.field(default_factory=list)
 
     def register(
         self,
@@ -47,16 +51,23 @@
         number = self.next_incarnation
         member = Member(router, boot_id, region, failure_domain)
         live = {**self.live_by_incarnation, number: member}
-        return MemberRecord(number + 1, live), number
+        return MemberRecord(number + 1, live, self.retired), number
 
     def retire(self, incarnation: int) -> "MemberRecord":
-        """Return the record without an incarnation."""
+        """Return the record with an incarnation moved to the retired ones."""
         live = {
             number: member
             for number, member in self.live_by_incarnation.items()
             if number != incarnation
         }
-        return MemberRecord(self.next_incarnation, live)
+        retired = sorted({*self.retired, incarnation})
+        return MemberRecord(self.next_incarnation, live, retired)
+
+    def drop_retired(self, incarnations: Iterable[int]) -> "MemberRecord":
+        """Return the record without retired incarnations that hold no grant."""
+        dropped = set(incarnations)
+        retired = [number for number in self.retired if number not in dropped]
+        return MemberRecord(self.next_incarnation, self.live_by_incarnation, retired)
 
     def encode(self) -> bytes:
         """Return the record's value in the store."""
--- a/src/lavenderfold/router/_members.py
+++ b/src/lavenderfold/router/_members.py
@@ -46,6 +46,14 @@
                 return
             await self._pause(retired.unwrap_err())
 
+    async def drop_retired(self, incarnations: set[int]) -> Result[None, StoreError]:
+        """Forget retired incarnations that hold no grant any more."""
+        found = await self.read()
+        if found.is_err():
+            return found
+        record, version = found.unwrap()
+        return await self._write(record, record.drop_retired(incarnations), version)
+
     async def read(self) -> Result[tuple[MemberRecord, int], StoreError]:
         """Return the member record and its version."""
         found = await self._store.get(MEMBERS_KEY)
--- a/src/lavenderfold/router/_reclaim.py
+++ b/src/lavenderfold/router/_reclaim.py
@@ -27,6 +27,7 @@
 REPORTS_WAIT_S = 2.0
 REPORTS_POLL_S = 0.05
 VM_LIST_WAIT_S = 2.0
+RETIRE_WAIT_S = 2.0
 GONE = "gone"
 
 logger = logging.getLogger("lavenderfold.router.reclaim")
@@ -66,6 +67,7 @@
         self._config = config
         self._missing_since: dict[int, float] = {}
         self._plan_by_incarnation: dict[int, ReclaimPlan] = {}
+        self._swept_at: float | None = None
 
     async def run(self) -> None:
         """Take the duty when it's free and do it, until cancelled."""
@@ -74,6 +76,7 @@
             if not await self._has_duty() or not await self._do_round():
                 # What was seen before a gap says nothing about the time after.
                 self._missing_since.clear()
+                self._swept_at = None
 
     def take_report(self, report: FenceReport) -> None:
         """Take in an agent's answer to a fence."""
@@ -100,17 +103,45 @@
             return False
         record, _ = read.unwrap()
         alive = {alive_incarnation(key) for key in listed.unwrap()}
-        for incarnation in self._find_dead(record, alive):
+        dead = self._find_dead(record, alive)
+        for incarnation in dead:
             log_event(logger, "router_dead", incarnation=incarnation)
-            with trio.move_on_after(VM_LIST_WAIT_S):
+            with trio.move_on_after(RETIRE_WAIT_S):
                 await self._membership.retire(incarnation)
-        read = await self._membership.read()
+        if dead:
+            read = await self._membership.read()
+            if read.is_err():
+                return False
+            record, _ = read.unwrap()
+        if not record.retired and not self._is_sweep_due():
+            return True
+        return await self._search(record)
+
+    def _is_sweep_due(self) -> bool:
+        sweep_s = self._settings.limits.reclaim_sweep_s
+        return self._swept_at is None or self._timers.now() - self._swept_at >= sweep_s
+
+    async def _search(self, record: MemberRecord) -> bool:
+        """Reclaim the grants of retired incarnations in all shards."""
+        started = self._timers.now()
         shards = await self._read_shards()
-        if read.is_err() or shards is None:
+        if shards is None:
             return False
-        live = read.unwrap()[0].live_by_incarnation.keys()
-        for incarnation in sorted(_holders(shards) - live):
+        self._swept_at = started
+        # A router that registered after the record was read is not dead.
+        holders = {
+            holder for holder in _holders(shards) if holder < record.next_incarnation
+        }
+        stray = holders - record.live_by_incarnation.keys()
+        for incarnation in sorted(stray):
+            if incarnation not in record.retired:
+                with trio.move_on_after(RETIRE_WAIT_S):
+                    await self._membership.retire(incarnation)
             await self._reclaim(incarnation, shards)
+        done = set(record.retired) - holders
+        if done:
+            # Tried again at the next round if it fails.
+            await self._membership.drop_retired(done)
         return True
 
     def _find_dead(self, record: MemberRecord, alive: set[int | None]) -> list[int]:
--- a/src/lavenderfold/router/_settings.py
+++ b/src/lavenderfold/router/_settings.py
@@ -12,6 +12,8 @@
 
     ``relink_wait_s`` is how long a run waits for its agent's link to come back,
     ``relink_wait_once_s`` the same for a run that may not be repeated.
+    ``reclaim_sweep_s`` is how often all shards are searched for grants that a
+    retired router opened after its others had been reclaimed.
     """
 
     body_bytes: int = 4 * 1024 * 1024
@@ -30,6 +32,7 @@
     ledger_batch_s: float = 0.02
     member_lease_s: float = 15.0
     reclaim_period_s: float = 5.0
+    reclaim_sweep_s: float = 600.0
     decisions: int = 5000
 
     def __post_init__(self) -> None:
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import itertools
+from collections import Counter
 from functools import partial
 
 import msgspec
@@ -269,6 +270,7 @@
         self.agents = agents
         self.config_store = ConfigStore()
         self.values = self.config_store.values
+        self.reads_by_path: Counter[str] = Counter()
         self.routers: list[Router] = []
         self.scope_by_router: dict[Router, trio.CancelScope] = {}
         self.store_address = ANY_PORT
@@ -279,9 +281,14 @@
         return self.routers[0]
 
     async def start_store(self) -> None:
-        start = partial(serve, self.config_store.handle, address=ANY_PORT)
+        start = partial(serve, self._handle_store_call, address=ANY_PORT)
         self.store_address = await self.nursery.start(start)
 
+    async def _handle_store_call(self, request, writer) -> None:
+        if request.method == "GET":
+            self.reads_by_path[request.path] += 1
+        await self.config_store.handle(request, writer)
+
     async def start_router(self, *, peers: list[Router] = (), **limits) -> Router:
         """Start a router; it's connected to all agents if it has a configuration."""
         settings = RouterSettings(
