Bound a router's control messages by rate instead of by link

Cause: a router got four load reports a second and sent two heartbeats a second on every link, and its queues were pumped 20 times a second. An idle router therefore cost 0.84% of a core plus 0.0585% and 666 bytes/s per link: with 100 links 6.75% and 66 KB/s, while the limits for all control are 1.9% and 19 KB/s.

Ruled out: the pump alone.

Change: a router asks for a report period of max(0.25 s, links / 100 per s) and the agent keeps it per link; a change of readiness or drain state is still reported at once. Heartbeats name the time to the next one, at most 10 a second over all links to agents and 10 over those to peers; a new revision is announced at once. Time limits for late reports and silent links follow from these periods, and an agent now closes the link of a router whose heartbeats stop. Queues move on reports, ends of runs and failed sends. The best rate of a target decays with time, as reports no longer come at a fixed period.

Conclusion: from 25 links on, a router's control messages no longer grow with its links; the time to notice a silent peer does, for example 8 s for a link to an agent at 100 links and 25.6 s at 320.

--- a/src/lavenderfold/agent/_agent.py
+++ b/src/lavenderfold/agent/_agent.py
@@ -14,7 +14,7 @@
 from lavenderfold.agent._fencing import Fences, GateOpener, open_gate
 from lavenderfold.agent._links import RouterLink, RouterLinks
 from lavenderfold.agent._load import TargetView
-from lavenderfold.agent._reports import hello, load_report
+from lavenderfold.agent._reports import LoadReporter, hello, load_report
 from lavenderfold.agent._run_table import Abort, Delivery, RunTable
 from lavenderfold.agent._runs import RunRecord, Submission, is_model_order
 from lavenderfold.agent._settings import AgentSettings, TargetKind
@@ -72,6 +72,12 @@
         self._fences = Fences()
         self._view = TargetView(models=settings.models)
         self._links = RouterLinks(region=settings.region)
+        self._reporter = LoadReporter(
+            links=self._links,
+            view=self._view,
+            make_report=self._load_report,
+            tick_s=settings.limits.report_period_s,
+        )
         self._engine = HttpClient(address=settings.target_address)
         if settings.kind is TargetKind.MODEL:
             self._call = _engine.make_model_call(
@@ -143,7 +149,7 @@
         self.drain(cause="vm_leaving")
 
     async def _serve_link(self, link: Link) -> None:
-        router = self._links.add(link)
+        router = self._links.add(link, now=self._timers.now())
         try:
             link.post(hello(self._settings, self._view, self._boot_id))
             link.post(self._load_report(self._view.newest_prefixes()))
@@ -172,6 +178,7 @@
         log_event(logger, "link_closed", link=router.number, router=router.incarnation)
 
     def _take_batch(self, router: RouterLink, batch: list) -> None:
+        router.heard_at = self._timers.now()
         for message in batch:
             self._take(router, message)
         self._start_runs()
@@ -197,7 +204,8 @@
             case RouterHello():
                 self._links.greet(router, message)
                 self._revision = max(self._revision, message.revision)
-            case Heartbeat(revision=revision):
+            case Heartbeat(revision=revision, period_s=period_s):
+                router.heartbeat_s = period_s
                 self._revision = max(self._revision, revision)
             case PlacementOrder():
                 self._nursery.start_soon(self._place, message)
@@ -349,7 +357,8 @@
         self._start_runs()
         self._report_usage()
         self._flush_replies()
-        self._report_load()
+        self._links.close_silent(now)
+        self._reporter.report_due(now)
         self._check_drained(now)
 
     def _check_drained(self, now: float) -> None:
@@ -373,8 +382,7 @@
             self._links.post(link, report)
 
     def _report_load(self) -> None:
-        prefixes = self._view.prefixes_to_report(now=self._timers.now())
-        self._links.post_all(self._load_report(prefixes))
+        self._reporter.report_all(self._timers.now())
 
     def _load_report(self, prefixes: list[int] | None) -> LoadReport:
         return load_report(
--- a/src/lavenderfold/agent/_reports.py
+++ b/src/lavenderfold/agent/_reports.py
@@ -1,5 +1,8 @@
 """What the agent tells routers about itself."""
 
+from collections.abc import Callable
+
+from lavenderfold.agent._links import RouterLinks
 from lavenderfold.agent._load import TargetView
 from lavenderfold.agent._run_table import RunTable
 from lavenderfold.agent._settings import AgentSettings
@@ -41,3 +44,47 @@
         prefixes=prefixes or [],
         prefixes_known=prefixes is not None,
     )
+
+
+class LoadReporter:
+    """Reports the load to each router at the period that it asked for.
+
+    ``report_due`` is called each ``tick_s``; a report leaves at the tick that
+    is nearest to its time. ``make_report`` takes the prefixes to name.
+    """
+
+    def __init__(
+        self,
+        *,
+        links: RouterLinks,
+        view: TargetView,
+        make_report: Callable[[list[int] | None], LoadReport],
+        tick_s: float,
+    ):
+        self._links = links
+        self._view = view
+        self._make_report = make_report
+        self._slack_s = tick_s / 2
+
+    def report_all(self, now: float) -> None:
+        """Report to all routers at once, after a change that can't wait."""
+        report = self._make_report(None)
+        for router in self._links.all():
+            router.reported(now)
+            self._links.post(router.number, report)
+
+    def report_due(self, now: float) -> None:
+        """Report to the routers whose period has passed."""
+        has_news = self._view.prefixes_to_report(now=now) is not None
+        report: LoadReport | None = None
+        for router in self._links.all():
+            router.prefixes_changed |= has_news
+            if now + self._slack_s < router.report_due_at:
+                continue
+            router.reported(now)
+            if router.take_prefixes_due(now):
+                prefixes = self._view.newest_prefixes()
+                self._links.post(router.number, self._make_report(prefixes))
+                continue
+            report = report or self._make_report(None)
+            self._links.post(router.number, report)
--- a/src/lavenderfold/messages.py
+++ b/src/lavenderfold/messages.py
@@ -11,13 +11,18 @@
 
 
 class RouterHello(msgspec.Struct, frozen=True, tag=True):
-    """First message of a router on a link to an agent."""
+    """First message of a router on a link to an agent; sent again on a change.
+
+    The router asks for a load report each ``report_period_s`` and at once when
+    the agent's readiness or drain state changes.
+    """
 
     router: str
     incarnation: int
     region: str
     failure_domain: str
     revision: int
+    report_period_s: float = 0.25
 
 
 class Run(msgspec.Struct, frozen=True, tag=True, kw_only=True):
@@ -78,9 +83,13 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag=True):
-    """Sent by a router on each of its links; names its configuration revision."""
+    """Sent by a router on each of its links; names its configuration revision.
+
+    The next one follows after ``period_s`` at the latest.
+    """
 
     revision: int
+    period_s: float = 5.0
 
 
 class PlacementOrder(msgspec.Struct, frozen=True, tag=True):
--- a/src/lavenderfold/router/_agents.py
+++ b/src/lavenderfold/router/_agents.py
@@ -23,14 +23,10 @@
     ToRouter,
     UsageReport,
 )
+from lavenderfold.router._pace import AgentPace, agent_pace
 from lavenderfold.routing import backoff_s
 from lavenderfold.timers import TimerService
 
-HEARTBEAT_S = 0.5
-# An agent that sends nothing for this long is taken for unreachable, even if
-# the transport still looks open. The load view avoids it earlier; the link stays
-# a while, because runs in flight survive a short stall without a new link.
-SILENCE_LIMIT_S = 5.0
 RETIRE_LINGER_S = 10.0
 
 logger = logging.getLogger("lavenderfold.router.agents")
@@ -85,6 +81,7 @@
         target: Target,
         handlers: AgentHandlers,
         hello: Callable[[], RouterHello],
+        pace: Callable[[], AgentPace],
         timers: TimerService,
         batch_window_s: float,
     ):
@@ -95,6 +92,7 @@
         self.up = trio.Event()
         self._handlers = handlers
         self._hello = hello
+        self._pace = pace
         self._timers = timers
         self._batch_window_s = batch_window_s
         self._link: Link | None = None
@@ -157,8 +155,8 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._link.run)
-                nursery.start_soon(self._send_heartbeats, self._link)
                 self._link.post(self._hello())
+                nursery.start_soon(self._send_heartbeats, self._link)
                 await self._receive(self._link)
                 nursery.cancel_scope.cancel()
         except* LinkClosedError:
@@ -176,13 +174,19 @@
                 self._take(message)
 
     async def _send_heartbeats(self, link: Link) -> None:
-        while True:
-            await trio.sleep(HEARTBEAT_S)
-            if self._timers.now() - self._heard_at > SILENCE_LIMIT_S:
+        """Send heartbeats, and close a link whose agent is silent."""
+        due_at = self._timers.now()
+        while not link.closed:
+            now = self._timers.now()
+            pace = self._pace()
+            if now - self._heard_at > pace.silence_limit_s:
                 link.close()
                 return
-            if not link.closed:
-                link.post(Heartbeat(revision=self._hello().revision))
+            if now >= due_at:
+                due_at = now + pace.heartbeat_period_s - pace.check_period_s
+                revision = self._hello().revision
+                link.post(Heartbeat(revision, period_s=pace.heartbeat_period_s))
+            await trio.sleep(pace.check_period_s)
 
     def _lose(self) -> None:
         if self.up.is_set():
@@ -235,13 +239,18 @@
         batch_window_s: float,
     ):
         self.by_target: dict[str, AgentLink] = {}
+        self.pace = agent_pace(0)
         self._handlers = handlers
         self._hello = hello
         self._timers = timers
         self._batch_window_s = batch_window_s
 
     def install(self, config: FleetConfig, nursery: trio.Nursery) -> None:
-        """Open links to new targets and close those to removed ones."""
+        """Open links to new targets and close those to removed ones.
+
+        Tells the agents the configuration's revision and the pace of reports.
+        """
+        self.pace = agent_pace(len(config.targets))
         for name, link in list(self.by_target.items()):
             target = config.targets.get(name)
             if target is None or target.agent != link.target.agent:
@@ -257,11 +266,16 @@
                 target=target,
                 handlers=self._handlers,
                 hello=self._hello,
+                pace=lambda: self.pace,
                 timers=self._timers,
                 batch_window_s=self._batch_window_s,
             )
             self.by_target[name] = link
             nursery.start_soon(link.run)
+        self.post_all(self._hello())
+        self.post_all(
+            Heartbeat(self._hello().revision, period_s=self.pace.heartbeat_period_s)
+        )
 
     def post(self, target: str, message: Any) -> None:
         """Send to a target's agent. Raises AgentUnreachableError."""
--- a/src/lavenderfold/router/_life.py
+++ b/src/lavenderfold/router/_life.py
@@ -159,6 +159,8 @@
                 if isinstance(outcome, Ran):
                     return outcome
                 avoid.add(choice.target)
+            # The turn may have been given back without a run.
+            dispatch.pump()
             if isinstance(outcome, MayHaveRun):
                 unknown = outcome
             if not await self._may_retry(outcome):
--- a/src/lavenderfold/router/_peers.py
+++ b/src/lavenderfold/router/_peers.py
@@ -24,13 +24,12 @@
     SnapshotRequest,
     ToPeer,
 )
+from lavenderfold.router._pace import peer_heartbeat_s, peer_silence_limit_s
 from lavenderfold.router._settings import RouterSettings
 from lavenderfold.routing import backoff_s
 from lavenderfold.settings import Address
 from lavenderfold.timers import TimerService
 
-HEARTBEAT_S = 1.0
-SILENCE_LIMIT_S = 5.0
 LOAN_ANSWER_WAIT_S = 0.4
 # Each asked lender costs a round trip while a request waits.
 LENDERS_ASKED_LIMIT = 8
@@ -65,6 +64,7 @@
     def __init__(self, *, link: Link, now: float):
         self.link = link
         self.heard_at = now
+        self.heartbeat_s = peer_heartbeat_s(0)
         self.hello: PeerHello | None = None
 
     def post(self, message: Any) -> bool:
@@ -260,11 +260,13 @@
 
     async def _send_heartbeats(self, peer: Peer) -> None:
         while True:
-            await trio.sleep(HEARTBEAT_S)
-            if self._timers.now() - peer.heard_at > SILENCE_LIMIT_S:
+            limit_s = peer_silence_limit_s(peer.heartbeat_s)
+            if self._timers.now() - peer.heard_at > limit_s:
                 peer.link.close()
                 return
-            peer.post(Heartbeat(revision=self._hello().revision))
+            period_s = peer_heartbeat_s(len(self._peers))
+            peer.post(Heartbeat(self._hello().revision, period_s=period_s))
+            await trio.sleep(period_s)
 
     def _take(self, peer: Peer, message: Any) -> None:
         match message:
@@ -272,7 +274,8 @@
                 peer.hello = message
                 self._compare(peer, message.revision)
                 self.return_loans([])
-            case Heartbeat(revision=revision):
+            case Heartbeat(revision=revision, period_s=period_s):
+                peer.heartbeat_s = period_s
                 self._compare(peer, revision)
             case LoanRequest():
                 peer.post(self._handlers.lend(message))
--- a/src/lavenderfold/router/_router.py
+++ b/src/lavenderfold/router/_router.py
@@ -20,7 +20,9 @@
 from lavenderfold.store import Store
 from lavenderfold.timers import TimerService
 
-PUMP_PERIOD_S = 0.05
+# Queues move on reports, ends of runs and failed sends; the timer only covers a
+# target that stopped reporting.
+PUMP_PERIOD_S = 1.0
 TEND_PERIOD_S = 1.0
 DRAIN_POLL_S = 0.02
 # A retirement that the store doesn't take in this time is left to reclaim.
@@ -110,6 +112,7 @@
             region=self.settings.region,
             failure_domain=self.settings.failure_domain,
             revision=self.state.revision,
+            report_period_s=self._parts.agents.pace.report_period_s,
         )
 
     def peer_hello(self) -> PeerHello:
@@ -139,6 +142,7 @@
         config = self.state.config
         reachable = _with_addresses(config, self.settings.agent_address_by_target)
         self._parts.agents.install(reachable, self._nursery)
+        self._parts.view.report_timeout_s = self._parts.agents.pace.report_timeout_s
         self._parts.dispatch.install(config)
         self._parts.grants.wake_all()
         self._parts.peers.announce()
--- a/src/lavenderfold/routing/_load.py
+++ b/src/lavenderfold/routing/_load.py
@@ -14,8 +14,9 @@
 PREFIX_HISTORY_S = 300.0
 PREFIX_HISTORY_LIMIT = 1024
 LEAST_TOKENS_PER_S = 50.0
-# Per report: with four reports a second the best rate halves in about a minute.
-RATE_DECAY = 0.997
+# Reports come at a period that depends on the router's number of links, so the
+# best rate decays with time and not with reports.
+RATE_HALF_LIFE_S = 60.0
 
 
 class TargetState(enum.Enum):
@@ -98,9 +99,10 @@
             del self.history[next(iter(self.history))]
 
     def install(self, report: LoadReport, *, now: float) -> None:
+        decay = 0.5 ** ((now - self.reported_at) / RATE_HALF_LIFE_S)
         self.latest = report
         self.reported_at = now
-        self.best_rate = max(report.tokens_per_s, self.best_rate * RATE_DECAY)
+        self.best_rate = max(report.tokens_per_s, self.best_rate * decay)
         self.ended_since = 0
         for run_id, run in list(self.unreported_by_run.items()):
             if run.sent_at <= now - REPORT_TRAVEL_S:
@@ -122,7 +124,7 @@
 
     def __init__(self, *, report_timeout_s: float = REPORT_TIMEOUT_S):
         self.by_target: dict[str, TargetLoad] = {}
-        self._report_timeout_s = report_timeout_s
+        self.report_timeout_s = report_timeout_s
 
     def load(self, target: str) -> TargetLoad:
         """Return the load of a target; an empty one if it never reported."""
@@ -164,7 +166,7 @@
         entry = self.by_target.get(target)
         if entry is None or entry.latest is None:
             return TargetState.UNREACHABLE
-        if now - entry.reported_at > self._report_timeout_s:
+        if now - entry.reported_at > self.report_timeout_s:
             return TargetState.UNREACHABLE
         if entry.latest.draining:
             return TargetState.DRAINING
