Let one router write each ledger shard

Cause: routers that write the same shards side by side keep meeting conflicts.

Ruled out: a lease for the writer. It would need renewal calls and a wait after each failure, while compare-and-swap already makes two writers safe.

Change: SharedLedger wraps LedgerClient behind the same interface. It sends settlements, hand-backs, limits and finished claims to the router that rendezvous hashing of the shard gives, among the routers of the store's region (new setting store_region; among all if none of them is connected). That router commits them along with its own. Without an answer in 0.5 s, or if the link closes, the operation is written directly, and a silent writer is passed over for 5 s. OpenGrant, Claim, ReleaseClaim, Reclaim and WriteOff are always written directly: a late copy of a claim would reopen a released one, and a late copy of a grant would set tokens aside that no router knows of. The operations move to lavenderfold.operations, because messages name them.

Grants and claims still meet conflicts.

--- a/bench/store_calls.py
+++ b/bench/store_calls.py
@@ -1,9 +1,12 @@
-"""Store calls per operation of the ledger client as its load grows.
+"""Store calls per settlement of the ledger as routers and their load grow.
 
-The store answers in memory after a few milliseconds; time is virtual, so the
-figures don't depend on the machine. Run: python -m bench.store_calls
+Each router writes to the store directly, or the routers send their operations
+to one writer per shard. The store answers in memory after a few milliseconds;
+time is virtual, so the figures don't depend on the machine.
+Run: python -m bench.store_calls
 """
 
+import itertools
 import random
 
 import trio
@@ -12,18 +15,22 @@
 
 from bench.decisions import LIMIT_TOKENS, budget_key, make_id
 from lavenderfold.budgets import LedgerClient, OpenGrant, SetLimit, Settle
+from lavenderfold.messages import LedgerAnswer, LedgerRequest, PeerHello
+from lavenderfold.router._ledger import SharedLedger
 from lavenderfold.store import ConflictError, StoreError, Versioned
 from lavenderfold.timers import TimerService
 
 SEED = 20261204
 STORE_ANSWER_S = 0.003
 BATCH_WINDOW_S = 0.05
+# Half the window in which a link gathers a batch, and the way to the peer.
+LINK_DELAY_S = 0.0035
 DURATION_S = 20.0
 RETENTION_S = 86_400.0
 SHARDS = 16
 BUDGETS = 64
 OPERATIONS_PER_S = (1, 10, 50, 200)
-WRITERS = (1, 4)
+ROUTERS = (1, 4, 16)
 
 
 class MemoryStore:
@@ -58,8 +65,76 @@
     )
 
 
+class MemoryPeer:
+    """A peer link in memory from one router to another, both by their number."""
+
+    def __init__(
+        self,
+        *,
+        ledgers: list[SharedLedger],
+        sender: int,
+        receiver: int,
+        nursery: trio.Nursery,
+    ):
+        self.hello = PeerHello(
+            router=f"router-{receiver}",
+            incarnation=receiver + 1,
+            region="region-1",
+            failure_domain="here",
+            revision=1,
+        )
+        self._ledgers = ledgers
+        self._sender = sender
+        self._receiver = receiver
+        self._nursery = nursery
+
+    def post(self, message: LedgerRequest | LedgerAnswer) -> bool:
+        self._nursery.start_soon(self._deliver, message)
+        return True
+
+    async def _deliver(self, message: LedgerRequest | LedgerAnswer) -> None:
+        await trio.sleep(LINK_DELAY_S)
+        receiver = self._ledgers[self._receiver]
+        if isinstance(message, LedgerAnswer):
+            receiver.take_answer(self._sender + 1, message)
+            return
+        back = MemoryPeer(
+            ledgers=self._ledgers,
+            sender=self._receiver,
+            receiver=self._sender,
+            nursery=self._nursery,
+        )
+        await receiver.serve(back, message)
+
+
+def share(clients: list[LedgerClient], nursery: trio.Nursery) -> list[SharedLedger]:
+    """Return ledgers of routers that are all connected to each other."""
+    ledgers: list[SharedLedger] = []
+    for number, client in enumerate(clients):
+        peers = [
+            MemoryPeer(ledgers=ledgers, sender=number, receiver=other, nursery=nursery)
+            for other in range(len(clients))
+            if other != number
+        ]
+        ledgers.append(
+            SharedLedger(
+                client=client,
+                shard_count=SHARDS,
+                incarnation=lambda number=number: number + 1,
+                region="region-1",
+                store_region="region-1",
+                peers=lambda peers=peers: peers,
+                now=trio.current_time,
+            )
+        )
+    return ledgers
+
+
 async def drive(
-    client: LedgerClient, writer: int, per_second: float, randomness: random.Random
+    client: LedgerClient | SharedLedger,
+    writer: int,
+    per_second: float,
+    randomness: random.Random,
 ) -> None:
     async with trio.open_nursery() as nursery:
         for number in range(int(DURATION_S * per_second)):
@@ -70,7 +145,7 @@
             nursery.start_soon(client.submit, operation)
 
 
-async def measure(writers: int, per_second: float) -> tuple[float, float]:
+async def measure(shared: bool, writers: int, per_second: float) -> tuple[float, float]:
     """Return store calls per operation and store writes per second."""
     store = MemoryStore()
     clients = [make_client(store) for _ in range(writers)]
@@ -85,16 +160,17 @@
                 grant = OpenGrant(key, f"{writer}-{key}", writer, 10**9, 1)
                 await clients[0].submit(grant)
         calls = sum(client.calls for client in clients)
-        done = sum(client.operations for client in clients)
         versions = sum(value.version for value in store.by_key.values())
         start = trio.current_time()
         async with trio.open_nursery() as drivers:
-            for writer, client in enumerate(clients):
+            ledgers = share(clients, nursery) if shared else clients
+            for writer, client in enumerate(ledgers):
                 rate = per_second / writers
                 drivers.start_soon(drive, client, writer, rate, randomness)
         elapsed = trio.current_time() - start
         calls = sum(client.calls for client in clients) - calls
-        done = sum(client.operations for client in clients) - done
+        # What a writer and its sender both wrote counts once.
+        done = writers * int(DURATION_S * per_second / writers)
         versions = sum(value.version for value in store.by_key.values()) - versions
         nursery.cancel_scope.cancel()
     return calls / done, versions / elapsed
@@ -102,14 +178,16 @@
 
 def main() -> None:
     print(f"seed={SEED} shards={SHARDS} budgets={BUDGETS} window_s={BATCH_WINDOW_S}")
-    for writers in WRITERS:
-        for per_second in OPERATIONS_PER_S:
-            clock = trio.testing.MockClock(autojump_threshold=0)
-            calls, writes = trio.run(measure, writers, per_second, clock=clock)
-            print(
-                f"  writers={writers} operations_per_s={per_second:<4}"
-                f" calls_per_operation={calls:.3f} writes_per_s={writes:.1f}"
-            )
+    for routers, per_second, shared in itertools.product(
+        ROUTERS, OPERATIONS_PER_S, (False, True)
+    ):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        calls, writes = trio.run(measure, shared, routers, per_second, clock=clock)
+        policy = "one-writer" if shared else "direct"
+        print(
+            f"  routers={routers:<3} operations_per_s={per_second:<4} {policy:<10}"
+            f" calls_per_operation={calls:.3f} writes_per_s={writes:.1f}"
+        )
 
 
 if __name__ == "__main__":
--- a/scripts/configured_fleet.py
+++ b/scripts/configured_fleet.py
@@ -236,6 +236,7 @@
             "operator_listen": place.operator_listen,
             "peer_listen": place.peer_listen,
             "store_address": seen(self.store.address),
+            "store_region": self.regions[0],
             "peers": [
                 seen(other.peer_listen) for other in self.places if other is not place
             ],
--- a/src/lavenderfold/budgets/__init__.py
+++ b/src/lavenderfold/budgets/__init__.py
@@ -6,7 +6,19 @@
     LedgerFullError,
     LedgerUnavailableError,
 )
-from lavenderfold.budgets._operations import (
+from lavenderfold.budgets._pool import GrantOrder, GrantPool, Reservation
+from lavenderfold.budgets._records import (
+    BudgetRecord,
+    ClaimEntry,
+    ClosedGrant,
+    LedgerDecodeError,
+    LedgerShard,
+    OpenedGrant,
+    UsageEntry,
+    pack_request_id,
+)
+from lavenderfold.budgets._sizing import DrawRate, excess_tokens, order_tokens
+from lavenderfold.operations import (
     AlreadySettled,
     BudgetSpent,
     Claim,
@@ -27,18 +39,6 @@
     Settle,
     WriteOff,
 )
-from lavenderfold.budgets._pool import GrantOrder, GrantPool, Reservation
-from lavenderfold.budgets._records import (
-    BudgetRecord,
-    ClaimEntry,
-    ClosedGrant,
-    LedgerDecodeError,
-    LedgerShard,
-    OpenedGrant,
-    UsageEntry,
-    pack_request_id,
-)
-from lavenderfold.budgets._sizing import DrawRate, excess_tokens, order_tokens
 
 __all__ = [
     "RETENTION_S",
--- a/src/lavenderfold/budgets/_apply.py
+++ b/src/lavenderfold/budgets/_apply.py
@@ -9,7 +9,17 @@
 
 import xxhash
 
-from lavenderfold.budgets._operations import (
+from lavenderfold.budgets._records import (
+    BudgetRecord,
+    ClaimEntry,
+    ClosedGrant,
+    LedgerShard,
+    OpenedGrant,
+    UsageEntry,
+    pack_request_id,
+)
+from lavenderfold.identifiers import BudgetKey, request_id_time
+from lavenderfold.operations import (
     AlreadySettled,
     BudgetSpent,
     Claim,
@@ -29,16 +39,6 @@
     Settle,
     WriteOff,
 )
-from lavenderfold.budgets._records import (
-    BudgetRecord,
-    ClaimEntry,
-    ClosedGrant,
-    LedgerShard,
-    OpenedGrant,
-    UsageEntry,
-    pack_request_id,
-)
-from lavenderfold.identifiers import BudgetKey, request_id_time
 from lavenderfold.outcomes import Ran
 
 RETENTION_S = 24 * 3600.0
--- a/src/lavenderfold/budgets/_client.py
+++ b/src/lavenderfold/budgets/_client.py
@@ -8,13 +8,6 @@
 from result import Err, Ok, Result
 
 from lavenderfold.budgets._apply import apply
-from lavenderfold.budgets._operations import (
-    AlreadySettled,
-    GrantMissing,
-    Operation,
-    OperationResult,
-    Settle,
-)
 from lavenderfold.budgets._records import (
     BudgetRecord,
     LedgerDecodeError,
@@ -22,6 +15,13 @@
 )
 from lavenderfold.identifiers import BudgetKey
 from lavenderfold.logs import log_event
+from lavenderfold.operations import (
+    AlreadySettled,
+    GrantMissing,
+    Operation,
+    OperationResult,
+    Settle,
+)
 from lavenderfold.store import (
     AnswerLostError,
     ConflictError,
--- a/src/lavenderfold/budgets/_holdings.py
+++ b/src/lavenderfold/budgets/_holdings.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
-from lavenderfold.budgets._operations import HandBack, OpenGrant
 from lavenderfold.budgets._sizing import DrawRate
 from lavenderfold.config import Budget
 from lavenderfold.identifiers import BudgetKey
+from lavenderfold.operations import HandBack, OpenGrant
 
 # An operation that got no answer in this time is passed on again; it's safe to
 # repeat, and a lost one would hold its tokens until the router is retired.
--- a/src/lavenderfold/budgets/_pool.py
+++ b/src/lavenderfold/budgets/_pool.py
@@ -10,11 +10,11 @@
     Holding,
     PendingOrder,
 )
-from lavenderfold.budgets._operations import HandBack, OpenGrant
 from lavenderfold.budgets._sizing import excess_tokens, order_tokens
 from lavenderfold.config import Budget
 from lavenderfold.identifiers import BudgetKey
 from lavenderfold.messages import Loan, LoanReturn
+from lavenderfold.operations import HandBack, OpenGrant
 
 # Ids of ended grants and loans; repeats arrive within seconds.
 ENDED_IDS_KEPT = 4096
--- a/src/lavenderfold/messages.py
+++ b/src/lavenderfold/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lavenderfold.identifiers import BudgetKey, RequestKey
+from lavenderfold.operations import Operation, OperationResult
 from lavenderfold.outcomes import Outcome
 
 
@@ -237,6 +238,23 @@
     tokens: int
 
 
+class LedgerRequest(msgspec.Struct, frozen=True, tag=True):
+    """Asks the writer of a ledger shard to make an operation durable.
+
+    ``number`` is unique among the requests of the sending process.
+    """
+
+    number: int
+    operation: Operation
+
+
+class LedgerAnswer(msgspec.Struct, frozen=True, tag=True):
+    """Answer to ``LedgerRequest``; without result the operation may yet apply."""
+
+    number: int
+    result: OperationResult | None
+
+
 class SnapshotRequest(msgspec.Struct, frozen=True, tag=True):
     """Asks a router for its configuration if newer than ``revision``."""
 
@@ -278,6 +296,8 @@
     | LoanReturn
     | HandBackRequest
     | HandBackDone
+    | LedgerRequest
+    | LedgerAnswer
     | SnapshotRequest
     | Snapshot
 )
--- a/src/lavenderfold/budgets/_operations.py
+++ b/src/lavenderfold/operations.py
@@ -28,7 +28,7 @@
         raise checked.unwrap_err()
 
 
-class SetLimit(msgspec.Struct, frozen=True):
+class SetLimit(msgspec.Struct, frozen=True, tag=True):
     """Sets the prepaid tokens; ``revision`` is that of the configuration."""
 
     budget: BudgetKey
@@ -39,7 +39,7 @@
         _check_amount("limit", self.limit)
 
 
-class OpenGrant(msgspec.Struct, frozen=True):
+class OpenGrant(msgspec.Struct, frozen=True, tag=True):
     """Sets tokens aside for ``holder``: at most ``amount``, at least ``minimum``.
 
     A grant above ``minimum`` takes at most ``share`` of what is available.
@@ -58,7 +58,7 @@
         _check_amount("minimum", self.minimum)
 
 
-class Settle(msgspec.Struct, frozen=True):
+class Settle(msgspec.Struct, frozen=True, tag=True):
     """Bills a request: moves tokens of a grant to settled, once per request."""
 
     budget: BudgetKey
@@ -71,7 +71,7 @@
         _check_request_id(self.request_id)
 
 
-class HandBack(msgspec.Struct, frozen=True):
+class HandBack(msgspec.Struct, frozen=True, tag=True):
     """Returns tokens of a grant to the budget; sent by its holder only."""
 
     budget: BudgetKey
@@ -83,7 +83,7 @@
         _check_amount("tokens", self.tokens)
 
 
-class Reclaim(msgspec.Struct, frozen=True):
+class Reclaim(msgspec.Struct, frozen=True, tag=True):
     """Reduces a fenced holder's grant to ``keep`` and bars its hand-backs."""
 
     budget: BudgetKey
@@ -94,14 +94,14 @@
         _check_amount("keep", self.keep)
 
 
-class WriteOff(msgspec.Struct, frozen=True):
+class WriteOff(msgspec.Struct, frozen=True, tag=True):
     """Moves the remainder of a grant to unexplained."""
 
     budget: BudgetKey
     grant_id: str
 
 
-class Claim(msgspec.Struct, frozen=True):
+class Claim(msgspec.Struct, frozen=True, tag=True):
     """Claims the right to run a request that must not repeat.
 
     ``claimant`` names one attempt (its run id), never a router: the same
@@ -116,7 +116,7 @@
         _check_request_id(self.request_id)
 
 
-class ReleaseClaim(msgspec.Struct, frozen=True):
+class ReleaseClaim(msgspec.Struct, frozen=True, tag=True):
     """Gives up an open claim because the request certainly wasn't run."""
 
     budget: BudgetKey
@@ -127,7 +127,7 @@
         _check_request_id(self.request_id)
 
 
-class FinishClaim(msgspec.Struct, frozen=True):
+class FinishClaim(msgspec.Struct, frozen=True, tag=True):
     """Records the outcome of a claimed run."""
 
     budget: BudgetKey
@@ -139,25 +139,25 @@
         _check_request_id(self.request_id)
 
 
-class Done(msgspec.Struct, frozen=True):
+class Done(msgspec.Struct, frozen=True, tag=True):
     """The operation's effect is in the ledger."""
 
 
-class GrantOpened(msgspec.Struct, frozen=True):
+class GrantOpened(msgspec.Struct, frozen=True, tag=True):
     """The grant holds ``amount``; ``available`` tokens are left beside it."""
 
     amount: int
     available: int = 0
 
 
-class BudgetSpent(msgspec.Struct, frozen=True):
+class BudgetSpent(msgspec.Struct, frozen=True, tag=True):
     """Less than the minimum is available; ``holders`` have open grants."""
 
     available: int
     holders: list[int] = msgspec.field(default_factory=list)
 
 
-class AlreadySettled(msgspec.Struct, frozen=True):
+class AlreadySettled(msgspec.Struct, frozen=True, tag=True):
     """The request was billed under another grant or amount, ``tokens``.
 
     The tokens of this settlement are still in its grant.
@@ -166,7 +166,7 @@
     tokens: int
 
 
-class GrantMissing(msgspec.Struct, frozen=True):
+class GrantMissing(msgspec.Struct, frozen=True, tag=True):
     """The grant isn't open, or its holder was fenced.
 
     A settlement was billed all the same, from what was available; ``short``
@@ -176,11 +176,11 @@
     short: int = 0
 
 
-class Claimed(msgspec.Struct, frozen=True):
+class Claimed(msgspec.Struct, frozen=True, tag=True):
     """The claimant may run the request."""
 
 
-class ClaimExists(msgspec.Struct, frozen=True):
+class ClaimExists(msgspec.Struct, frozen=True, tag=True):
     """Another attempt claimed the request; None while its outcome is unknown."""
 
     outcome: Ran | MayHaveRun | None
--- a/src/lavenderfold/router/_parts.py
+++ b/src/lavenderfold/router/_parts.py
@@ -12,6 +12,7 @@
 from lavenderfold.router._dispatch import Dispatch
 from lavenderfold.router._face import CallerFace
 from lavenderfold.router._grants import GrantKeeper
+from lavenderfold.router._ledger import SharedLedger
 from lavenderfold.router._lives import Lives, RequestStates
 from lavenderfold.router._operator import OperatorFace
 from lavenderfold.router._peers import PeerHandlers, PeerLinks
@@ -47,13 +48,7 @@
         )
         limits = self._settings.limits
         self.view = LoadView()
-        self.ledger = LedgerClient(
-            store=store,
-            timers=timers,
-            shard_count=self._settings.shard_count,
-            batch_window_s=limits.ledger_batch_s,
-            retention_s=limits.retention_s,
-        )
+        self.ledger = self._build_ledger(store)
         self.dispatch = Dispatch(
             view=self.view,
             timers=timers,
@@ -97,6 +92,25 @@
             and self.callers.open_requests == 0
         )
 
+    def _build_ledger(self, store: Store) -> SharedLedger:
+        limits = self._settings.limits
+        client = LedgerClient(
+            store=store,
+            timers=self._timers,
+            shard_count=self._settings.shard_count,
+            batch_window_s=limits.ledger_batch_s,
+            retention_s=limits.retention_s,
+        )
+        return SharedLedger(
+            client=client,
+            shard_count=self._settings.shard_count,
+            incarnation=lambda: self._router.incarnation,
+            region=self._settings.region,
+            store_region=self._settings.store_region,
+            peers=lambda: self.peers.connected(),
+            now=self._timers.now,
+        )
+
     def _build_agents(self) -> AgentLinks:
         handlers = AgentHandlers(
             lost=self.view.disconnected,
@@ -120,6 +134,9 @@
             tokens_returned=lambda key: self.grants.tokens_returned(key),
             snapshot=self._router.state.snapshot,
             take_snapshot=lambda snapshot: watcher.offer(snapshot, source="peer"),
+            write=self.ledger.serve,
+            take_answer=self.ledger.take_answer,
+            lost=self.ledger.lose,
         )
         return PeerLinks(
             settings=self._settings,
--- a/src/lavenderfold/router/_peers.py
+++ b/src/lavenderfold/router/_peers.py
@@ -3,7 +3,7 @@
 import logging
 import random
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from functools import partial
 from typing import Any
 
@@ -16,6 +16,8 @@
     HandBackDone,
     HandBackRequest,
     Heartbeat,
+    LedgerAnswer,
+    LedgerRequest,
     Loan,
     LoanRequest,
     LoanReturn,
@@ -49,6 +51,9 @@
         tokens_returned: Callable[[BudgetKey], None],
         snapshot: Callable[[], Snapshot],
         take_snapshot: Callable[[Snapshot], None],
+        write: Callable[["Peer", LedgerRequest], Awaitable[None]],
+        take_answer: Callable[[int | None, LedgerAnswer], None],
+        lost: Callable[[int], None],
     ):
         self.lend = lend
         self.take_back = take_back
@@ -56,6 +61,9 @@
         self.tokens_returned = tokens_returned
         self.snapshot = snapshot
         self.take_snapshot = take_snapshot
+        self.write = write
+        self.take_answer = take_answer
+        self.lost = lost
 
 
 class Peer:
@@ -243,18 +251,23 @@
             async with trio.open_nursery() as nursery:
                 peer.post(self._hello())
                 nursery.start_soon(self._send_heartbeats, peer)
-                await self._receive(peer)
+                await self._receive(peer, nursery)
                 nursery.cancel_scope.cancel()
         finally:
             self._peers.remove(peer)
+            if peer.hello is not None:
+                self._handlers.lost(peer.hello.incarnation)
         return peer.hello is not None
 
-    async def _receive(self, peer: Peer) -> None:
+    async def _receive(self, peer: Peer, nursery: trio.Nursery) -> None:
         try:
             while True:
                 for message in await peer.link.receive():
                     peer.heard_at = self._timers.now()
-                    self._take(peer, message)
+                    if isinstance(message, LedgerRequest):
+                        nursery.start_soon(self._handlers.write, peer, message)
+                    else:
+                        self._take(peer, message)
         except LinkClosedError:
             return
 
@@ -291,6 +304,9 @@
                 is_awaited = self._resolve((peer.hello.incarnation, key), message)
                 if tokens > 0 and not is_awaited:
                     self._handlers.tokens_returned(key)
+            case LedgerAnswer():
+                writer = peer.hello.incarnation if peer.hello is not None else None
+                self._handlers.take_answer(writer, message)
             case SnapshotRequest(revision=revision):
                 snapshot = self._handlers.snapshot()
                 if snapshot.revision > revision:
--- a/src/lavenderfold/router/_settings.py
+++ b/src/lavenderfold/router/_settings.py
@@ -44,7 +44,8 @@
     """The whole settings file.
 
     ``peers`` are the peer addresses of other routers; its own may be among them.
-    ``vm_list_address`` is the platform's list of VMs, for reclaim.
+    ``store_region`` is where the store is: the routers there write the ledger for
+    all. ``vm_list_address`` is the platform's list of VMs, for reclaim.
     ``agent_address_by_target`` replaces addresses of the configuration that this
     router can't use, as behind a tunnel or a relay between regions.
     """
@@ -56,6 +57,7 @@
     operator_listen: Address
     peer_listen: Address
     store_address: Address
+    store_region: str = ""
     peers: list[Address] = msgspec.field(default_factory=list)
     agent_address_by_target: dict[str, Address] = msgspec.field(default_factory=dict)
     statsd_address: Address | None = None
