--- a/src/lavenderfold/messages.py
+++ b/src/lavenderfold/messages.py
@@ -7,14 +7,17 @@
 import msgspec
 
 from lavenderfold.identifiers import BudgetKey, RequestKey
+from lavenderfold.operations import Operation, OperationResult
 from lavenderfold.outcomes import Outcome
 
 
 class RouterHello(msgspec.Struct, frozen=True, tag=True):
-    """First message of a router on a link to an agent.
+    """First message of a router on a link to an agent; sent again on a change.
 
     ``grant_sequence`` is the highest number that the router has given to a grant
-    so far; grants that it opens later have higher ones.
+    so far; grants that it opens later have higher ones. The router asks for a
+    load report each ``report_period_s`` and at once when the agent's readiness
+    or drain state changes.
     """
 
     router: str
@@ -23,6 +26,7 @@
     failure_domain: str
     revision: int
     grant_sequence: int
+    report_period_s: float = 0.25
 
 
 class Run(msgspec.Struct, frozen=True, tag=True, kw_only=True):
@@ -83,9 +87,13 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag=True):
-    """Sent by a router on each of its links; names its configuration revision."""
+    """Sent by a router on each of its links; names its configuration revision.
+
+    The next one follows after ``period_s`` at the latest.
+    """
 
     revision: int
+    period_s: float = 5.0
 
 
 class PlacementOrder(msgspec.Struct, frozen=True, tag=True):
@@ -234,6 +242,23 @@
     tokens: int
 
 
+class LedgerRequest(msgspec.Struct, frozen=True, tag=True):
+    """Asks the writer of a ledger shard to make an operation durable.
+
+    ``number`` is unique among the requests of the sending process.
+    """
+
+    number: int
+    operation: Operation
+
+
+class LedgerAnswer(msgspec.Struct, frozen=True, tag=True):
+    """Answer to ``LedgerRequest``; without result the operation may yet apply."""
+
+    number: int
+    result: OperationResult | None
+
+
 class SnapshotRequest(msgspec.Struct, frozen=True, tag=True):
     """Asks a router for its configuration if newer than ``revision``."""
 
@@ -275,6 +300,8 @@
     | LoanReturn
     | HandBackRequest
     | HandBackDone
+    | LedgerRequest
+    | LedgerAnswer
     | SnapshotRequest
     | Snapshot
 )
--- a/src/lavenderfold/router/_peers.py
+++ b/src/lavenderfold/router/_peers.py
@@ -3,7 +3,7 @@
 import logging
 import random
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from functools import partial
 from typing import Any
 
@@ -16,6 +16,8 @@
     HandBackDone,
     HandBackRequest,
     Heartbeat,
+    LedgerAnswer,
+    LedgerRequest,
     Loan,
     LoanRequest,
     LoanReturn,
@@ -24,13 +26,12 @@
     SnapshotRequest,
     ToPeer,
 )
+from lavenderfold.router._pace import peer_heartbeat_s, peer_silence_limit_s
 from lavenderfold.router._settings import RouterSettings
 from lavenderfold.routing import backoff_s
 from lavenderfold.settings import Address
 from lavenderfold.timers import TimerService
 
-HEARTBEAT_S = 1.0
-SILENCE_LIMIT_S = 5.0
 LOAN_ANSWER_WAIT_S = 0.4
 # Each asked lender costs a round trip while a request waits.
 LENDERS_ASKED_LIMIT = 8
@@ -50,6 +51,9 @@
         tokens_returned: Callable[[BudgetKey], None],
         snapshot: Callable[[], Snapshot],
         take_snapshot: Callable[[Snapshot], None],
+        write: Callable[["Peer", LedgerRequest], Awaitable[None]],
+        take_answer: Callable[[int | None, LedgerAnswer], None],
+        lost: Callable[[int], None],
     ):
         self.lend = lend
         self.take_back = take_back
@@ -57,6 +61,9 @@
         self.tokens_returned = tokens_returned
         self.snapshot = snapshot
         self.take_snapshot = take_snapshot
+        self.write = write
+        self.take_answer = take_answer
+        self.lost = lost
 
 
 class Peer:
@@ -65,6 +72,7 @@
     def __init__(self, *, link: Link, now: float):
         self.link = link
         self.heard_at = now
+        self.heartbeat_s = peer_heartbeat_s(0)
         self.hello: PeerHello | None = None
 
     def post(self, message: Any) -> bool:
@@ -243,28 +251,35 @@
             async with trio.open_nursery() as nursery:
                 peer.post(self._hello())
                 nursery.start_soon(self._send_heartbeats, peer)
-                await self._receive(peer)
+                await self._receive(peer, nursery)
                 nursery.cancel_scope.cancel()
         finally:
             self._peers.remove(peer)
+            if peer.hello is not None:
+                self._handlers.lost(peer.hello.incarnation)
         return peer.hello is not None
 
-    async def _receive(self, peer: Peer) -> None:
+    async def _receive(self, peer: Peer, nursery: trio.Nursery) -> None:
         try:
             while True:
                 for message in await peer.link.receive():
                     peer.heard_at = self._timers.now()
-                    self._take(peer, message)
+                    if isinstance(message, LedgerRequest):
+                        nursery.start_soon(self._handlers.write, peer, message)
+                    else:
+                        self._take(peer, message)
         except LinkClosedError:
             return
 
     async def _send_heartbeats(self, peer: Peer) -> None:
         while True:
-            await trio.sleep(HEARTBEAT_S)
-            if self._timers.now() - peer.heard_at > SILENCE_LIMIT_S:
+            limit_s = peer_silence_limit_s(peer.heartbeat_s)
+            if self._timers.now() - peer.heard_at > limit_s:
                 peer.link.close()
                 return
-            peer.post(Heartbeat(revision=self._hello().revision))
+            period_s = peer_heartbeat_s(len(self._peers))
+            peer.post(Heartbeat(self._hello().revision, period_s=period_s))
+            await trio.sleep(period_s)
 
     def _take(self, peer: Peer, message: Any) -> None:
         match message:
@@ -272,7 +287,8 @@
                 peer.hello = message
                 self._compare(peer, message.revision)
                 self.return_loans([])
-            case Heartbeat(revision=revision):
+            case Heartbeat(revision=revision, period_s=period_s):
+                peer.heartbeat_s = period_s
                 self._compare(peer, revision)
             case LoanRequest():
                 peer.post(self._handlers.lend(message))
@@ -288,6 +304,9 @@
                 is_awaited = self._resolve((peer.hello.incarnation, key), message)
                 if tokens > 0 and not is_awaited:
                     self._handlers.tokens_returned(key)
+            case LedgerAnswer():
+                writer = peer.hello.incarnation if peer.hello is not None else None
+                self._handlers.take_answer(writer, message)
             case SnapshotRequest(revision=revision):
                 snapshot = self._handlers.snapshot()
                 if snapshot.revision > revision:
