--- a/tests/test_control_pace.py
+++ b/tests/test_control_pace.py
@@ -40,6 +40,7 @@
         region="s",
         failure_domain="f",
         revision=1,
+        grant_sequence=0,
         report_period_s=report_period_s,
     )
 
