Let agents vouch for the runs that they know when fenced

Cause: the agent's answer to a fence left FenceReport.complete at its default, False. The reclaiming router took this for an agent that may have lost usage and wrote the whole remainder of a dead router's grants off as unexplained, although every agent was older than the dead incarnation and had reported all its usage.

Ruled out: agents that start after the incarnation registered. The log shows all three member records read before the routers' links came up, and the fault stays when the router is restarted afterwards.

Change: the agent asks its gate (FenceGate.vouches_for) and states the result.

An agent test now requires a complete report.

--- a/src/lavenderfold/agent/_agent.py
+++ b/src/lavenderfold/agent/_agent.py
@@ -241,7 +241,10 @@
         for grant_id, tokens in self._usage.held(incarnation).items():
             held[grant_id] = held.get(grant_id, 0) + tokens
         report = FenceReport(
-            target=self._settings.target, incarnation=incarnation, held_by_grant_id=held
+            target=self._settings.target,
+            incarnation=incarnation,
+            held_by_grant_id=held,
+            complete=self._fences.vouches_for(incarnation),
         )
         self._links.post(router.number, report)
         log_event(logger, "fence", incarnation=incarnation, held=sum(held.values()))
--- a/src/lavenderfold/agent/_fencing.py
+++ b/src/lavenderfold/agent/_fencing.py
@@ -17,6 +17,10 @@
         """Accept no more runs paid by an incarnation."""
         ...
 
+    def vouches_for(self, incarnation: int) -> bool:
+        """Return whether this process knows every run of an incarnation here."""
+        ...
+
 
 GateOpener = Callable[[bytes | None], Gate]
 
@@ -42,6 +46,9 @@
     def admits(self, payer: int) -> bool:
         return self._gate is not None and self._gate.admits(payer)
 
+    def vouches_for(self, incarnation: int) -> bool:
+        return self._gate is not None and self._gate.vouches_for(incarnation)
+
     def fence(self, incarnation: int) -> None:
         self._fenced.add(incarnation)
         if self._gate is not None:
--- a/tests/agent_support.py
+++ b/tests/agent_support.py
@@ -45,6 +45,9 @@
     def fence(self, incarnation):
         self.fenced.add(incarnation)
 
+    def vouches_for(self, incarnation):
+        return True
+
 
 class FakeStore:
     """Serves a key-value service without the member record."""
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -168,6 +168,8 @@
         router.link.post(Fence(incarnation=1))
         report = await router.wait_for_type(FenceReport)
         assert report.held_by_grant_id == {"g": PROMPT_TOKENS + 400}
+        # Without this a reclaim writes the whole remainder of the grant off.
+        assert report.complete
         other = msgspec.structs.replace(KEY, request_id="other")
         router.link.post(model_run("b", PROMPT, key=other))
         refused = await router.ended("b")
@@ -198,6 +200,7 @@
     fences = Fences()
     fences.fence(4)
     assert not fences.admits(5)
+    assert not fences.vouches_for(5)
     fences.open(Everything())
     assert fences.admits(5)
     assert not fences.admits(4)
