Test a killed and a paused router on real processes

Cause: the money paths were tested with simulated agents only; nothing showed that processes which die or stop really lose no answer and no token.

Change: tests/test_faults_money.py with callers in tests/fault_support.py. The launcher takes the routers' limits, because a dead router is known after two member leases (30 s with the usual ones), and the replay's player shows the records of the trace being played, so that a test can await open streams. Each test restarts its first router before the fault, because an agent vouches only for incarnations newer than itself and at the fleet's start the two race.

--- a/scripts/configured_fleet.py
+++ b/scripts/configured_fleet.py
@@ -44,7 +44,8 @@
 
     ``engine_options`` are flags of the model engines. With ``link`` everything
     between regions goes through a link relay, member ``link``, with these
-    flags; the store is in the first region.
+    flags; the store is in the first region. ``router_limits`` are those of
+    every router's settings.
     """
 
     def __init__(
@@ -54,9 +55,11 @@
         routers_per_region: int = 2,
         engine_options: Mapping[str, object] | None = None,
         link: Mapping[str, object] | None = None,
+        router_limits: Mapping[str, object] | None = None,
         port_base: int | None = None,
     ):
         super().__init__(port_base=port_base)
+        self._router_limits = dict(router_limits or {})
         self.folder = self.directory / "configuration"
         shutil.copytree(folder, self.folder)
         self.config = self._load()
@@ -243,6 +246,7 @@
                 name: seen(agent) for name, agent in agents.items()
             },
             "vm_list_address": self["vm-list"].address,
+            "limits": self._router_limits,
         }
         self.add_product(
             place.name, "router", settings, address=place.listen, is_ready=is_healthy
--- a/src/lavenderfold/replay/_player.py
+++ b/src/lavenderfold/replay/_player.py
@@ -34,9 +34,13 @@
 
 
 class Player:
-    """Plays requests and returns what their callers received."""
+    """Plays requests and returns what their callers received.
+
+    ``records`` are those of the trace being played, as far as it has been sent.
+    """
 
     def __init__(self, *, options: PlayOptions, timers: TimerService):
+        self.records: list[CallRecord] = []
         self._options = options
         self._timers = timers
         self._choice = RouterChoice(routers=options.routers)
@@ -50,7 +54,7 @@
     async def play(self, requests: Sequence[TraceRequest]) -> list[CallRecord]:
         """Return one record for each request, in the order of the trace."""
         start_s = self._timers.now()
-        records: list[CallRecord] = []
+        records = self.records = []
         async with trio.open_nursery() as nursery:
             for request in requests:
                 due_s = start_s + request.offset_s * self._options.time_scale
--- /dev/null
+++ b/tests/fault_support.py
@@ -0,0 +1,339 @@
+"""A small fleet of real processes for the tests under failure, and its callers."""
+
+import hashlib
+import logging
+from collections.abc import Callable, Sequence
+from functools import partial
+from pathlib import Path
+
+import trio
+import yaml
+
+from lavenderfold.budgets import BudgetRecord, LedgerShard
+from lavenderfold.identifiers import BudgetKey
+from lavenderfold.replay import (
+    CallRecord,
+    Evidence,
+    EvidenceReader,
+    Player,
+    PlayOptions,
+    RequestKind,
+    Router,
+    TraceRequest,
+    format_results,
+    judge,
+    select_checks,
+)
+from lavenderfold.settings import parse_address
+from lavenderfold.store import Store
+from lavenderfold.timers import TimerService
+from scripts.configured_fleet import ConfiguredFleet
+from scripts.fleet import FleetError, Member, call_json
+from standins.texts import answer_text
+
+SECRET = "test-key"
+ORGANISATION = "north"
+BUDGET = BudgetKey(ORGANISATION, "main")
+LIMIT_TOKENS = 20_000
+SIGN_TOKENS = 7
+ANSWER_TOKENS = 80
+STEP_S = 0.005
+# Streams stay open this many times longer, so that a fault meets them open.
+SLOW_FACTOR = 60.0
+PROCESS_START_S = 20.0
+FEW_SECONDS = 6.0
+SETTLE_S = 15.0
+# A caller gives a silent router up after this time.
+IDLE_S = 5.0
+POLL_S = 0.02
+# A dead router is known after its lease and one more; the usual 15 s would make
+# a test wait for half a minute.
+ROUTER_LIMITS = {"member_lease_s": 1.5, "reclaim_period_s": 0.25}
+
+
+def write_configuration(
+    folder: Path,
+    *,
+    regions: Sequence[str] = ("west",),
+    writers: int = 2,
+    wait_s: float = 15.0,
+    limit: int = LIMIT_TOKENS,
+) -> Path:
+    """Write a configuration with model targets and one service; return its folder.
+
+    The model targets are spread over the regions in turn.
+    """
+    domains = {f"{region}-1": {"region": region} for region in regions}
+    names = list(domains)
+    targets = {
+        f"writer-{number + 1}": {
+            "kind": "model",
+            "agent": f"127.0.0.1:{number + 1}",
+            "vm": f"vm-writer-{number + 1}",
+            "failure_domain": names[number % len(names)],
+            "models": ["writer"],
+        }
+        for number in range(writers)
+    }
+    targets["log-1"] = {
+        "kind": "app",
+        "agent": "127.0.0.1:99",
+        "vm": "vm-log-1",
+        "failure_domain": names[0],
+        "service": "log",
+    }
+    configuration = {
+        "failure_domains": domains,
+        "request_classes": {
+            "quick": {"priority": 0, "wait_s": 15},
+            "record": {"priority": 1, "wait_s": wait_s},
+        },
+        "targets": targets,
+        "routes": _routes(),
+        "organisations": {ORGANISATION: _organisation(limit)},
+    }
+    text = yaml.safe_dump(configuration, sort_keys=False)
+    (folder / "10-all.yaml").write_text(text, encoding="utf-8")
+    return folder
+
+
+def start_fleet(folder: Path, **options: object) -> ConfiguredFleet:
+    """Return a fleet with short engine steps and member leases, not yet started."""
+    return ConfiguredFleet(
+        folder=folder,
+        engine_options={"step_s": STEP_S},
+        router_limits=ROUTER_LIMITS,
+        **options,
+    )
+
+
+def make_asks(router: str, count: int, *, label: str = "ask") -> list[TraceRequest]:
+    """Return streamed questions of callers who use a router first."""
+    asks = []
+    for number in range(count):
+        prompt = f"{label} {number} of {router} length:{ANSWER_TOKENS}"
+        text = answer_text(prompt, ANSWER_TOKENS)
+        asks.append(
+            TraceRequest(
+                offset_s=0.0,
+                organisation=ORGANISATION,
+                region=router,
+                route="ask",
+                kind=RequestKind.QUICK,
+                size=len(prompt),
+                prompt=prompt,
+                max_tokens=ANSWER_TOKENS,
+                stream=True,
+                worst_case=ANSWER_TOKENS + len(prompt.split()),
+                answer_digest=hashlib.sha256(text.encode()).hexdigest(),
+            )
+        )
+    return asks
+
+
+def make_signs(router: str, count: int, *, label: str = "lamp") -> list[TraceRequest]:
+    """Return sign-offs of callers who use a router first."""
+    return [
+        TraceRequest(
+            offset_s=0.0,
+            organisation=ORGANISATION,
+            region=router,
+            route="sign",
+            kind=RequestKind.SIGN_OFF,
+            size=40,
+            path=f"{label}/{number}",
+            idempotent=False,
+            worst_case=SIGN_TOKENS,
+            answer_part=f"{label}/{number}",
+        )
+        for number in range(count)
+    ]
+
+
+class Callers:
+    """The callers of one fleet. A caller's region is the name of a router.
+
+    A caller moves to another router only when its own fails it, so that tests
+    know which router carries which request.
+    """
+
+    def __init__(self, fleet: ConfiguredFleet):
+        self._fleet = fleet
+        self.store = Store(address=parse_address(fleet.store.address))
+        self.reader = EvidenceReader(
+            store=self.store,
+            targets=[parse_address(each.address) for each in fleet.stand_in_targets],
+            settle_s=SETTLE_S,
+        )
+
+    def player(self) -> Player:
+        """Return a player for one trace."""
+        routers = [
+            Router(place.name, parse_address(place.listen))
+            for place in self._fleet.places
+        ]
+        options = PlayOptions(
+            routers=routers, key_secret=SECRET, time_scale=0.0, idle_timeout_s=IDLE_S
+        )
+        return Player(options=options, timers=TimerService())
+
+    async def play(self, requests: Sequence[TraceRequest]) -> list[CallRecord]:
+        """Play a trace to its end."""
+        return await self.player().play(requests)
+
+    async def judge(self, records: Sequence[CallRecord], before: dict) -> Evidence:
+        """Assert the product's outcome checks and return the evidence."""
+        evidence = await self.reader.read(records, before)
+        checks = select_checks(faults_injected=True)
+        verdict = judge(records, evidence, check_by_name=checks)
+        assert verdict.holds, format_results(records, verdict)
+        return evidence
+
+    async def budget(self) -> BudgetRecord:
+        """Return the budget's record in the ledger."""
+        versions = await self.store.list_versions("ledger/")
+        for key in versions.unwrap():
+            shard = LedgerShard.decode((await self.store.get(key)).unwrap().value)
+            if BUDGET in shard.records_by_key:
+                return shard.records_by_key[BUDGET]
+        raise AssertionError(f"the ledger has no budget {BUDGET}")
+
+    async def holders(self) -> set[int]:
+        """Return the incarnations that hold grants of the budget."""
+        grants = (await self.budget()).grants_by_id.values()
+        return {grant.holder for grant in grants}
+
+
+class Playing:
+    """A trace being played in the background of a test."""
+
+    def __init__(self, player: Player):
+        self.player = player
+        self.finished = trio.Event()
+
+    async def run(self, requests: Sequence[TraceRequest]) -> None:
+        await self.player.play(requests)
+        self.finished.set()
+
+    async def wait_streaming(self, count: int) -> None:
+        """Wait until callers of ``count`` requests have a part of their answer."""
+        await wait_until(
+            lambda: (
+                len(self.player.records) == count
+                and all(each.first_part_s is not None for each in self.player.records)
+            ),
+            f"{count} open streams",
+        )
+
+    async def wait_finished(self) -> list[CallRecord]:
+        """Return the records once all callers are done."""
+        with trio.fail_after(60.0):
+            await self.finished.wait()
+        return self.player.records
+
+
+def start_playing(
+    nursery: trio.Nursery, callers: Callers, requests: Sequence[TraceRequest]
+) -> Playing:
+    """Play a trace in the background."""
+    playing = Playing(callers.player())
+    nursery.start_soon(playing.run, requests)
+    return playing
+
+
+async def wait_until(
+    is_done: Callable[[], object], what: str, *, timeout_s: float = PROCESS_START_S
+) -> None:
+    """Wait until a condition holds; it may be an async function."""
+    found = None
+    with trio.move_on_after(timeout_s):
+        while True:
+            found = is_done()
+            if hasattr(found, "__await__"):
+                found = await found
+            if found:
+                return
+            await trio.sleep(POLL_S)
+    raise AssertionError(f"not in {timeout_s} s: {what}")
+
+
+async def in_thread(function: Callable, *arguments: object, **options: object):
+    """Call a blocking function of the launcher without stopping the callers."""
+    return await trio.to_thread.run_sync(partial(function, *arguments, **options))
+
+
+def status(fleet: ConfiguredFleet, router: str) -> dict:
+    """Return a router's status page, or an empty one if it can't be read."""
+    (place,) = (each for each in fleet.places if each.name == router)
+    try:
+        return call_json(place.operator_listen, "GET", "/v1/status")
+    except FleetError as error:
+        logging.getLogger(__name__).info("no status of %s: %s", router, error)
+        return {}
+
+
+async def restart_router(fleet: ConfiguredFleet, router: str) -> int:
+    """Restart a router gracefully and return its new incarnation.
+
+    An agent answers for the runs of an incarnation only if its own process is
+    older, and at the fleet's start the two race.
+    """
+    fleet[router].terminate()
+    await in_thread(fleet[router].wait_ended)
+    fleet[router].start()
+    await in_thread(fleet[router].wait_ready)
+    await in_thread(fleet.wait_in_effect)
+    await wait_until(
+        lambda: status(fleet, router)["incarnation"] > 0, f"{router} is registered"
+    )
+    return status(fleet, router)["incarnation"]
+
+
+def log_lines(member: Member, event: str, **fields: object) -> list[str]:
+    """Return a member's log lines of an event that have these fields."""
+    wanted = {f"event={event}", *(f"{key}={value}" for key, value in fields.items())}
+    lines = member.log_text().splitlines()
+    return [line for line in lines if wanted <= set(line.split())]
+
+
+def agents(fleet: ConfiguredFleet) -> list[Member]:
+    """Return the agents of all targets."""
+    return [fleet[f"{name}-agent"] for name in fleet.config.targets]
+
+
+def set_speed(fleet: ConfiguredFleet, slow_factor: float) -> None:
+    """Set the speed of all engines."""
+    for name, target in fleet.config.targets.items():
+        if target.models:
+            fleet[f"{name}-stand-in"].set_faults(slow_factor=slow_factor)
+
+
+def sign_offs(fleet: ConfiguredFleet) -> int:
+    """Return how many sign-offs the plain service ran."""
+    return fleet["log-1-stand-in"].get("/stats")["sign_offs"]
+
+
+def _routes() -> dict:
+    return {
+        "ask": {
+            "kind": "model",
+            "request_class": "quick",
+            "model": "writer",
+            "max_tokens": ANSWER_TOKENS,
+        },
+        "sign": {
+            "kind": "app",
+            "request_class": "record",
+            "idempotent": False,
+            "service": "log",
+            "cost_tokens": SIGN_TOKENS,
+        },
+    }
+
+
+def _organisation(limit: int) -> dict:
+    digest = hashlib.sha256(f"{ORGANISATION}.{SECRET}".encode()).hexdigest()
+    return {
+        "keys": {"k": {"sha256": digest, "budget": BUDGET.budget}},
+        "budgets": {BUDGET.budget: {"prepaid": {"first": limit}}},
+    }
--- /dev/null
+++ b/tests/test_faults_money.py
@@ -0,0 +1,104 @@
+"""Money under failure, on real processes: nothing overspent, all billed once."""
+
+import trio
+from fault_support import (
+    SLOW_FACTOR,
+    Callers,
+    Playing,
+    agents,
+    in_thread,
+    log_lines,
+    make_asks,
+    restart_router,
+    set_speed,
+    start_fleet,
+    start_playing,
+    status,
+    wait_until,
+    write_configuration,
+)
+
+FIRST, SECOND = "router-west-1", "router-west-2"
+STREAMS = 4
+
+
+async def finish_streams(fleet, playing: Playing) -> list:
+    """Let the engines run on and return the records of the open streams."""
+    await in_thread(set_speed, fleet, 1.0)
+    return await playing.wait_finished()
+
+
+async def check_handed_back(callers: Callers, fleet, records) -> None:
+    """Assert that after all routers have left only the bills are charged."""
+    for router in fleet.routers:
+        if router.running:
+            router.terminate()
+    for router in fleet.routers:
+        await in_thread(router.wait_ended)
+    budget = await callers.budget()
+    billed = sum(entry.tokens for entry in budget.usage_by_id.values())
+    stated = sum(record.stated_tokens or 0 for record in records)
+    assert (budget.settled, budget.unexplained, budget.granted) == (billed, 0, 0)
+    assert billed == stated
+
+
+def test_killed_router_loses_no_answer_and_no_money(tmp_path):
+    """A crash must not lose answers or usage, nor lock up the dead router's grants."""
+
+    async def play(fleet) -> None:
+        callers = Callers(fleet)
+        dead = await restart_router(fleet, FIRST)
+        await in_thread(set_speed, fleet, SLOW_FACTOR)
+        async with trio.open_nursery() as nursery:
+            playing = start_playing(nursery, callers, make_asks(FIRST, STREAMS))
+            await playing.wait_streaming(STREAMS)
+            assert dead in await callers.holders()
+            fleet[FIRST].kill()
+            records = await finish_streams(fleet, playing)
+        assert all("resume" in [a.step for a in each.attempts] for each in records)
+        await callers.judge(records, {})
+
+        async def is_reclaimed() -> bool:
+            return dead not in await callers.holders()
+
+        await wait_until(is_reclaimed, "the dead router's grants are reclaimed")
+        for agent in agents(fleet):
+            assert log_lines(agent, "fence", incarnation=dead), agent.name
+        await check_handed_back(callers, fleet, records)
+
+    with start_fleet(write_configuration(tmp_path)) as fleet:
+        trio.run(play, fleet)
+
+
+def test_paused_router_is_fenced_and_takes_a_new_incarnation(tmp_path):
+    """A holder that runs on after its lease must not spend what was reclaimed."""
+
+    async def play(fleet) -> None:
+        callers = Callers(fleet)
+        paused = await restart_router(fleet, FIRST)
+        await in_thread(set_speed, fleet, SLOW_FACTOR)
+        async with trio.open_nursery() as nursery:
+            playing = start_playing(nursery, callers, make_asks(FIRST, STREAMS))
+            await playing.wait_streaming(STREAMS)
+            assert paused in await callers.holders()
+            fleet[FIRST].pause()
+            await wait_until(
+                lambda: log_lines(fleet[SECOND], "grant_reclaimed", incarnation=paused),
+                "the paused router's grants are reclaimed",
+            )
+            fleet[FIRST].resume()
+            records = await finish_streams(fleet, playing)
+        records += await callers.play(make_asks(FIRST, STREAMS, label="later"))
+        refused = [
+            line
+            for agent in agents(fleet)
+            for line in log_lines(agent, "run_refused", payer=paused)
+        ]
+        assert refused
+        assert all("reason=fenced" in line for line in refused), refused
+        assert status(fleet, FIRST)["incarnation"] > paused
+        await callers.judge(records, {})
+        await check_handed_back(callers, fleet, records)
+
+    with start_fleet(write_configuration(tmp_path)) as fleet:
+        trio.run(play, fleet)
