Test an outage of the key-value service on real processes

Cause: spending from grants while the store is down was shown only with simulated parts.

Change: after a warm-up that gives both routers grants, the store goes down. Questions at both routers are answered; a sign-off is refused with status 503 as not run at both, and the service's count stays 0. After the outage all usage is billed once, and the refused sign-off runs when it is sent again.

--- a/tests/test_faults_money.py
+++ b/tests/test_faults_money.py
@@ -1,7 +1,14 @@
 """Money under failure, on real processes: nothing overspent, all billed once."""
 
+import json
+import secrets
+import time
+
 import trio
 from fault_support import (
+    ORGANISATION,
+    SECRET,
+    SIGN_TOKENS,
     SLOW_FACTOR,
     Callers,
     Playing,
@@ -9,8 +16,10 @@
     in_thread,
     log_lines,
     make_asks,
+    make_signs,
     restart_router,
     set_speed,
+    sign_offs,
     start_fleet,
     start_playing,
     status,
@@ -18,6 +27,10 @@
     write_configuration,
 )
 
+from lavenderfold.identifiers import make_request_id
+from lavenderfold.replay import CallOutcome
+from scripts.fleet import call
+
 FIRST, SECOND = "router-west-1", "router-west-2"
 STREAMS = 4
 
@@ -102,3 +115,62 @@
 
     with start_fleet(write_configuration(tmp_path)) as fleet:
         trio.run(play, fleet)
+
+
+def post_sign(fleet, router: str, request_id: str, path: str) -> tuple[int, dict]:
+    """Send a sign-off once and return status and JSON of the answer."""
+    (place,) = (each for each in fleet.places if each.name == router)
+    headers = {
+        "authorization": f"Bearer {ORGANISATION}.{SECRET}",
+        "idempotency-key": request_id,
+    }
+    target = f"/v1/apps/sign/{path}"
+    answered, body = call(place.listen, "POST", target, body=b"{}", headers=headers)
+    return answered, json.loads(body)
+
+
+def new_request_id() -> str:
+    return make_request_id(unix_time=time.time(), random_bits=secrets.randbits(74))
+
+
+def test_store_outage_spends_from_grants_and_bills_afterwards(tmp_path):
+    """An outage must not stop paid requests, lose their bills or run sign-offs."""
+
+    async def play(fleet) -> None:
+        callers = Callers(fleet)
+        routers = (FIRST, SECOND)
+        records = []
+        # The first requests make the routers' draw rates known, so that they hold
+        # grants for more.
+        for label in ("warm-up", "more"):
+            asks = [ask for name in routers for ask in make_asks(name, 6, label=label)]
+            records += await callers.play(asks)
+        await callers.judge(records, {})
+        fleet.store.set_faults(down=True)
+        asks = [ask for name in routers for ask in make_asks(name, 2, label="outage")]
+        during = await callers.play(asks)
+        assert [each.outcome for each in during] == [CallOutcome.RAN] * len(asks)
+        request_id = new_request_id()
+        for router in routers:
+            answered, body = await in_thread(
+                post_sign, fleet, router, request_id, "lamp/1"
+            )
+            assert answered == 503, body
+            assert body["error"]["outcome"] == "not_run"
+        assert sign_offs(fleet) == 0
+        fleet.store.set_faults(down=False)
+        records += during
+        evidence = await callers.judge(records, {})
+        assert request_id not in evidence.bills_by_request_id()
+        # What was refused as not run may be sent again, and then runs.
+        answered, _ = await in_thread(post_sign, fleet, SECOND, request_id, "lamp/1")
+        assert (answered, sign_offs(fleet)) == (200, 1)
+        records += await callers.play(make_signs(FIRST, 1))
+        assert sign_offs(fleet) == 2
+        await callers.judge(records, {})
+        budget = await callers.budget()
+        stated = sum(record.stated_tokens or 0 for record in records)
+        assert budget.settled == stated + 2 * SIGN_TOKENS
+
+    with start_fleet(write_configuration(tmp_path, wait_s=1.0)) as fleet:
+        trio.run(play, fleet)
