--- a/tests/agent_support.py
+++ b/tests/agent_support.py
@@ -51,7 +51,7 @@
         pass
 
     def complete_after(self, incarnation):
-        return None
+        return 0
 
 
 class PausingEngine(ModelEngine):
