Hand back the grants of a budget that left the configuration

Cause: GrantKeeper.tend skipped a budget that isn't configured, so that its grants and loans stayed held as long as the router ran.

Ruled out: handing back at the installation of a configuration only. Runs that are still open then free their tokens later, and a grant may just be opening.

Change: tend returns the loans and hands back all free tokens of such a budget, as at the end of a drain.

Conclusion: a removed budget is free of grants once its runs have ended.

--- a/src/lavenderfold/router/_grants.py
+++ b/src/lavenderfold/router/_grants.py
@@ -215,6 +215,8 @@
         for key in held:
             budget = self._budget(key)
             if budget is None:
+                # It was removed from the configuration: nobody draws on it here.
+                await self._give_up(key)
                 continue
             self._start_fetch(key)
             await self.hand_backs.hand_back_surplus(key, budget)
@@ -234,8 +236,12 @@
             await need.is_settled.wait()
         held = self.pool.keys()
         for key in held:
-            self._peers.return_loans(self.pool.return_loans(key))
-            await self.hand_backs.hand_back_free(key)
+            await self._give_up(key)
+
+    async def _give_up(self, key: BudgetKey) -> None:
+        """Return the loans of a budget and hand back all of its free tokens."""
+        self._peers.return_loans(self.pool.return_loans(key))
+        await self.hand_backs.hand_back_free(key)
 
     def _try(self, request: RequestKey, tokens: int) -> Reservation | None:
         key, now = request.budget, self._timers.now()
