Keep grants that a removed target may still spend until its VM is gone

Cause: a reclaim asked only the targets of the present configuration. The agent of a removed target that hadn't been drained could still run or report requests paid by grants that the reclaim had released.

Ruled out: asking the old address (the link to it is closed, and it may belong to another VM by then), and releasing once the VM is gone, because what ran there is unknown.

A router remembers the targets, by name and VM, that it saw in earlier configurations. For incarnations registered before the removal they count as missing until the platform says that the VM is gone; then the grants are written off. The memory isn't durable: a router that started after the removal relies on the drain.

Conclusion: within the life of the router with the duty a removed target can't lead to overspend.

--- a/src/lavenderfold/router/_reclaim.py
+++ b/src/lavenderfold/router/_reclaim.py
@@ -19,6 +19,7 @@
 from lavenderfold.router._agents import AgentLinks
 from lavenderfold.router._alive import ALIVE_PREFIX, SignOfLife, alive_incarnation
 from lavenderfold.router._members import Membership
+from lavenderfold.router._past_targets import PastTargets
 from lavenderfold.router._settings import RouterSettings
 from lavenderfold.store import Store
 from lavenderfold.timers import TimerService
@@ -68,11 +69,13 @@
         self._missing_since: dict[int, float] = {}
         self._plan_by_incarnation: dict[int, ReclaimPlan] = {}
         self._swept_at: float | None = None
+        self._past_targets = PastTargets()
 
     async def run(self) -> None:
         """Take the duty when it's free and do it, until cancelled."""
         while True:
             await trio.sleep(self._settings.limits.reclaim_period_s)
+            self._past_targets.note(self._config().targets)
             if not await self._has_duty() or not await self._do_round():
                 # What was seen before a gap says nothing about the time after.
                 self._missing_since.clear()
@@ -102,6 +105,7 @@
         if read.is_err() or listed.is_err():
             return False
         record, _ = read.unwrap()
+        self._past_targets.note_members(record.next_incarnation)
         alive = {alive_incarnation(key) for key in listed.unwrap()}
         dead = self._find_dead(record, alive)
         for incarnation in dead:
@@ -176,7 +180,11 @@
     async def _reclaim(self, incarnation: int, shards: list[LedgerShard]) -> None:
         """Fence an incarnation at all agents and release what no run holds."""
         targets = self._config().targets
-        plan = ReclaimPlan(incarnation=incarnation, targets=targets)
+        self._past_targets.note(targets)
+        # No link leads to the agent of a removed target, so that it counts as
+        # missing until its VM is gone.
+        past = self._past_targets.vm_by_target(incarnation)
+        plan = ReclaimPlan(incarnation=incarnation, targets=[*targets, *past])
         for shard in shards:
             plan.add_shard(shard)
         self._plan_by_incarnation[incarnation] = plan
@@ -185,7 +193,8 @@
                 self._agents.post_if_connected(target, Fence(incarnation=incarnation))
             await self._wait_for_reports(plan)
             if plan.missing:
-                await self._strike_out_gone(plan)
+                vms = {name: target.vm for name, target in targets.items()}
+                await self._strike_out_gone(plan, {**vms, **past})
         finally:
             del self._plan_by_incarnation[incarnation]
         operations = plan.decisions()
@@ -214,12 +223,13 @@
                 return
             await trio.sleep(REPORTS_POLL_S)
 
-    async def _strike_out_gone(self, plan: ReclaimPlan) -> None:
+    async def _strike_out_gone(
+        self, plan: ReclaimPlan, vm_by_target: dict[str, str]
+    ) -> None:
         """Leave out targets of which the platform says that their VM is gone."""
-        targets = self._config().targets
         gone = await self._gone_vms()
         for target in plan.missing:
-            if target in targets and targets[target].vm in gone:
+            if vm_by_target[target] in gone:
                 plan.target_gone(target)
 
     async def _gone_vms(self) -> set[str]:
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -289,7 +289,13 @@
             self.reads_by_path[request.path] += 1
         await self.config_store.handle(request, writer)
 
-    async def start_router(self, *, peers: list[Router] = (), **limits) -> Router:
+    async def start_router(
+        self,
+        *,
+        peers: list[Router] = (),
+        vm_list_address: Address | None = None,
+        **limits,
+    ) -> Router:
         """Start a router; it's connected to all agents if it has a configuration."""
         settings = RouterSettings(
             router=f"r{len(self.routers) + 1}",
@@ -300,6 +306,7 @@
             peer_listen=ANY_PORT,
             peers=[peer.addresses["peer_listen"] for peer in peers],
             store_address=self.store_address,
+            vm_list_address=vm_list_address,
             shard_count=2,
             limits=RouterLimits(**{**FAST_LIMITS, **limits}),
         )
--- a/tests/test_removed.py
+++ b/tests/test_removed.py
@@ -1,11 +1,15 @@
-"""Budgets and organisations that are removed from the configuration."""
+"""Budgets, organisations and targets that are removed from the configuration."""
+
+from functools import partial
 
 import msgspec
 import pytest
 import trio
 
 from lavenderfold.config import ApiKey, Budget, FleetConfig
+from lavenderfold.http import json_response, serve
 from tests.router_fleet import (
+    ANY_PORT,
     FakeAgent,
     Fleet,
     answer_at_once,
@@ -15,6 +19,8 @@
     wait_until,
 )
 
+DUTY_PATH = "/v1/kv/members/reclaimer"
+
 
 def without_organisation(config: FleetConfig) -> FleetConfig:
     kept = {"hobart": config.organisations["hobart"]}
@@ -62,3 +68,40 @@
         assert fleet.record().charged == fleet.record().settled == 40
 
     run_fleet(check, agent)
+
+
+def test_removed_target_holds_the_grants_until_its_vm_is_gone():
+    """Its agent may still run requests that the dead router's grants pay for."""
+    agents = [FakeAgent("t1"), FakeAgent("t2")]
+
+    async def check(fleet: Fleet):
+        gone = []
+
+        async def list_vms(request, writer) -> None:
+            vms = [{"name": vm, "state": "gone"} for vm in gone]
+            await writer.send(json_response(200, {"vms": vms}))
+
+        start = partial(serve, list_vms, address=ANY_PORT)
+        vms_address = await fleet.nursery.start(start)
+        second = await fleet.start_router(
+            peers=[fleet.router], vm_list_address=vms_address
+        )
+        await fleet.wait_connected(second)
+        dead = fleet.router.incarnation
+        assert (await fleet.call("POST", "/v1/completions", completion())).status == 200
+        await wait_until(lambda: fleet.record().settled == 20)
+        rounds = fleet.reads_by_path[DUTY_PATH]
+        await wait_until(lambda: fleet.reads_by_path[DUTY_PATH] >= rounds + 4)
+        del fleet.agents["t2"]
+        await fleet.install(make_config(fleet.agents))
+        fleet.kill(fleet.router)
+        await wait_until(lambda: dead in agents[0].fenced)
+        granted = fleet.record().granted
+        await wait_until(lambda: agents[0].fenced.count(dead) >= 2)
+        assert dead in fleet.record().holders
+        assert fleet.record().unexplained == 0
+        gone.append("vm-t2")
+        await wait_until(lambda: dead not in fleet.record().holders)
+        assert fleet.record().unexplained == granted
+
+    run_fleet(check, *agents)
