Link each router to a subset of the targets

Cause: a router kept a link to every target. With 600 targets the bound on reports per router stretches their period to 6 s, and each agent serves 390 routers.

Ruled out: a random subset per router, which moves with each start and may leave a target without routers.

Change: connected_targets picks at most targets_per_group (9, a new limit) targets of each model or service by rendezvous hashing of router and target, the router's own region first but for one target of another. The default is the least with which fleets of 9 and 3 targets keep all their links. Resumes and fences still reach every candidate: a link is opened where there is no standing one, its reports draw no work, and it closes 10 s after its last use. A target that enters or leaves the subset keeps its open link, because an agent closes the older of two links of one router.

Conclusion: the subset cuts the links of a router with 100 replicas of a model to 9. A resume still opens brief links to all candidates of the organisation's routes, and waits up to 1 s if one of them can't be reached.

--- a/bench/idle_router.py
+++ b/bench/idle_router.py
@@ -32,6 +32,8 @@
 )
 
 LINK_COUNTS = (10, 50, 100)
+SUBSET_TARGETS = 100
+SUBSET_LINKS = 9
 SETTLE_S = 2.0
 IDLE_S = 8.0
 BATCH_WINDOW_S = 0.005
@@ -183,7 +185,7 @@
     (folder / "10-bench.yaml").write_text(text)
 
 
-def start_router(fleet: Fleet, addresses: list[str]) -> tuple[Member, str]:
+def start_router(fleet: Fleet, addresses: list[str], links: int) -> tuple[Member, str]:
     """Start a store with the configuration and a router; return its operator's
     address as well."""
     store = fleet.add_stand_in("store", "config_store")
@@ -203,6 +205,7 @@
         "operator_listen": operator,
         "peer_listen": peer,
         "store_address": store.address,
+        "limits": {"targets_per_group": links},
     }
     router = fleet.add_product(
         "router", "router", settings, address=listen, is_ready=is_healthy
@@ -224,11 +227,12 @@
         time.sleep(0.1)
 
 
-def measure(links: int) -> Point:
+def measure(links: int, *, targets: int) -> Point:
+    """Measure a router that keeps links to some of the targets of one model."""
     with Fleet() as fleet:
-        addresses = [fleet.address() for _ in range(links)]
+        addresses = [fleet.address() for _ in range(targets)]
         with StandIns(addresses=addresses) as stand_ins:
-            router, operator = start_router(fleet, addresses)
+            router, operator = start_router(fleet, addresses, links)
             wait_linked(operator, links)
             time.sleep(SETTLE_S)
             began, carried = time.monotonic(), stand_ins.bytes_carried()
@@ -252,8 +256,9 @@
     if addresses:
         trio.run(run_stand_ins, [parse_address(address) for address in addresses])
         return
-    points = [measure(links) for links in LINK_COUNTS]
-    for point in points:
+    points = [measure(links, targets=links) for links in LINK_COUNTS]
+    subset = measure(SUBSET_LINKS, targets=SUBSET_TARGETS)
+    for point in [*points, subset]:
         print(
             f"links={point.links:<4} core_percent={point.core_percent:5.2f}"
             f" resident_mb={point.resident_mb:.1f}"
--- a/src/lavenderfold/router/_agents.py
+++ b/src/lavenderfold/router/_agents.py
@@ -2,12 +2,12 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 import trio
 
-from lavenderfold.config import FleetConfig, Target
+from lavenderfold.config import FleetConfig, RouteKind, Target
 from lavenderfold.links import Link, LinkClosedError, connect
 from lavenderfold.logs import log_event
 from lavenderfold.messages import (
@@ -24,10 +24,12 @@
     UsageReport,
 )
 from lavenderfold.router._pace import AgentPace, agent_pace
-from lavenderfold.routing import backoff_s
+from lavenderfold.routing import Candidate, backoff_s, connected_targets
 from lavenderfold.timers import TimerService
 
 RETIRE_LINGER_S = 10.0
+# A resume waits for this; an agent that can't be reached counts as unreachable.
+BRIEF_LINK_WAIT_S = 1.0
 
 logger = logging.getLogger("lavenderfold.router.agents")
 
@@ -72,7 +74,11 @@
 
 
 class AgentLink:
-    """The link to one target's agent, opened again whenever it closes."""
+    """The link to one target's agent, opened again whenever it closes.
+
+    A link that isn't ``standing`` serves resumes and fences; its reports don't
+    make the target a candidate for new work.
+    """
 
     def __init__(
         self,
@@ -88,8 +94,10 @@
         self.name = name
         self.target = target
         self.boot_id = ""
+        self.is_standing = True
         self.scope = trio.CancelScope()
         self.up = trio.Event()
+        self.was_greeted = trio.Event()
         self._handlers = handlers
         self._hello = hello
         self._pace = pace
@@ -124,16 +132,23 @@
             self._is_unused.set()
 
     async def retire(self) -> None:
-        """Close the link once its runs have ended.
+        """Close the link once its runs have ended."""
+        await self.wait_unused()
+        self.scope.cancel()
 
-        Stays open a while longer, because the agent may still hold usage that
-        no router has confirmed.
+    async def wait_unused(self) -> None:
+        """Wait until the link has had no run or subscription for a while.
+
+        The agent may still hold usage that no router has confirmed.
         """
         self._is_retiring = True
-        if self._sink_by_run_id:
-            await self._is_unused.wait()
-        await trio.sleep(RETIRE_LINGER_S)
-        self.scope.cancel()
+        while True:
+            if self._sink_by_run_id:
+                self._is_unused = trio.Event()
+                await self._is_unused.wait()
+            await trio.sleep(RETIRE_LINGER_S)
+            if not self._sink_by_run_id:
+                return
 
     async def run(self) -> None:
         """Keep the link open until the scope is cancelled."""
@@ -192,7 +207,8 @@
         if self.up.is_set():
             log_event(logger, "agent_link_lost", target=self.name)
         self.up = trio.Event()
-        self._handlers.lost(self.name)
+        if self.is_standing:
+            self._handlers.lost(self.name)
         for sink in list(self._sink_by_run_id.values()):
             sink.on_link_lost()
 
@@ -207,7 +223,8 @@
             case RunUnknown(subscription=name) if name in self._sink_by_run_id:
                 self._sink_by_run_id[name].on_unknown()
             case LoadReport():
-                self._handlers.reported(self.name, message)
+                if self.is_standing:
+                    self._handlers.reported(self.name, message)
             case UsageReport():
                 self._handlers.usage_reported(self.name, message)
             case FenceReport():
@@ -224,15 +241,23 @@
             return
         self.boot_id = hello.boot_id
         self.up.set()
+        self.was_greeted.set()
         log_event(logger, "agent_connected", target=self.name, boot=hello.boot_id)
 
 
 class AgentLinks:
-    """The links to all targets of the configuration."""
+    """The links to agents by target: standing ones, and brief ones to the others.
+
+    There is never more than one to an agent, which closes the older of two links
+    of one router.
+    """
 
     def __init__(
         self,
         *,
+        router: str,
+        region: str,
+        targets_per_group: int,
         handlers: AgentHandlers,
         hello: Callable[[], RouterHello],
         timers: TimerService,
@@ -240,6 +265,12 @@
     ):
         self.by_target: dict[str, AgentLink] = {}
         self.pace = agent_pace(0)
+        self._router = router
+        self._region = region
+        self._targets_per_group = targets_per_group
+        self._target_by_name: dict[str, Target] = {}
+        self._brief_by_target: dict[str, AgentLink] = {}
+        self._nursery: trio.Nursery | None = None
         self._handlers = handlers
         self._hello = hello
         self._timers = timers
@@ -250,36 +281,90 @@
 
         Tells the agents the configuration's revision and the pace of reports.
         """
-        self.pace = agent_pace(len(config.targets))
-        for name, link in list(self.by_target.items()):
-            target = config.targets.get(name)
-            if target is None or target.agent != link.target.agent:
-                del self.by_target[name]
-                nursery.start_soon(link.retire)
-            else:
-                link.target = target
-        for name, target in config.targets.items():
-            if name in self.by_target:
-                continue
-            link = AgentLink(
-                name=name,
-                target=target,
-                handlers=self._handlers,
-                hello=self._hello,
-                pace=lambda: self.pace,
-                timers=self._timers,
-                batch_window_s=self._batch_window_s,
-            )
-            self.by_target[name] = link
-            nursery.start_soon(link.run)
+        self._nursery = nursery
+        self._target_by_name = config.targets
+        standing = connected_targets(
+            self._router,
+            _candidates_by_group(config),
+            region=self._region,
+            per_group=self._targets_per_group,
+        )
+        self.pace = agent_pace(len(standing))
+        self._drop_moved(self.by_target)
+        self._drop_moved(self._brief_by_target)
+        for name in self.by_target.keys() - standing:
+            self._demote(name)
+        for name in sorted(standing - self.by_target.keys()):
+            self._promote(name)
         self.post_all(self._hello())
         self.post_all(
             Heartbeat(self._hello().revision, period_s=self.pace.heartbeat_period_s)
         )
 
+    def reach(self, target: str) -> AgentLink | None:
+        """Return the link to a target, a brief one if there is no standing one.
+
+        None if the target isn't configured.
+        """
+        link = self.by_target.get(target) or self._brief_by_target.get(target)
+        if link is None and target in self._target_by_name:
+            link = self._brief_by_target[target] = self._make_link(target)
+            link.is_standing = False
+            self._nursery.start_soon(link.run)
+            self._nursery.start_soon(self._close_when_unused, link)
+        return link
+
+    async def reach_all(self, targets: Iterable[str]) -> None:
+        """Open brief links where there is no standing one; wait a bounded time."""
+        with trio.move_on_after(BRIEF_LINK_WAIT_S):
+            for link in [self.reach(target) for target in targets]:
+                if link is not None and not link.is_standing:
+                    await link.was_greeted.wait()
+
+    def _drop_moved(self, link_by_target: dict[str, AgentLink]) -> None:
+        """Let go of links to targets that were removed or have a new address."""
+        for name, link in list(link_by_target.items()):
+            target = self._target_by_name.get(name)
+            if target is None or target.agent != link.target.agent:
+                del link_by_target[name]
+                self._nursery.start_soon(link.retire)
+            else:
+                link.target = target
+
+    def _demote(self, name: str) -> None:
+        link = self._brief_by_target[name] = self.by_target.pop(name)
+        link.is_standing = False
+        self._handlers.lost(name)
+        self._nursery.start_soon(self._close_when_unused, link)
+
+    def _promote(self, name: str) -> None:
+        link = self._brief_by_target.pop(name, None)
+        if link is None:
+            link = self._make_link(name)
+            self._nursery.start_soon(link.run)
+        link.is_standing = True
+        self.by_target[name] = link
+
+    def _make_link(self, name: str) -> AgentLink:
+        return AgentLink(
+            name=name,
+            target=self._target_by_name[name],
+            handlers=self._handlers,
+            hello=self._hello,
+            pace=lambda: self.pace,
+            timers=self._timers,
+            batch_window_s=self._batch_window_s,
+        )
+
+    async def _close_when_unused(self, link: AgentLink) -> None:
+        await link.wait_unused()
+        if self._brief_by_target.get(link.name) is link:
+            del self._brief_by_target[link.name]
+            link.scope.cancel()
+
     def post(self, target: str, message: Any) -> None:
         """Send to a target's agent. Raises AgentUnreachableError."""
-        link = self.by_target.get(target)
+        link = self.by_target.get(target) or self._brief_by_target.get(target)
         if link is None:
             raise AgentUnreachableError(target)
         link.post(message)
@@ -294,9 +379,21 @@
 
     def post_all(self, message: Any) -> None:
         """Send to all agents that are connected."""
-        for target in self.by_target:
+        for target in [*self.by_target, *self._brief_by_target]:
             self.post_if_connected(target, message)
 
     def is_connected(self, target: str) -> bool:
         link = self.by_target.get(target)
         return link is not None and link.is_connected
+
+
+def _candidates_by_group(config: FleetConfig) -> dict[str, list[Candidate]]:
+    """Return the targets of each model and each service."""
+    candidates_by_group: dict[str, list[Candidate]] = {}
+    for name, target in sorted(config.targets.items()):
+        region = config.failure_domains[target.failure_domain].region
+        is_model = target.kind is RouteKind.MODEL
+        for group in target.models if is_model else [target.service]:
+            candidates = candidates_by_group.setdefault(f"{target.kind}:{group}", [])
+            candidates.append(Candidate(target=name, region=region))
+    return candidates_by_group
--- a/src/lavenderfold/router/_parts.py
+++ b/src/lavenderfold/router/_parts.py
@@ -119,6 +119,9 @@
             fenced=lambda _, report: self.reclaimer.take_report(report),
         )
         return AgentLinks(
+            router=self._settings.router,
+            region=self._settings.region,
+            targets_per_group=self._settings.limits.targets_per_group,
             handlers=handlers,
             hello=self._router.hello,
             timers=self._timers,
--- a/src/lavenderfold/router/_reclaim.py
+++ b/src/lavenderfold/router/_reclaim.py
@@ -150,6 +150,7 @@
             plan.add_shard(shard)
         self._plan_by_incarnation[incarnation] = plan
         try:
+            await self._agents.reach_all(targets)
             for target in targets:
                 self._agents.post_if_connected(target, Fence(incarnation=incarnation))
             await self._wait_for_reports(plan)
--- a/src/lavenderfold/router/_relay.py
+++ b/src/lavenderfold/router/_relay.py
@@ -54,6 +54,7 @@
 
     async def open(self, key: RequestKey, targets: list[str], *, offset: int) -> Found:
         """Find the run of a request at ``targets`` and start to relay it."""
+        await self._services.agents.reach_all(targets)
         runs, unreachable = self._ask_all(key, targets, offset)
         found = await self._first_found(runs)
         for run in runs:
@@ -68,7 +69,7 @@
     ) -> tuple[list[ResumedRun], list[str]]:
         runs, unreachable = [], []
         for target in targets:
-            link = self._services.agents.by_target.get(target)
+            link = self._services.agents.reach(target)
             if link is None:
                 continue
             subscription = uuid.uuid4().hex
--- a/src/lavenderfold/router/_settings.py
+++ b/src/lavenderfold/router/_settings.py
@@ -11,7 +11,8 @@
     """Bounds of one router. Names that end in ``_s`` are seconds.
 
     ``relink_wait_s`` is how long a run waits for its agent's link to come back,
-    ``relink_wait_once_s`` the same for a run that may not be repeated.
+    ``relink_wait_once_s`` the same for a run that may not be repeated. The router
+    keeps links to at most ``targets_per_group`` targets of one model or service.
     """
 
     body_bytes: int = 4 * 1024 * 1024
@@ -31,6 +32,7 @@
     member_lease_s: float = 15.0
     reclaim_period_s: float = 5.0
     decisions: int = 5000
+    targets_per_group: int = 9
 
     def __post_init__(self) -> None:
         for name in self.__struct_fields__:
--- a/src/lavenderfold/routing/__init__.py
+++ b/src/lavenderfold/routing/__init__.py
@@ -13,6 +13,7 @@
 from lavenderfold.routing._prefix import count_tokens, prefix_hashes
 from lavenderfold.routing._queue import ClassQueue, QueueEntry
 from lavenderfold.routing._retry import RetryBudget, backoff_s
+from lavenderfold.routing._subset import connected_targets
 
 __all__ = [
     "Candidate",
@@ -28,6 +29,7 @@
     "choose_least_outstanding",
     "choose_round_robin",
     "choose_target",
+    "connected_targets",
     "count_tokens",
     "has_room",
     "prefix_hashes",
