--- a/src/lavenderfold/router/_settings.py
+++ b/src/lavenderfold/router/_settings.py
@@ -14,6 +14,8 @@
     ``relink_wait_once_s`` the same for a run that may not be repeated.
     ``reclaim_sweep_s`` is how often all shards are searched for grants that a
     retired router opened after its others had been reclaimed.
+    ``relink_wait_once_s`` the same for a run that may not be repeated. The router
+    keeps links to at most ``targets_per_group`` targets of one model or service.
     """
 
     body_bytes: int = 4 * 1024 * 1024
@@ -34,6 +36,7 @@
     reclaim_period_s: float = 5.0
     reclaim_sweep_s: float = 600.0
     decisions: int = 5000
+    targets_per_group: int = 9
 
     def __post_init__(self) -> None:
         for name in self.__struct_fields__:
