Show bills, failed attempts and advice in lavenderfoldctl

Cause: on a running fleet, explain printed times as 1.79637e+09, never showed a bill or a claim (the ledger keys them by packed ids, the command looked for text), and showed the attempts of a retry without what failed. A 404 of the callers' address counted as a router without events. A shard that can't be decoded ended the command with a traceback. Errors didn't say what to do, and budget didn't tell who holds open grants.

Ruled out: converting all ids of the ledger to text; a look-up by packed id needs no pass over all entries. Keeping every event of a request; the bound stays at 64, but now the first and the latest stay instead of the earliest, so that the end of a long wait isn't lost.

Change: explain prints UTC times, bills, claims, attempt_failed with reason and detail, and the budget; not found says where to look next. status and budget name what doesn't answer and what to check; budget prints holders. A conflict and an apply without the store say that nothing was applied. The router records attempt_failed and the tokens or reason of the end.

--- a/src/lavenderfold/ctl/_changes.py
+++ b/src/lavenderfold/ctl/_changes.py
@@ -4,12 +4,14 @@
 
 from lavenderfold.config import (
     ApplyUncertainError,
+    EditConflictError,
     Edits,
     InvalidConfigError,
     Plan,
     RevisionError,
     RevisionMissingError,
     Revisions,
+    RevisionsUnavailableError,
     describe_changes,
     diff_files,
     find_warnings,
@@ -54,7 +56,8 @@
     _print_plan(planned)
     if planned.edits:
         folder = options.arguments[0]
-        print(f"to apply: apply {folder} --store {options.store} --base {base}")
+        command = f"lavenderfoldctl apply {folder}"
+        print(f"to apply: {command} --store {options.store} --base {base}")
 
 
 async def apply(options: Options) -> None:
@@ -121,6 +124,15 @@
         return BadInputError(f"--base: {error}")
     if isinstance(error, ApplyUncertainError):
         return CommandError(f"{error}\nrepeat with --token {error.token}")
+    if isinstance(error, RevisionsUnavailableError):
+        return CommandError(
+            f"{error}\nnothing was applied; check --store and repeat when it answers"
+        )
+    if isinstance(error, EditConflictError):
+        return CommandError(
+            f"{error}\nnothing was applied; carry your edit over to the others' files "
+            f"and repeat with --base {error.revision}"
+        )
     return CommandError(str(error))
 
 
--- a/src/lavenderfold/ctl/_ledger.py
+++ b/src/lavenderfold/ctl/_ledger.py
@@ -1,15 +1,24 @@
-"""The ledger as the command line reads it; the only user of ``budgets`` here."""
+"""The ledger as the command line reads it."""
 
 import re
 from collections.abc import Iterator
 
-import msgspec
 from result import Err, Ok, Result
 
+from lavenderfold.budgets import (
+    BudgetRecord,
+    LedgerDecodeError,
+    LedgerShard,
+    pack_request_id,
+)
 from lavenderfold.config import OpenGrants
 from lavenderfold.identifiers import BudgetKey
-from lavenderfold.store import Store
+from lavenderfold.outcomes import Ran
+from lavenderfold.store import Store, StoreError
 
+STORE_ADVICE = (
+    "check --store and the service; meanwhile routers spend from their grants"
+)
 SHARD_PREFIX = "ledger/"
 SHARD_KEY = re.compile(r"ledger/\d+")
 
@@ -18,39 +27,53 @@
     """The ledger can't be read, so spending and open grants are unknown."""
 
 
-class BudgetLine(msgspec.Struct, frozen=True, kw_only=True):
-    """A budget record in tokens. Usage and claims go by request id."""
-
-    limit: int
-    settled: int
-    unexplained: int
-    open_grants: int
-    available: int
-    usage_by_id: dict = msgspec.field(default_factory=dict)
-    claims_by_id: dict = msgspec.field(default_factory=dict)
-
-
-async def read_ledger(store: Store) -> Result[dict[BudgetKey, BudgetLine], Exception]:
-    """Return every budget of the ledger, or Err of LedgerReadError."""
+async def read_ledger(
+    store: Store,
+) -> Result[dict[BudgetKey, BudgetRecord], LedgerReadError]:
+    """Return the record of every budget in the ledger."""
     listed = await store.list_versions(SHARD_PREFIX)
     if listed.is_err():
-        return Err(LedgerReadError(f"the ledger can't be read: {listed.unwrap_err()}"))
-    line_by_key = {}
+        return Err(_unread(listed.unwrap_err()))
+    record_by_key = {}
     for key in filter(SHARD_KEY.fullmatch, sorted(listed.unwrap())):
         read = await store.get(key)
         if read.is_err():
-            return Err(
-                LedgerReadError(f"the ledger can't be read: {read.unwrap_err()}")
-            )
+            return Err(_unread(read.unwrap_err()))
         if read.unwrap() is None:
             continue
         try:
-            line_by_key.update(_decode_shard(read.unwrap().value))
-        except (ImportError, msgspec.MsgspecError) as error:
-            return Err(
-                LedgerReadError(f"key {key!r}: expected a ledger shard: {error}")
+            shard = LedgerShard.decode(read.unwrap().value)
+        except LedgerDecodeError as error:
+            fault = (
+                f"the ledger can't be read: key {key!r}: {error}; "
+                f"use the lavenderfoldctl of the routers' version"
             )
-    return Ok(line_by_key)
+            return Err(LedgerReadError(fault))
+        record_by_key.update(shard.records_by_key)
+    return Ok(record_by_key)
+
+
+def _unread(error: StoreError) -> LedgerReadError:
+    return LedgerReadError(f"the ledger can't be read: {error}; {STORE_ADVICE}")
+
+
+def entries_of(request_id: str, record: BudgetRecord) -> Iterator[dict[str, object]]:
+    """Yield what a budget's record holds about a request, as fields."""
+    packed = pack_request_id(request_id)
+    billed = record.usage(request_id)
+    if billed is not None:
+        yield {"billed": billed}
+    if packed in record.late_by_id:
+        yield {"billed": "late", "counted_as": "unexplained"}
+    claim = record.claims_by_id.get(packed)
+    if claim is None:
+        return
+    if claim.outcome is None:
+        yield {"claim": "open", "meaning": "may have run, will not run again"}
+    elif isinstance(claim.outcome, Ran):
+        yield {"claim": "ran", "tokens": claim.outcome.tokens}
+    else:
+        yield {"claim": "may_have_run", "reason": claim.outcome.reason}
 
 
 def open_grants_of(store: Store) -> OpenGrants:
@@ -60,23 +83,7 @@
         ledger = await read_ledger(store)
         if ledger.is_err():
             return None
-        lines = [ledger.unwrap()[key] for key in keys if key in ledger.unwrap()]
-        return sum(line.open_grants for line in lines)
+        records = [ledger.unwrap()[key] for key in keys if key in ledger.unwrap()]
+        return sum(record.granted for record in records)
 
     return open_grants
-
-
-def _decode_shard(data: bytes) -> Iterator[tuple[BudgetKey, BudgetLine]]:
-    from lavenderfold.budgets import LedgerShard
-
-    for key, record in LedgerShard.decode(data).records_by_key.items():
-        line = BudgetLine(
-            limit=record.limit,
-            settled=record.settled,
-            unexplained=record.unexplained,
-            open_grants=sum(grant.amount for grant in record.grants_by_id.values()),
-            available=record.available,
-            usage_by_id=record.usage_by_id,
-            claims_by_id=record.claims_by_id,
-        )
-        yield key, line
--- a/src/lavenderfold/ctl/_reports.py
+++ b/src/lavenderfold/ctl/_reports.py
@@ -1,10 +1,12 @@
 """The commands status, budget and explain."""
 
 import sys
+from datetime import UTC, datetime
 
+from lavenderfold.budgets import BudgetRecord
 from lavenderfold.config import FleetConfig, Revisions, merge_files
 from lavenderfold.ctl._errors import BadInputError, CommandError
-from lavenderfold.ctl._ledger import BudgetLine, read_ledger
+from lavenderfold.ctl._ledger import STORE_ADVICE, entries_of, read_ledger
 from lavenderfold.ctl._options import Options
 from lavenderfold.ctl._routers import (
     RouterStatus,
@@ -21,6 +23,10 @@
 
 async def status(options: Options) -> None:
     """Show the revision of every process, and the load of the targets."""
+    if options.arguments:
+        raise BadInputError(
+            f"status: expected no argument, got {options.arguments[0]!r}"
+        )
     if options.store is None and not options.routers:
         raise BadInputError(f"status: {NO_SOURCE}")
     faults = []
@@ -28,7 +34,7 @@
     if options.store is not None:
         head = await Revisions(store=Store(address=options.store)).head()
         if head.is_err():
-            faults.append(str(head.unwrap_err()))
+            faults.append(f"{head.unwrap_err()}; {STORE_ADVICE}")
         else:
             newest = head.unwrap().revision
             _print_pairs(store=options.store, revision=newest)
@@ -56,7 +62,7 @@
     store = Store(address=options.need_store())
     config = await _current_config(store)
     ledger = await read_ledger(store)
-    line_by_key = ledger.unwrap_or({})
+    record_by_key = ledger.unwrap_or({})
     limit_by_key = {
         BudgetKey(name, budget_name): item.limit
         for name, organisation in config.organisations.items()
@@ -64,15 +70,15 @@
     }
     keys = [
         key
-        for key in sorted(limit_by_key.keys() | line_by_key.keys())
+        for key in sorted(limit_by_key.keys() | record_by_key.keys())
         if wanted in (None, key.organisation)
     ]
     if wanted is not None and not keys and wanted not in config.organisations:
         known = ", ".join(sorted(config.organisations))
         raise BadInputError(f"budget: expected one of {known}, got {wanted!r}")
     for key in keys:
-        line = line_by_key.get(key)
-        _print_budget(key, limit_by_key.get(key), line, known=ledger.is_ok())
+        record = record_by_key.get(key)
+        _print_budget(key, limit_by_key.get(key), record, known=ledger.is_ok())
     _fail_if([str(ledger.unwrap_err())] if ledger.is_err() else [])
 
 
@@ -91,14 +97,14 @@
         for event in answer.unwrap_or([])
     ]
     for event in sorted(events, key=_event_time):
-        _print_pairs(**event)
+        _print_pairs(**{**event, "time": _time_text(event.get("time"))})
     found = len(events)
     if options.store is not None:
         ledger = await read_ledger(Store(address=options.store))
         found += _print_ledger_entries(request_id, ledger.unwrap_or({}))
         faults += [str(ledger.unwrap_err())] if ledger.is_err() else []
     if not found:
-        faults.append(f"request {request_id}: nothing is known about it")
+        faults.append(_not_found(options, request_id, is_partial=bool(faults)))
     _fail_if(faults)
 
 
@@ -109,7 +115,7 @@
     if head.is_ok():
         texts = await revisions.load(head.unwrap().revision)
     if texts.is_err():
-        raise CommandError(str(texts.unwrap_err()))
+        raise CommandError(f"{texts.unwrap_err()}; {STORE_ADVICE}")
     merged = merge_files(texts.unwrap())
     if merged.is_err():
         raise CommandError("\n".join(str(error) for error in merged.unwrap_err()))
@@ -145,37 +151,59 @@
 
 
 def _print_budget(
-    key: BudgetKey, limit: int | None, line: BudgetLine | None, *, known: bool
+    key: BudgetKey, limit: int | None, record: BudgetRecord | None, *, known: bool
 ) -> None:
-    if line is None:
+    if record is None:
         _print_pairs(budget=key, limit=limit, ledger="empty" if known else "unknown")
         return
     # Both limits show when they differ: the ledger takes a new one over soon.
     _print_pairs(
         budget=key,
         limit="removed" if limit is None else limit,
-        ledger_limit=line.limit if line.limit != limit else None,
-        settled=line.settled,
-        unexplained=line.unexplained,
-        open_grants=line.open_grants,
-        available=line.available,
+        ledger_limit=record.limit if record.limit != limit else None,
+        settled=record.settled,
+        unexplained=record.unexplained,
+        open_grants=record.granted,
+        holders=",".join(map(str, record.holders)) or None,
+        available=record.available,
     )
 
 
 def _print_ledger_entries(
-    request_id: str, line_by_key: dict[BudgetKey, BudgetLine]
+    request_id: str, record_by_key: dict[BudgetKey, BudgetRecord]
 ) -> int:
     found = 0
-    for key, line in sorted(line_by_key.items(), key=lambda item: item[0]):
-        if request_id in line.usage_by_id:
-            _print_pairs(ledger=key, billed=line.usage_by_id[request_id])
-            found += 1
-        if request_id in line.claims_by_id:
-            _print_pairs(ledger=key, claim=line.claims_by_id[request_id])
+    for key in sorted(record_by_key):
+        for fields in entries_of(request_id, record_by_key[key]):
+            _print_pairs(ledger=key, **fields)
             found += 1
     return found
 
 
+def _not_found(options: Options, request_id: str, *, is_partial: bool) -> str:
+    """Return what to do about a request that left no trace where it was sought."""
+    if is_partial:
+        advice = "repeat this when all that is named above answers"
+    elif options.store is None:
+        advice = "add --store to see whether it was billed or claimed"
+    elif not options.routers:
+        advice = "add --routers with all routers to see their decisions"
+    else:
+        advice = (
+            "routers keep decisions since their start and of a bounded number of "
+            "requests; search their logs for the id"
+        )
+    return f"request {request_id}: not found; {advice}"
+
+
+def _time_text(time: object) -> object:
+    """Return a time in seconds since the epoch as UTC in milliseconds."""
+    if not isinstance(time, int | float):
+        return time
+    moment = datetime.fromtimestamp(time, UTC)
+    return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
+
+
 def _event_time(event: dict[str, object]) -> tuple[bool, object]:
     """Return a sort key; numbers can't be compared with text."""
     time = event.get("time", 0)
--- a/src/lavenderfold/ctl/_routers.py
+++ b/src/lavenderfold/ctl/_routers.py
@@ -16,7 +16,8 @@
     """A router's status page can't be read."""
 
     def __init__(self, address: Address, cause: object):
-        super().__init__(f"router {address}: {cause}")
+        text = str(cause).removeprefix(f"{address}: ")
+        super().__init__(f"router {address}: {text}")
         self.address = address
 
 
@@ -46,6 +47,14 @@
     events: list[dict[str, object]]
 
 
+class _Fault(msgspec.Struct):
+    type: str
+
+
+class _ErrorAnswer(msgspec.Struct):
+    error: _Fault
+
+
 async def read_statuses(
     addresses: Sequence[Address],
 ) -> list[Result[RouterStatus, RouterReadError]]:
@@ -92,20 +101,30 @@
             return _body(address, await client.request(request))
         return Err(RouterReadError(address, f"no answer within {CALL_TIMEOUT_S:g} s"))
     except HttpClientError as error:
-        return Err(RouterReadError(address, error))
+        cause = f"{error}; check that it runs and that this is its operator_listen"
+        return Err(RouterReadError(address, cause))
     finally:
         await client.close()
 
 
 def _body(address: Address, response: HttpResponse) -> Result[bytes, RouterReadError]:
-    if response.status == 404:
+    if response.status == 404 and _is_unknown_request(response.body):
         # A router that never saw a request has no events for it.
         return Ok(b'{"events": []}')
     if response.status != 200:
-        return Err(RouterReadError(address, f"status {response.status}"))
+        cause = f"status {response.status}; expected the router's operator_listen"
+        return Err(RouterReadError(address, cause))
     return Ok(response.body)
 
 
+def _is_unknown_request(body: bytes) -> bool:
+    """Whether an operator page answered; the callers' address has other errors."""
+    try:
+        return msgspec.json.decode(body, type=_ErrorAnswer).error.type == "unknown"
+    except msgspec.DecodeError:
+        return False
+
+
 def _decode(address: Address, body: bytes, wanted: type):
     try:
         return Ok(msgspec.json.decode(body, type=wanted))
--- a/src/lavenderfold/router/_decisions.py
+++ b/src/lavenderfold/router/_decisions.py
@@ -4,6 +4,8 @@
 import time
 from collections import OrderedDict
 
+import msgspec
+
 from lavenderfold.logs import log_event
 
 EVENTS_PER_REQUEST_LIMIT = 64
@@ -11,6 +13,17 @@
 logger = logging.getLogger("lavenderfold.router")
 
 
+def outcome_fields(outcome: msgspec.Struct) -> dict[str, object]:
+    """Return the fields of an event that tell an outcome; tokens if it ran."""
+    ran = getattr(outcome, "outcome", outcome)
+    return {
+        "outcome": type(outcome).__name__,
+        "tokens": getattr(ran, "tokens", None),
+        "reason": getattr(outcome, "reason", None),
+        "detail": getattr(outcome, "detail", None) or None,
+    }
+
+
 class Decisions:
     """Logs decisions and keeps those of the last ``limit`` requests."""
 
@@ -22,9 +35,11 @@
         """Log an event of a request and keep it."""
         log_event(logger, event, request_id=request_id, **fields)
         events = self._events_by_id.setdefault(request_id, [])
-        if len(events) < EVENTS_PER_REQUEST_LIMIT:
-            kept = {name: value for name, value in fields.items() if value is not None}
-            events.append({"time": time.time(), "event": event, **kept})
+        if len(events) >= EVENTS_PER_REQUEST_LIMIT:
+            # The first event tells what was asked, the last ones how it ended.
+            del events[1]
+        kept = {name: value for name, value in fields.items() if value is not None}
+        events.append({"time": time.time(), "event": event, **kept})
         while len(self._events_by_id) > self._limit:
             self._events_by_id.popitem(last=False)
 
--- a/src/lavenderfold/router/_life.py
+++ b/src/lavenderfold/router/_life.py
@@ -11,6 +11,7 @@
 from lavenderfold.router._agents import AgentUnreachableError
 from lavenderfold.router._answers import AnswerPipe, Assembler, Relayed
 from lavenderfold.router._attempt import Attempt
+from lavenderfold.router._decisions import outcome_fields
 from lavenderfold.router._refusals import AlreadyRan
 from lavenderfold.router._requests import CallerRequest
 from lavenderfold.router._services import Services
@@ -76,6 +77,7 @@
             "admitted",
             route=request.route_name,
             organisation=request.organisation,
+            budget=str(request.key.budget),
             worst_case=request.worst_case,
         )
         self._services.metrics.incr("admitted")
@@ -84,7 +86,7 @@
             self._record("refused", reason=outcome.reason, detail=outcome.detail)
             self._services.metrics.incr(f"refused.{outcome.reason}")
         else:
-            self._record("ended", outcome=type(outcome).__name__, target=self.target)
+            self._record("ended", target=self.target, **outcome_fields(outcome))
         self._finish(outcome)
 
     def fail(self, outcome: MayHaveRun) -> None:
@@ -132,7 +134,7 @@
             request.key, self._claimant, deadline=self._deadline
         )
         if refusal is not None:
-            self._record("claim_refused", outcome=type(refusal).__name__)
+            self._record("claim_refused", **outcome_fields(refusal))
             return AlreadyRan(refusal) if isinstance(refusal, Ran) else refusal
         outcome = await self._attempt_all()
         if isinstance(outcome, NotRun):
@@ -158,6 +160,12 @@
                 outcome = await self._attempt(choice, turn)
                 if isinstance(outcome, Ran):
                     return outcome
+                self._record(
+                    "attempt_failed",
+                    target=choice.target,
+                    attempt=self.attempts,
+                    **outcome_fields(outcome),
+                )
                 avoid.add(choice.target)
             if isinstance(outcome, MayHaveRun):
                 unknown = outcome
