--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -10,12 +10,20 @@
 import trio
 from result import Err, Ok
 
+from lavenderfold.budgets import (
+    BudgetRecord,
+    ClaimEntry,
+    OpenedGrant,
+    UsageEntry,
+    pack_request_id,
+)
 from lavenderfold.ctl import _changes, _reports
 from lavenderfold.ctl.__main__ import main
-from lavenderfold.ctl._ledger import BudgetLine, LedgerReadError, read_ledger
+from lavenderfold.ctl._ledger import LedgerReadError, read_ledger
 from lavenderfold.http import json_response, serve
 from lavenderfold.identifiers import BudgetKey
-from lavenderfold.settings import Address
+from lavenderfold.outcomes import Ran
+from lavenderfold.settings import Address, parse_address
 from lavenderfold.store import Store
 from standins.config_store import ConfigStore
 
@@ -23,14 +31,18 @@
 ANY_PORT = Address(host="127.0.0.1", port=0)
 REQUEST_ID = "019b0000-0000-7000-8000-000000000001"
 KEY = BudgetKey("big-coulee-park", "main")
-LINE = BudgetLine(
+RAN = Ran(tokens=90, length=1, digest="")
+LINE = BudgetRecord(
     limit=40_000_000,
     settled=100,
     unexplained=1,
-    open_grants=500,
-    available=39_999_399,
-    usage_by_id={REQUEST_ID: 90},
-    claims_by_id={REQUEST_ID: "finished"},
+    grants_by_id={"4-1": OpenedGrant(4, 500)},
+    usage_by_id={pack_request_id(REQUEST_ID): UsageEntry(90, 0)},
+    claims_by_id={
+        pack_request_id(REQUEST_ID): ClaimEntry(
+            "run", Ran(tokens=90, length=1, digest="")
+        )
+    },
 )
 
 
@@ -252,7 +264,7 @@
     assert ctl("budget", "big-coulee-park", at) == (
         0,
         "budget=big-coulee-park/main limit=40000000 settled=100 unexplained=1 "
-        "open_grants=500 available=39999399\n",
+        "open_grants=500 holders=4 available=39999399\n",
         "",
     )
     code, out, _ = ctl("budget", at)
@@ -273,7 +285,7 @@
     """An unknown ledger must not be shown as one without open grants."""
 
     async def read():
-        client = Store(address=Address("127.0.0.1", int(store.address[10:])))
+        client = Store(address=parse_address(store.address))
         empty = await read_ledger(client)
         await client.put("ledger/0000", b"\xc1", version=0)
         return empty, await read_ledger(client)
@@ -344,11 +356,11 @@
     code, out, _ = ctl("explain", REQUEST_ID, *words)
     assert code == 0
     assert out.splitlines() == [
-        f"time=1 event=admitted router={routers[1]}",
-        f"time=2 event=sent target=prairie-model-1 router={routers[0]}",
-        f"time=10 event=ended router={routers[1]}",
+        f"time=1970-01-01T00:00:01.000Z event=admitted router={routers[1]}",
+        f"time=1970-01-01T00:00:02.000Z event=sent target=prairie-model-1 router={routers[0]}",
+        f"time=1970-01-01T00:00:10.000Z event=ended router={routers[1]}",
         "ledger=big-coulee-park/main billed=90",
-        "ledger=big-coulee-park/main claim=finished",
+        "ledger=big-coulee-park/main claim=ran tokens=90",
     ]
     ledger(Ok({}))
     unknown = REQUEST_ID[:-1] + "2"
