Wake runs that wait for their agent's link when it's back

Cause: a run that lost its link waits for AgentLink.up, but _run_once and every failed connection replaced that event by a new one. The waiter kept the old one, which nothing sets, so that each run waited its whole relink time (3 s, or 15 s if it may not repeat) and then ended as may have run, even when the agent was back after half a second and knew the answer. Found by the test of a killed agent: link back at 40.588, sign-off answered at 55.078.

Ruled out: an agent that doesn't answer the resumption; none was sent.

Change: the event is replaced only once it's set. As a link that breaks at each resumption would then hold a run up until its deadline (the router test for a lost link got 504 for 502), losses without a message about the run in between share one relink wait.

--- a/src/lavenderfold/router/_agents.py
+++ b/src/lavenderfold/router/_agents.py
@@ -147,7 +147,6 @@
                 await trio.sleep(backoff_s(failures, random.random()))
 
     async def _run_once(self) -> bool:
-        self.up = trio.Event()
         self._link = connect(
             address=self.target.agent,
             message_type=ToRouter,
@@ -187,7 +186,8 @@
     def _lose(self) -> None:
         if self.up.is_set():
             log_event(logger, "agent_link_lost", target=self.name)
-        self.up = trio.Event()
+            # Replaced only once set: runs may be waiting for it since a loss.
+            self.up = trio.Event()
         self._handlers.lost(self.name)
         for sink in list(self._sink_by_run_id.values()):
             sink.on_link_lost()
--- a/src/lavenderfold/router/_attempt.py
+++ b/src/lavenderfold/router/_attempt.py
@@ -39,6 +39,7 @@
         self._link = link
         self._pipe = pipe
         self._relink_wait_s = relink_wait_s
+        self._relink_until: float | None = None
         self._names = [run_id]
         self._changed = trio.Event()
         self._is_lost = False
@@ -51,7 +52,7 @@
         pass
 
     def on_frame(self, frame: Frame) -> None:
-        self.is_found.set()
+        self._note_found()
         if not self._pipe.has_room(len(frame.data)):
             self._is_stalled = True
             self._wake()
@@ -62,7 +63,7 @@
             self._wake()
 
     def on_ended(self, ended: RunEnded) -> None:
-        self.is_found.set()
+        self._note_found()
         self.ended = ended
         self._wake()
 
@@ -127,8 +128,14 @@
         return None
 
     async def _relink(self) -> bool:
-        """Wait for the link to come back and resume; returns whether it did."""
-        with trio.move_on_after(self._relink_wait_s):
+        """Wait for the link to come back and resume; returns whether it did.
+
+        Losses without a message about the run in between share one wait, so that
+        a link that breaks again and again doesn't hold the run up without end.
+        """
+        if self._relink_until is None:
+            self._relink_until = trio.current_time() + self._relink_wait_s
+        with trio.move_on_at(self._relink_until):
             while True:
                 await self._link.up.wait()
                 self._is_lost = False
@@ -171,5 +178,9 @@
         self._link.attach(subscription, self)
         return True
 
+    def _note_found(self) -> None:
+        self.is_found.set()
+        self._relink_until = None
+
     def _wake(self) -> None:
         self._changed.set()
--- a/tests/fault_support.py
+++ b/tests/fault_support.py
@@ -51,7 +51,13 @@
 POLL_S = 0.02
 # A dead router is known after its lease and one more; the usual 15 s would make
 # a test wait for half a minute.
-ROUTER_LIMITS = {"member_lease_s": 1.5, "reclaim_period_s": 0.25}
+# A router that waits for a lost link to the end, in place of noticing that it's
+# back, waits longer than any test does.
+ROUTER_LIMITS = {
+    "member_lease_s": 1.5,
+    "reclaim_period_s": 0.25,
+    "relink_wait_once_s": 90.0,
+}
 
 
 def write_configuration(
@@ -288,7 +294,8 @@
     await in_thread(fleet[router].wait_ready)
     await in_thread(fleet.wait_in_effect)
     await wait_until(
-        lambda: status(fleet, router)["incarnation"] > 0, f"{router} is registered"
+        lambda: status(fleet, router).get("incarnation", 0) > 0,
+        f"{router} is registered",
     )
     return status(fleet, router)["incarnation"]
 
--- a/tests/test_faults_answers.py
+++ b/tests/test_faults_answers.py
@@ -2,6 +2,7 @@
 
 import trio
 from fault_support import (
+    PROCESS_START_S,
     SLOW_FACTOR,
     Callers,
     in_thread,
@@ -128,8 +129,10 @@
             fleet["log-1-agent"].start()
             await in_thread(fleet["log-1-agent"].wait_ready)
             await in_thread(set_speed, fleet, 1.0)
+            # The agent that is back knows of no run, which ends the wait for it.
+            with trio.fail_after(PROCESS_START_S):
+                signed = await signing.wait_finished()
             asked = await asking.wait_finished()
-            signed = await signing.wait_finished()
         assert [each.outcome for each in signed] == [CallOutcome.MAY_HAVE_RUN]
         assert sign_offs(fleet) <= 1
         evidence = await callers.judge(asked + signed, {})
--- a/tests/test_faults_money.py
+++ b/tests/test_faults_money.py
@@ -177,8 +177,8 @@
 
 def knows_cut(fleet, router: str, far_target: str) -> bool:
     """Return whether a router has noticed that it can't reach a far target."""
-    targets = status(fleet, router)["targets"]
-    return all(
+    targets = status(fleet, router).get("targets")
+    return bool(targets) and all(
         not each["connected"] for each in targets if each["target"] == far_target
     )
 
@@ -206,7 +206,7 @@
         assert (await callers.budget()).charged <= SMALL_LIMIT_TOKENS
         await in_thread(apply_top_up, fleet)
         await wait_until(
-            lambda: status(fleet, WEST)["revision"] == fleet.revision,
+            lambda: status(fleet, WEST).get("revision") == fleet.revision,
             "the top-up is in effect in the store's region",
             timeout_s=FEW_SECONDS,
         )
