--- a/tests/test_faults_money.py
+++ b/tests/test_faults_money.py
@@ -34,6 +34,9 @@
 
 FIRST, SECOND = "router-west-1", "router-west-2"
 STREAMS = 4
+WEST, EAST = "router-west-1", "router-east-1"
+SMALL_LIMIT_TOKENS = 6000
+TOP_UP_TOKENS = 3000
 
 
 async def finish_streams(fleet, playing: Playing) -> list:
@@ -161,11 +164,6 @@
         trio.run(play, fleet)
 
 
-WEST, EAST = "router-west-1", "router-east-1"
-SMALL_LIMIT_TOKENS = 6000
-TOP_UP_TOKENS = 3000
-
-
 def apply_top_up(fleet) -> None:
     """Apply a file that adds a payment to the budget."""
     prepaid = {"prepaid": {"second": TOP_UP_TOKENS}}
