Refuse for money only when the ledger lists no open grant

Cause: a router took a budget for spent when no other router held a grant and none of its own runs was open. Its own settlement or hand-back could still be on its way, so that the refusal was false. Ruled out: slowness of the machine; with waits of 60 s the accounting test still got 39 of 40 answers after 2.4 s, long before the deadline. Change: a refusal before the deadline needs a ledger answer without holders. The test's waits no longer depend on the machine's speed, and it now demands all 40 answers instead of 38.

--- a/src/lavenderfold/router/_grants.py
+++ b/src/lavenderfold/router/_grants.py
@@ -1,7 +1,7 @@
 """The router's money: reservations from grants, orders, loans, hand-backs."""
 
 import logging
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Callable
 
 import msgspec
@@ -81,7 +81,6 @@
         )
         self._need_by_key: dict[BudgetKey, Need] = {}
         self._limit_revision_by_key: dict[BudgetKey, int] = {}
-        self._open_reservations: Counter[BudgetKey] = Counter()
         self._held_by_run_id: dict[str, HeldReservation] = {}
         self._reported_by_run_id: OrderedDict[str, int] = OrderedDict()
 
@@ -123,7 +122,7 @@
                 reservation = self._try(request, tokens)
                 if reservation is not None:
                     return reservation
-                if self._is_spent_for_good(request.budget, need, refusals):
+                if self._is_spent_for_good(need, refusals):
                     return self._refusal(need)
                 if self._timers.now() >= deadline:
                     return self._refusal(need)
@@ -245,15 +244,9 @@
 
     def _try(self, request: RequestKey, tokens: int) -> Reservation | None:
         key, now = request.budget, self._timers.now()
-        reservation = self.pool.reserve(key, request.request_id, tokens, now=now)
-        if reservation is not None:
-            self._open_reservations[key] += 1
-        return reservation
+        return self.pool.reserve(key, request.request_id, tokens, now=now)
 
     def _release(self, key: BudgetKey) -> None:
-        self._open_reservations[key] -= 1
-        if self._open_reservations[key] <= 0:
-            del self._open_reservations[key]
         need = self._need(key)
         need.wake()
         if not need.waiting:
@@ -266,12 +259,13 @@
         organisation = self._config().organisations.get(key.organisation)
         return organisation.budgets.get(key.budget) if organisation else None
 
-    def _is_spent_for_good(self, key: BudgetKey, need: Need, refusals: int) -> bool:
+    def _is_spent_for_good(self, need: Need, refusals: int) -> bool:
         """Return whether no tokens can come back from any open grant."""
         if need.spent is None or need.refusals == refusals:
             return False
-        others = [each for each in need.spent.holders if each != self.pool.incarnation]
-        return not others and not self._open_reservations[key]
+        # The ledger's answer lists this router too while its runs, settlements or
+        # hand-backs are on their way; the pool alone doesn't show all of those.
+        return not need.spent.holders
 
     def _refusal(self, need: Need) -> NotRun:
         if need.spent is not None:
--- a/tests/router_fleet.py
+++ b/tests/router_fleet.py
@@ -76,7 +76,7 @@
         failure_domains={"f1": FailureDomain(region="west")},
         request_classes={
             "quick": RequestClass(priority=0, wait_s=wait_s, run_s=10.0),
-            "long": RequestClass(priority=1, wait_s=5.0, run_s=10.0),
+            "long": RequestClass(priority=1, wait_s=max(wait_s, 5.0), run_s=10.0),
         },
         routes={
             **(make_model_routes() if has_model else {}),
--- a/tests/test_router_money.py
+++ b/tests/test_router_money.py
@@ -237,16 +237,18 @@
 
     async def check(fleet: Fleet):
         second = await start_second(fleet)
-        statuses = []
+        statuses, refusals = [], []
 
         async def call(router: Router, model: str):
-            statuses.append((await ask(fleet, router, model)).status)
+            response = await ask(fleet, router, model)
+            statuses.append(response.status)
+            refusals.extend([response.body] if response.status != 200 else [])
 
         async with trio.open_nursery() as nursery:
             for number in range(40):
                 router = (fleet.router, second)[number % 2]
                 nursery.start_soon(call, router, ("ask", "summary")[number % 3 == 0])
-        assert statuses.count(200) >= 40 - 2
+        assert refusals == []
         for router in (fleet.router, second):
             router.drain()
             with trio.fail_after(10):
@@ -254,4 +256,5 @@
         record = fleet.record()
         assert record.settled == record.charged == 20 * statuses.count(200)
 
-    run_fleet(check, *agents, prepaid=1000)
+    # Waits are far longer than the runs take, so that a slow machine doesn't decide.
+    run_fleet(check, *agents, prepaid=1000, wait_s=60.0)
