Wait until an exiting router's hand-backs are durable

Cause: an exiting router gave each hand-back one second. Ruled out: the fence and the reclaim; settled and unexplained were right. Change: hand_back_everything repeats until each hand-back is confirmed, within the drain limit.

--- a/src/lavenderfold/budgets/_pool.py
+++ b/src/lavenderfold/budgets/_pool.py
@@ -237,6 +237,11 @@
         if account is not None:
             account.hand_backs.pop(hand_back.hand_back_id, None)
 
+    def awaits_confirmation(self, key: BudgetKey) -> bool:
+        """Return whether a hand-back of the budget isn't known to be durable."""
+        account = self._accounts.get(key)
+        return account is not None and bool(account.hand_backs)
+
     def lend(self, key: BudgetKey, tokens: int, loan_id: str) -> Loan:
         """Lend up to ``tokens`` of one own grant; zero if there are none.
 
--- a/src/lavenderfold/router/_grants.py
+++ b/src/lavenderfold/router/_grants.py
@@ -240,7 +240,7 @@
     async def _give_up(self, key: BudgetKey) -> None:
         """Return the loans of a budget and hand back all of its free tokens."""
         self._peers.return_loans(self.pool.return_loans(key))
-        await self.hand_backs.hand_back_free(key)
+        await self.hand_backs.hand_back_all(key)
 
     def _try(self, request: RequestKey, tokens: int) -> Reservation | None:
         key, now = request.budget, self._timers.now()
--- a/src/lavenderfold/router/_hand_backs.py
+++ b/src/lavenderfold/router/_hand_backs.py
@@ -14,6 +14,8 @@
 
 # A hand-back that isn't durable by then is passed on again later by the pool.
 HAND_BACK_WAIT_S = 1.0
+# Hand-backs of an exiting router that got no answer are repeated by the pool.
+HAND_BACK_POLL_S = 0.1
 # How long a holder that had nothing free remembers that others need tokens.
 PRESSED_S = 2.0
 
@@ -67,6 +69,18 @@
             await self._write(due)
         return sum(hand_back.tokens for hand_back in due)
 
+    async def hand_back_all(self, key: BudgetKey) -> None:
+        """Hand back all free tokens and wait until each hand-back is durable."""
+        budget = self._budget(key) or Budget(prepaid={})
+        async with self._writing:
+            while True:
+                now = self._timers.now()
+                due = self._pool.surplus(key, budget=budget, now=now, pressed=True)
+                await self._write(due, timeout_s=None)
+                if not self._pool.awaits_confirmation(key):
+                    return
+                await trio.sleep(HAND_BACK_POLL_S)
+
     def press(self, key: BudgetKey, report: Report) -> None:
         """Hand back for another router what is free now, and what is free soon.
 
@@ -89,13 +103,15 @@
         for report in reports:
             report(tokens)
 
-    async def _write(self, due: list[HandBack]) -> None:
+    async def _write(
+        self, due: list[HandBack], *, timeout_s: float | None = HAND_BACK_WAIT_S
+    ) -> None:
         async with trio.open_nursery() as nursery:
             for hand_back in due:
-                nursery.start_soon(self._write_one, hand_back)
+                nursery.start_soon(self._write_one, hand_back, timeout_s)
 
-    async def _write_one(self, hand_back: HandBack) -> None:
-        result = await self._ledger.submit(hand_back, timeout_s=HAND_BACK_WAIT_S)
+    async def _write_one(self, hand_back: HandBack, timeout_s: float | None) -> None:
+        result = await self._ledger.submit(hand_back, timeout_s=timeout_s)
         log_event(
             logger,
             "grant_handed_back",
