Don't refuse a burst at targets whose rate isn't measured yet

Ruled out: a higher floor, which only moves the size of the burst. Change: the wait limit applies to targets with a measured rate only; for others the wait still ranks them. A test fails on the code before.

--- a/src/lavenderfold/routing/_choice.py
+++ b/src/lavenderfold/routing/_choice.py
@@ -88,6 +88,16 @@
     return NotRun(Reason.NO_TARGET, "no target of the route is reachable")
 
 
+def _is_within(view: LoadView, candidate: Candidate, request: RouteRequest) -> bool:
+    """Return whether the target isn't known to start the request too late.
+
+    The wait of a target whose rate isn't measured yet is only a guess that ranks
+    it. Refusing by that guess turned away bursts at targets that had just started.
+    """
+    load = view.load(candidate.target)
+    return not load.is_rate_measured or load.wait_s() <= request.wait_limit_s
+
+
 def _rendezvous_score(target: str, key: int) -> int:
     return xxhash.xxh64_intdigest(target.encode(), seed=key)
 
@@ -153,11 +163,7 @@
     usable = _usable(view, candidates, request, now)
     if isinstance(usable, NotRun):
         return usable
-    within = [
-        each
-        for each in usable
-        if view.load(each.target).wait_s() <= request.wait_limit_s
-    ]
+    within = [each for each in usable if _is_within(view, each, request)]
     if not within:
         return NotRun(
             Reason.OVERLOADED, f"no target starts within {request.wait_limit_s:g} s"
--- a/src/lavenderfold/routing/_load.py
+++ b/src/lavenderfold/routing/_load.py
@@ -71,6 +71,11 @@
         """Slots of the engine that no run takes; negative when runs wait."""
         return (self.latest.slots if self.latest else 0) - self.outstanding
 
+    @property
+    def is_rate_measured(self) -> bool:
+        """Whether the target's rate is known; one that just started has none."""
+        return self.best_rate >= LEAST_TOKENS_PER_S
+
     def wait_s(self) -> float:
         """Return the expected time until the target starts one more run."""
         if self.latest is None or self.free_slots > 0:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -316,3 +316,21 @@
     assert longer[: len(prefix_hashes(prompt))] == prefix_hashes(prompt)
     assert prefix_hashes(prompt) == prefix_blocks(prompt)
     assert prefix_hashes("c " + prompt)[:1] != prefix_hashes(prompt)[:1] or not longer
+
+
+def test_burst_at_targets_that_just_started_is_not_refused():
+    """Without a measured rate the expected wait is a guess, not a reason to refuse."""
+    idle = make_report(tokens_per_s=0.0)
+    view, candidates = build_fleet([("west", (idle, 0.0))] * 2)
+    request = RouteRequest(region="west", wait_limit_s=30.0)
+    for number in range(64):
+        choice = choose_target(view, candidates, request, now=0.1)
+        assert isinstance(choice, Choice), choice
+        view.sent(choice.target, f"r{number}", tokens=600, now=0.1)
+    view.report("t0", make_report(tokens_per_s=400.0), now=0.2)
+    view.report("t1", make_report(tokens_per_s=400.0), now=0.2)
+    full = make_report(running=8, queued=24, queued_tokens=24 * 600)
+    for candidate in candidates:
+        view.report(candidate.target, full, now=0.4)
+    refused = choose_target(view, candidates, request, now=0.4)
+    assert refused.reason is Reason.OVERLOADED
