Hand back a grant that opens after its incarnation was fenced

Cause: an order under way when its router was fenced can open a grant after the reclaim. Ruled out: searching once more at the new registration alone; the order can commit after that search, since the ledger client retries it for seconds. Change: the answer to such an order is followed by a hand-back of the whole grant, which is safe because no run was ever paid by it.

--- a/src/lavenderfold/router/_grants.py
+++ b/src/lavenderfold/router/_grants.py
@@ -13,6 +13,7 @@
     GrantOpened,
     GrantOrder,
     GrantPool,
+    HandBack,
     LedgerClient,
     OpenGrant,
     Reservation,
@@ -328,6 +329,14 @@
             nursery.cancel_scope.cancel()
         self._log_order(operation, result)
         match result:
+            case GrantOpened(amount=amount) if (
+                operation.holder != self.pool.incarnation
+            ):
+                # Opened for an incarnation that was fenced meanwhile: the pool
+                # doesn't take it, so no run was ever paid by it.
+                unused_id = f"{order.grant_id}-unused"
+                unused = HandBack(order.key, order.grant_id, unused_id, amount)
+                await self._ledger.submit(unused)
             case GrantOpened(amount=amount, available=available):
                 self.pool.add_grant(
                     order.key, order.grant_id, amount, available=available
