--- a/src/lavenderfold/agent/_fencing.py
+++ b/src/lavenderfold/agent/_fencing.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from lavenderfold.members import FenceGate, MemberRecord
+
 MEMBER_KEY = "members/routers"
 
 
@@ -72,8 +74,5 @@
 
 def open_gate(data: bytes | None) -> Gate:
     """Return the gate for the stored member record; None stands for a missing key."""
-    # Imported here so that the agent's other code doesn't depend on the package.
-    from lavenderfold.members import FenceGate, MemberRecord
-
     record = MemberRecord() if data is None else MemberRecord.decode(data)
     return FenceGate(record)
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -99,7 +99,7 @@
                 version = 0
             assert values.version("k") == version
         except Exception as error:
-            assert error.actual == version != claimed  # noqa: PT017
+            assert error.actual == version != claimed
 
 
 def test_lapsed_lease_deletes_its_keys():
