Test the budget decisions with a state machine and repeated batches

Cause: the decisions had example tests only. A trial with many writers of one shard showed that conflicting writers retry too fast. Ruled out: asserting that no false refusal occurs at all; one is legitimate during a cut or when a class's waiting time has passed. They are counted, and one is an error only if all routers can be asked and the money is at hand. Change: RuleBasedStateMachine over GrantPool, FenceGate, MemberRecord, ReclaimPlan and apply; a property that a batch repeated after other writers' operations changes nothing; tests of the pool, members and the client in virtual time. Reclaim and WriteOff of an unknown grant answer GrantMissing. The pause after a conflict doubles up to 1 s. A bill takes 25 bytes in the shard; 35,000 bills make 875 kB, decoded in 9 ms to 6.1 MB. Many writers of one shard need a window of several seconds or budgets split over shards.

--- a/src/lavenderfold/budgets/_apply.py
+++ b/src/lavenderfold/budgets/_apply.py
@@ -48,8 +48,9 @@
 # Every record of the shard is searched for old entries, which is too slow for
 # each commit of a full shard.
 FORGET_INTERVAL_S = 600.0
-# A grant closed with nothing to settle needs to be known only as long as a lost
-# response may make its holder open it again.
+# A closed grant from which nothing was written off is remembered only for the
+# repeats of its OpenGrant. One that comes later opens it again, and its tokens
+# stay set aside until the holder hands them back or is fenced once more.
 CLOSED_GRANT_S = 3600.0
 GRANT_TAG_BITS = 16
 
@@ -271,7 +272,7 @@
 def _(operation: Reclaim, record: BudgetRecord, context: _Context) -> OperationResult:
     grant = record.grants_by_id.get(operation.grant_id)
     if grant is None:
-        return Done()
+        return _closed_or_missing(operation.grant_id, record)
     fenced = OpenedGrant(grant.holder, grant.amount, True, grant.hand_back_ids)
     amount = min(grant.amount, operation.keep)
     _resize(operation.grant_id, fenced, amount, record, context)
@@ -282,7 +283,7 @@
 def _(operation: WriteOff, record: BudgetRecord, context: _Context) -> OperationResult:
     grant = record.grants_by_id.pop(operation.grant_id, None)
     if grant is None:
-        return Done()
+        return _closed_or_missing(operation.grant_id, record)
     record.unexplained += grant.amount
     record.closed_by_id[operation.grant_id] = ClosedGrant(
         int(context.now), grant.amount, grant.hand_back_ids
@@ -332,6 +333,10 @@
     return Done()
 
 
+def _closed_or_missing(grant_id: str, record: BudgetRecord) -> OperationResult:
+    return Done() if grant_id in record.closed_by_id else GrantMissing()
+
+
 def _grant_tag(grant_id: str) -> int:
     return xxhash.xxh32_intdigest(grant_id.encode()) >> (32 - GRANT_TAG_BITS)
 
--- a/src/lavenderfold/budgets/_client.py
+++ b/src/lavenderfold/budgets/_client.py
@@ -37,10 +37,11 @@
 MAX_BATCH_OPERATIONS = 512
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 5.0
-CONFLICT_PAUSE_S = 0.02
-# Shards kept decoded save the read before a write; memory is bounded by the
-# size of their encoded values.
-CACHE_BYTES = 4_000_000
+FIRST_CONFLICT_PAUSE_S = 0.02
+LONGEST_CONFLICT_PAUSE_S = 1.0
+# Shards kept decoded save the read before a write, and take seven times the
+# memory of their values: 6.1 MB for a value of 875 kB with 35,000 bills.
+CACHE_BYTES = 1_000_000
 
 logger = logging.getLogger(__name__)
 
@@ -198,15 +199,14 @@
         self._trim_cache(number)
 
     async def _commit(self, state: _ShardState, batch: list[_Pending]) -> None:
-        pause_s = FIRST_PAUSE_S
+        pause_s, conflict_pause_s = FIRST_PAUSE_S, FIRST_CONFLICT_PAUSE_S
         while batch:
             written = await self._attempt(state, batch)
             if written.is_ok():
                 return
-            error = written.unwrap_err()
-            if isinstance(error, ConflictError):
-                await trio.sleep(random.uniform(0, CONFLICT_PAUSE_S))
-                pause_s = FIRST_PAUSE_S
+            if isinstance(written.unwrap_err(), ConflictError):
+                await trio.sleep(random.uniform(0, conflict_pause_s))
+                conflict_pause_s = min(LONGEST_CONFLICT_PAUSE_S, conflict_pause_s * 2)
             else:
                 await trio.sleep(random.uniform(pause_s / 2, pause_s))
                 pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
@@ -258,7 +258,7 @@
         if fetched.is_err():
             return fetched
         shard, version, size = fetched.unwrap()
-        # Nobody else wrote since, so that the next batch can skip its read.
+        # Another version than that of the last write means that others are active.
         state.read_first = version != state.version
         state.shard, state.version, state.size = shard, version, size
         return Ok(None)
--- a/src/lavenderfold/budgets/_pool.py
+++ b/src/lavenderfold/budgets/_pool.py
@@ -148,7 +148,7 @@
         account = self._account(key)
         account.end_order(grant_id, available)
         account.unmet = None
-        if grant_id in self._ended:
+        if grant_id in self._ended or self.incarnation in self._fenced:
             return
         self._remember_end(grant_id)
         if amount > 0:
--- a/src/lavenderfold/budgets/_records.py
+++ b/src/lavenderfold/budgets/_records.py
@@ -41,7 +41,7 @@
     hand_back_ids: list[str] = msgspec.field(default_factory=list)
 
 
-class UsageEntry(msgspec.Struct, frozen=True, array_like=True):
+class UsageEntry(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """The bill of one request. ``grant_tag`` tells repeats from duplicates."""
 
     tokens: int
--- a/tests/test_budget_machine.py
+++ b/tests/test_budget_machine.py
@@ -1,9 +1,12 @@
 """A state machine over the budget decisions, with the faults of section 1.4."""
 
+import sys
+
 from hypothesis import event, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from tests.fleet_model import BUDGET, KEY, Agent, Fleet, Router
+from tests.fleet_model import Fleet
+from tests.fleet_processes import BUDGET, KEY, Agent, Router
 
 INDEX = st.integers(0, 5)
 TOKENS = st.sampled_from([4, 8, 12, 20, 40])
@@ -105,11 +108,14 @@
             router.hand_back(pressed=pressed)
             router.commit(fault=fault)
 
-    @rule(index=INDEX, number=INDEX, tokens=TOKENS, repeated=st.booleans())
-    def lend(self, index, number, tokens, repeated):
-        lender, borrower = self.router(index), self.router(number)
-        if lender is None or lender is borrower:
+    @rule(number=INDEX, tokens=TOKENS, repeated=st.booleans())
+    def lend(self, number, tokens, repeated):
+        active = [router for router in self.fleet.routers if router.active]
+        if len(active) < 2:
             return
+        lender = max(active, key=lambda router: router.pool.free(KEY))
+        active.remove(lender)
+        borrower = pick(active, number)
         if self.fleet.connected(lender.region, borrower.region):
             loan_id = f"loan-{self.fleet.next_number()}"
             for _ in range(2 if repeated else 1):
@@ -142,7 +148,7 @@
         elif what != "kill":
             self.fleet.restart_agent(agent)
 
-    @rule(what=st.sampled_from(["store down", "cut", "heal", "heal"]))
+    @rule(what=st.sampled_from(["store down", "cut", "heal", "heal", "heal"]))
     def change_network(self, what):
         self.fleet.store_up = what != "store down"
         self.fleet.cut = what == "cut"
@@ -157,8 +163,10 @@
     @rule(index=INDEX, by=INDEX, fault=FAULT, asked=ASKED)
     def reclaim(self, index, by, fault, asked):
         """The lease of a router lapsed: it's dead, paused or only slow."""
-        router = pick(self.fleet.routers, index)
-        self.fleet.start_reclaim(router.pool.incarnation)
+        holders = self.fleet.record.holders
+        if not holders:
+            return
+        self.fleet.start_reclaim(pick(holders, index))
         self.continue_reclaim(len(self.fleet.plans) - 1, by, fault, asked)
 
     @precondition(lambda self: self.fleet.plans)
@@ -181,6 +189,9 @@
 
     def teardown(self):
         """End all faults, let everything finish, then check bills and grants."""
+        if sys.exc_info()[0] is not None:
+            # A step failed; a second error from here would only hide the first.
+            return
         fleet = self.fleet
         event("false refusals", min(fleet.false_refusals, 5))
         fleet.store_up, fleet.cut = True, False
@@ -197,5 +208,5 @@
 
 TestBudgetMachine = BudgetMachine.TestCase
 TestBudgetMachine.settings = settings(
-    max_examples=400, stateful_step_count=30, derandomize=True, deadline=None
+    max_examples=1000, stateful_step_count=30, derandomize=True, deadline=None
 )
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -4,6 +4,8 @@
 
 import pytest
 import trio
+import trio.testing
+from hypothesis import given, settings, strategies as st
 
 from lavenderfold.budgets import (
     AlreadySettled,
@@ -18,6 +20,7 @@
     GrantOpened,
     HandBack,
     LedgerClient,
+    LedgerFullError,
     LedgerShard,
     OpenGrant,
     Reclaim,
@@ -158,6 +161,18 @@
     assert amounts(shard) == (0, 0, 30)
 
 
+def test_hand_back_is_counted_once():
+    """A second count would free tokens that the holder still spends."""
+    shard, results = run(
+        HandBack(KEY, "g", "1", 20),
+        HandBack(KEY, "g", "2", 5),
+        HandBack(KEY, "g", "1", 20),
+        shard=open_budget(),
+    )
+    assert results == [Done()] * 3
+    assert amounts(shard) == (0, 0, 25)
+
+
 def test_closed_grant_is_not_opened_by_a_repeat():
     """The holder's response was lost and the grant reclaimed meanwhile."""
     shard, results = run(
@@ -238,7 +253,9 @@
 
 
 def run_client(store, use, **options):
-    trio.run(partial(with_client, store, use, **options))
+    # Virtual time, so that no test depends on the speed of the machine.
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(partial(with_client, store, use, **options), clock=clock)
 
 
 def stored(store: MemoryStore) -> LedgerShard:
@@ -318,8 +335,9 @@
     run_client(store, use, clients=2)
 
 
-def test_outage_ends_in_an_error_or_in_the_write():
+def test_outage_ends_in_an_error_or_in_the_write(caplog):
     store = MemoryStore()
+    caplog.set_level("INFO")
 
     async def use(client):
         store.down = True
@@ -335,6 +353,7 @@
 
     run_client(store, use)
     assert record_of(stored(store)).limit_revision == 2
+    assert caplog.messages == ["ledger_outage_began", "ledger_outage_ended"]
 
 
 def test_operation_given_up_before_it_was_sent_is_not_written():
@@ -351,3 +370,97 @@
         assert other.unwrap() == Claimed()
 
     run_client(store, use)
+
+
+def test_operation_given_up_after_it_was_sent_can_be_submitted_again():
+    """Its effect is unknown to the caller, who must not be given another grant."""
+    store = MemoryStore()
+
+    async def use(client):
+        await client.submit(SetLimit(KEY, 100, 1))
+        store.losses = ["after"]
+        order = OpenGrant(KEY, "g", 1, 60, 1)
+        given_up = await client.submit(order, timeout_s=0.012)
+        assert given_up.unwrap_err().may_apply
+        assert (await client.submit(order)).unwrap() == GrantOpened(60, 40)
+
+    run_client(store, use)
+    assert amounts(stored(store)) == (0, 0, 60)
+
+
+def test_full_shard_refuses_the_batch_and_goes_on(monkeypatch):
+    """A value above the store's limit would be refused again for ever."""
+    monkeypatch.setattr("lavenderfold.budgets._client.MAX_VALUE_BYTES", 90)
+    store = MemoryStore()
+
+    async def use(client):
+        await client.submit(SetLimit(KEY, 100, 1))
+        refused = await client.submit(OpenGrant(KEY, "g" * 90, 1, 60, 1))
+        assert isinstance(refused.unwrap_err(), LedgerFullError)
+        opened = await client.submit(OpenGrant(KEY, "g", 1, 60, 1))
+        assert opened.unwrap() == GrantOpened(60, 40)
+
+    run_client(store, use)
+
+
+def test_unreadable_shard_is_not_overwritten():
+    store = MemoryStore()
+    store.write("ledger/0000", b"\xc1", version=0)
+
+    async def use(client):
+        limit = SetLimit(KEY, 100, 1)
+        assert (await client.submit(limit, timeout_s=0.1)).is_err()
+        assert (await client.read(KEY)).is_err()
+
+    run_client(store, use)
+    assert store.value_by_key["ledger/0000"].version == 1
+
+
+IDS = st.sampled_from([request(1), request(2)])
+TOKENS = st.integers(0, 30)
+WITHOUT_EFFECT = BudgetSpent | ClaimExists | GrantMissing
+
+
+def operations(name: str) -> st.SearchStrategy:
+    """Operations of one writer on its own grants, claims and hand-backs."""
+    grants = st.sampled_from([f"{name}1", f"{name}2"])
+    own = {"budget": st.just(KEY), "request_id": IDS, "claimant": st.just(name)}
+    return st.one_of(
+        st.builds(SetLimit, st.just(KEY), st.just(100), st.integers(1, 3)),
+        st.builds(OpenGrant, st.just(KEY), grants, st.just(1), TOKENS, st.just(1)),
+        st.builds(Settle, st.just(KEY), grants, IDS, TOKENS),
+        st.builds(HandBack, st.just(KEY), grants, grants, TOKENS),
+        st.builds(Claim, **own),
+        st.builds(ReleaseClaim, **own),
+        st.builds(FinishClaim, **own, outcome=st.just(RAN)),
+    )
+
+
+def reclaims(name: str) -> st.SearchStrategy:
+    grants = st.sampled_from([f"{name}1", f"{name}2"])
+    return st.one_of(
+        st.builds(Reclaim, st.just(KEY), grants, TOKENS),
+        st.builds(WriteOff, st.just(KEY), grants),
+        st.builds(Settle, st.just(KEY), grants, IDS, TOKENS),
+    )
+
+
+@given(
+    before=st.lists(operations("a") | operations("b"), max_size=4),
+    batch=st.lists(operations("a") | reclaims("b"), min_size=1, max_size=5),
+    between=st.lists(operations("b") | reclaims("a"), max_size=5),
+)
+@settings(derandomize=True, deadline=None, max_examples=800)
+def test_batch_repeated_after_others_wrote_changes_nothing(before, batch, between):
+    """A response is lost, others write, and the writer applies its batch again.
+
+    Only operations without effect the first time may have one the second time.
+    """
+    opened = [OpenGrant(KEY, "a1", 1, 30, 30), OpenGrant(KEY, "b1", 2, 30, 30)]
+    shard, _ = run(SetLimit(KEY, 100, 0), *opened, *before)
+    shard, results = run(*batch, shard=shard)
+    if any(isinstance(result, WITHOUT_EFFECT) for result in results):
+        return
+    shard, _ = run(*between, shard=shard)
+    repeated, _ = run(*batch, shard=shard)
+    assert repeated == shard
