--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,5 +1,7 @@
 """Incarnations, the agent's fence gate and the decisions of a reclaim."""
 
+import pytest
+
 from lavenderfold.budgets import (
     LedgerShard,
     OpenGrant,
@@ -9,7 +11,12 @@
     apply as apply_operations,
 )
 from lavenderfold.identifiers import BudgetKey
-from lavenderfold.members import FenceGate, MemberRecord, ReclaimPlan
+from lavenderfold.members import (
+    FenceGate,
+    MemberDecodeError,
+    MemberRecord,
+    ReclaimPlan,
+)
 from lavenderfold.messages import FenceReport
 
 KEY = BudgetKey("regina", "main")
@@ -124,3 +131,36 @@
     assert record.retired == [first]
     assert list(record.live_by_incarnation) == [second]
     assert record.register(router="r", boot_id="b", previous=first) == (record, second)
+
+
+def registered(*boot_ids: str) -> MemberRecord:
+    record = MemberRecord()
+    for boot_id in boot_ids:
+        record, _ = record.register(router="r", boot_id=boot_id, region="west")
+    return record
+
+
+def test_registration_repeated_after_a_lost_response_keeps_its_number():
+    record = registered("x", "y")
+    again, incarnation = record.register(router="r", boot_id="x")
+    assert (again, incarnation) == (record, 1)
+    assert MemberRecord.decode(record.encode()) == record
+    with pytest.raises(MemberDecodeError):
+        MemberRecord.decode(b"\xc1")
+
+
+def test_retired_number_is_never_given_again():
+    record, incarnation = (
+        registered("x", "y").retire(2).register(router="r", boot_id="y")
+    )
+    assert incarnation == 3
+    assert sorted(record.live_by_incarnation) == [1, 3]
+
+
+def test_gate_admits_live_and_newer_incarnations():
+    """A retired router that is still running must not spend reclaimed money."""
+    gate = FenceGate(registered("x", "y").retire(1))
+    assert [gate.admits(payer) for payer in (1, 2, 3)] == [False, True, True]
+    gate.fence(2)
+    gate.fence(9)
+    assert [gate.admits(payer) for payer in (2, 3, 9)] == [False, True, False]
