--- a/bench/routing_policies.py
+++ b/bench/routing_policies.py
@@ -52,6 +52,7 @@
 PREFIX_PERIOD_S = 5.0
 BYTES_PER_TOKEN = 6
 ONE_WAY_S = 0.01
+RETRY_S = 0.05
 QUICK_WAIT_S, LONG_WAIT_S = 5.0, 60.0
 LONG_SHARE = 0.3
 LONG_PROMPTS = 60
@@ -302,6 +303,10 @@
         stream.first_at = trio.current_time()
         await stream.ended.wait()
         self.view.ended(choice.target, run_id)
+        if stream.lost:
+            # The router's link closes with the agent, and a retry backs off.
+            self.view.disconnected(choice.target)
+            await trio.sleep(RETRY_S)
         self._dispatch.pump()
         return stream
 
