--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -118,11 +118,9 @@
     return per_call_us(reserve)
 
 
-def choice_cost(candidates: int, prefix_blocks: int = 64) -> float:
-    view = LoadView()
-    prompt = " ".join(f"word{index}" for index in range(prefix_blocks * 16))
-    prefixes = prefix_hashes(prompt)
-    report = LoadReport(
+def make_report(prefixes: list[int]) -> LoadReport:
+    """Return the report of a target that runs a few requests."""
+    return LoadReport(
         running=3,
         queued=0,
         queued_tokens=0,
@@ -134,6 +132,13 @@
         prefixes=prefixes,
         prefixes_known=True,
     )
+
+
+def choice_cost(candidates: int, prefix_blocks: int = 64) -> float:
+    view = LoadView()
+    prompt = " ".join(f"word{index}" for index in range(prefix_blocks * 16))
+    prefixes = prefix_hashes(prompt)
+    report = make_report(prefixes)
     choices = [
         Candidate(target=f"target-{index}", region=f"region-{index % 2}")
         for index in range(candidates)
--- a/bench/memory.py
+++ b/bench/memory.py
@@ -9,11 +9,11 @@
 
 import msgspec
 
-from bench.decisions import budget_key, make_id, make_shard
+from bench.decisions import budget_key, make_id, make_report, make_shard
 from bench.slopes import fit_line, resident_bytes
 from lavenderfold.budgets import GrantPool
 from lavenderfold.config import FleetConfig
-from lavenderfold.messages import Heartbeat, LoadReport
+from lavenderfold.messages import Heartbeat
 from lavenderfold.routing import LoadView
 
 BUDGET_TOKENS = 1_000_000
@@ -60,18 +60,7 @@
     view = LoadView()
     for target in range(targets):
         prefixes = [target * 1_000_003 + index for index in range(256)]
-        report = LoadReport(
-            running=3,
-            queued=0,
-            queued_tokens=0,
-            slots=16,
-            tokens_per_s=1800.0,
-            ready=True,
-            draining=False,
-            revision=1,
-            prefixes=prefixes,
-            prefixes_known=True,
-        )
+        report = make_report(prefixes)
         view.report(f"target-{target}", report, now=1.0)
     return view
 
