--- /dev/null
+++ b/src/lavenderfold/direct/_connections.py
@@ -0,0 +1,38 @@
+"""The HTTP clients of a router, one for each target address."""
+
+import msgspec
+
+from lavenderfold.direct._load import TargetKey, target_key
+from lavenderfold.fleet import Target
+from lavenderfold.http import HttpClient
+
+# A target in the other region answers within 30 ms; a dark one never does.
+CONNECT_TIMEOUT_S = 0.4
+
+
+class _ClientKey(msgspec.Struct, frozen=True):
+    target: TargetKey
+    host: str
+    port: int
+
+
+class TargetClients:
+    """HTTP clients by target; connections to a target that left are closed."""
+
+    def __init__(self):
+        self._client_by_key: dict[_ClientKey, HttpClient] = {}
+
+    def client(self, target: Target) -> HttpClient:
+        key = _ClientKey(target_key(target), target.host, target.port)
+        client = self._client_by_key.get(key)
+        if client is None:
+            client = self._client_by_key[key] = HttpClient(
+                address=target.address, connect_timeout_s=CONNECT_TIMEOUT_S
+            )
+        return client
+
+    async def keep_only(self, targets: list[Target]) -> None:
+        """Close the idle connections to targets that aren't named."""
+        wanted = {target_key(target) for target in targets}
+        for key in [each for each in self._client_by_key if each.target not in wanted]:
+            await self._client_by_key.pop(key).close()
--- /dev/null
+++ b/src/lavenderfold/direct/_face.py
@@ -0,0 +1,96 @@
+"""The callers' HTTP interface: who asks for what, and may they."""
+
+import logging
+
+import trio
+
+from lavenderfold.direct._refusals import Refusal, not_run, refusal_response
+from lavenderfold.direct._request_run import RequestRun, RunParts
+from lavenderfold.direct._requests import CallerRequest
+from lavenderfold.direct._sinks import ConfigSink
+from lavenderfold.fleet import Organisation, Route, RouteTable
+from lavenderfold.http import HttpRequest, ResponseWriter
+from lavenderfold.outcomes import Reason
+
+RETRY_NOT_READY_S = 0.5
+
+logger = logging.getLogger("lavenderfold.requests")
+
+
+class CallerFace:
+    """Serves callers' requests and counts those in progress."""
+
+    def __init__(self, *, parts: RunParts, config: ConfigSink):
+        self.active = 0
+        self._parts = parts
+        self._config = config
+        self._idle = trio.Event()
+
+    async def handle(self, http_request: HttpRequest, writer: ResponseWriter) -> None:
+        """Serve one request; raises MalformedRequestError for bad input."""
+        request = self._parts.dialect.read_request(http_request)
+        self.active += 1
+        try:
+            await self._serve(request, writer)
+        finally:
+            self.active -= 1
+            if self.active == 0:
+                self._idle.set()
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in progress."""
+        while self.active:
+            self._idle = trio.Event()
+            await self._idle.wait()
+
+    async def _serve(self, request: CallerRequest, writer: ResponseWriter) -> None:
+        table = self._config.table
+        if table is None:
+            refusal = not_run(Reason.NOT_READY, retry_after_s=RETRY_NOT_READY_S)
+            await self._refuse(request, refusal, writer)
+            return
+        route = table.route(request.host, request.path)
+        if route is None:
+            await self._refuse(request, _rejected(404, "unknown_route"), writer)
+            return
+        organisation = _organisation(table, route, request)
+        if organisation is None and table.needs_keys and not route.is_public:
+            await self._refuse(request, _rejected(401, "unknown_key"), writer)
+            return
+        run = RequestRun(
+            parts=self._parts,
+            table=table,
+            request=request,
+            route=route,
+            organisation=organisation,
+            writer=writer,
+        )
+        await run.run()
+
+    async def _refuse(
+        self, request: CallerRequest, refusal: Refusal, writer: ResponseWriter
+    ) -> None:
+        table = self._config.table
+        fields = {
+            "request_id": request.attempt_id,
+            "refusal": refusal.reason,
+            "status": refusal.status,
+            "host": request.host,
+            "path": request.path,
+            "config_version": table.version if table else None,
+        }
+        logger.info("request_refused", extra=fields)
+        headers = self._parts.dialect.answer_headers(request.attempt_id)
+        await writer.send(refusal_response(refusal, headers))
+
+
+def _rejected(status: int, reason: str) -> Refusal:
+    return Refusal(status=status, reason=reason, outcome="not_run")
+
+
+def _organisation(
+    table: RouteTable, route: Route, request: CallerRequest
+) -> Organisation | None:
+    if route.is_public or request.key is None:
+        return None
+    return table.organisation(request.key)
--- /dev/null
+++ b/src/lavenderfold/direct/_refusals.py
@@ -0,0 +1,61 @@
+"""Answers that the router gives itself."""
+
+import msgspec
+
+from lavenderfold.http import HttpResponse, json_response
+from lavenderfold.outcomes import Reason
+
+STATUS_BY_REASON = {
+    Reason.BUDGET_SPENT: 402,
+    Reason.BUDGET_UNAVAILABLE: 503,
+    Reason.CONNECTION_FAILED: 503,
+    Reason.CONNECTION_LOST: 502,
+    Reason.DEADLINE_PASSED: 504,
+    Reason.DRAINING: 503,
+    Reason.NO_TARGET: 503,
+    Reason.NOT_READY: 503,
+    Reason.OVERLOADED: 503,
+    Reason.TARGET_FAILED: 502,
+}
+
+
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """An answer of the router's own. ``retry_after_s`` is advice to the caller."""
+
+    status: int
+    reason: str
+    outcome: str
+    retry_after_s: float | None = None
+
+
+def not_run(reason: Reason, *, retry_after_s: float | None = None) -> Refusal:
+    """Return the refusal of a request that hasn't run and won't run."""
+    return Refusal(
+        status=STATUS_BY_REASON[reason],
+        reason=reason.value,
+        outcome="not_run",
+        retry_after_s=retry_after_s,
+    )
+
+
+def may_have_run(reason: Reason, *, status: int | None = None) -> Refusal:
+    """Return the answer to a request of which nobody knows whether it ran.
+
+    Its status must not be one that promises that the request didn't run.
+    """
+    known = STATUS_BY_REASON[reason]
+    return Refusal(
+        status=status or (known if known in (502, 504) else 502),
+        reason=reason.value,
+        outcome="may_have_run",
+    )
+
+
+def refusal_response(refusal: Refusal, headers: list[tuple[str, str]]) -> HttpResponse:
+    """Return the refusal as an HTTP response."""
+    body = {"error": {"type": refusal.reason, "outcome": refusal.outcome}}
+    response = json_response(refusal.status, body)
+    response.headers += headers
+    if refusal.retry_after_s is not None:
+        response.headers.append(("retry-after", f"{refusal.retry_after_s:.3f}"))
+    return response
--- /dev/null
+++ b/src/lavenderfold/direct/_request_run.py
@@ -0,0 +1,283 @@
+"""The life of one request: admission, attempts, answer, settlement."""
+
+import logging
+
+import msgspec
+import trio
+import xxhash
+
+from lavenderfold.direct._attempt import Attempt, AttemptOutcome, Relayed
+from lavenderfold.direct._choice import choose_target
+from lavenderfold.direct._connections import TargetClients
+from lavenderfold.direct._load import LoadBook
+from lavenderfold.direct._refusals import (
+    Refusal,
+    may_have_run,
+    not_run,
+    refusal_response,
+)
+from lavenderfold.direct._requests import CallerRequest, Dialect, TargetCall
+from lavenderfold.escrow import Bank, Funding
+from lavenderfold.fleet import (
+    Organisation,
+    Route,
+    RouteTable,
+    Target,
+    TargetDirectory,
+)
+from lavenderfold.http import ResponseWriter
+from lavenderfold.outcomes import Reason
+from lavenderfold.routing import RetryBudget
+from lavenderfold.timers import TimerService
+
+# A grant from the store of the other region takes about 30 ms.
+FUNDING_WAIT_S = 0.3
+# Connections that can't be established cost no run, but time.
+CONNECTION_ATTEMPTS = 3
+RETRY_SOON_S = 0.25
+RETRY_FUNDING_S = 1.0
+# A call with less time than this left can't be answered any more.
+LEAST_REMAINING_S = 0.005
+
+logger = logging.getLogger("lavenderfold.requests")
+
+
+class RunParts(msgspec.Struct, kw_only=True):
+    """What requests share in one router. ``domain`` is its failure domain."""
+
+    bank: Bank
+    book: LoadBook
+    clients: TargetClients
+    dialect: Dialect
+    directory: TargetDirectory
+    timers: TimerService
+    retries_by_service: dict[str, RetryBudget]
+    domain: str
+
+
+class RequestRun:
+    """Serves one request on a route, from admission to the last byte."""
+
+    def __init__(
+        self,
+        *,
+        parts: RunParts,
+        table: RouteTable,
+        request: CallerRequest,
+        route: Route,
+        organisation: Organisation | None,
+        writer: ResponseWriter,
+    ):
+        self._parts = parts
+        self._table = table
+        self._request = request
+        self._route = route
+        self._organisation = organisation
+        self._writer = writer
+        self._started_at = trio.current_time()
+        patience_s = request.patience_s or route.timeout_s
+        self._deadline = self._started_at + min(patience_s, route.timeout_s)
+        self._patience_end = self._started_at + patience_s
+        self._service = pick_service(route, request.attempt_id)
+        self._relayed = Relayed()
+        self._reserved = 0
+        self._sends = 0
+        self._last_outcome: AttemptOutcome | None = None
+        self._last_target: Target | None = None
+        self._reason = ""
+
+    async def run(self) -> None:
+        """Answer the request; an answer that can't be completed is left cut."""
+        refusal = None
+        self._retries.record_request()
+        try:
+            refusal = await self._fund()
+            if refusal is None:
+                refusal = await self._attempt_until_deadline()
+            if refusal is not None:
+                await self._refuse(refusal)
+        finally:
+            self._settle()
+            self._log(refusal)
+
+    async def _fund(self) -> Refusal | None:
+        tokens = self._request.tokens
+        organisation = self._organisation
+        if tokens is None or organisation is None or organisation.limit_tokens is None:
+            return None
+        bank = self._parts.bank
+        worst = tokens.worst_case
+        if not bank.reserve_now(organisation.name, worst):
+            until = self._parts.timers.now() + FUNDING_WAIT_S
+            funding = await bank.reserve(organisation.name, worst, until=until)
+            if funding is Funding.SPENT:
+                return not_run(Reason.BUDGET_SPENT)
+            if funding is Funding.UNAVAILABLE:
+                return not_run(Reason.BUDGET_UNAVAILABLE, retry_after_s=RETRY_FUNDING_S)
+        self._reserved = worst
+        return None
+
+    async def _attempt_until_deadline(self) -> Refusal | None:
+        with trio.move_on_at(self._deadline):
+            return await self._attempt_in_turn()
+        if self._relayed.may_have_run or self._sends:
+            return may_have_run(Reason.DEADLINE_PASSED)
+        return not_run(Reason.OVERLOADED, retry_after_s=RETRY_SOON_S)
+
+    async def _attempt_in_turn(self) -> Refusal | None:
+        avoid: set[str] = set()
+        connections = 0
+        while True:
+            target = self._choose(frozenset(avoid))
+            if target is None:
+                return self._no_target()
+            attempt = self._new_attempt(target)
+            outcome = await self._try(attempt, target)
+            if outcome is AttemptOutcome.DELIVERED:
+                return None
+            avoid.add(target.id)
+            connections += outcome is AttemptOutcome.NOT_CONNECTED
+            self._sends += outcome is not AttemptOutcome.NOT_CONNECTED
+            if connections >= CONNECTION_ATTEMPTS or not self._may_repeat(outcome):
+                return await self._give_up(attempt, outcome)
+
+    def _choose(self, avoid: frozenset[str]) -> Target | None:
+        choice = choose_target(
+            self._parts.directory.usable(self._service),
+            self._parts.book,
+            self._request,
+            avoid=avoid,
+            domain=self._parts.domain,
+            now=self._parts.timers.now(),
+        )
+        if choice is None:
+            return None
+        self._reason = choice.reason
+        self._last_target = choice.target
+        return choice.target
+
+    def _new_attempt(self, target: Target) -> Attempt:
+        now = trio.current_time()
+        call = TargetCall(
+            request=self._request,
+            route=self._route,
+            target=target,
+            organisation=self._organisation.name if self._organisation else None,
+            remaining_s=max(LEAST_REMAINING_S, self._deadline - now),
+            last_event_id=self._relayed.last_event_id or self._request.last_event_id,
+        )
+        may_move = (
+            self._route.is_repeatable
+            and self._sends + 1 < self._route.attempt_limit
+            and len(self._parts.directory.usable(self._service)) > 1
+        )
+        return Attempt(
+            call=call,
+            dialect=self._parts.dialect,
+            writer=self._writer,
+            relayed=self._relayed,
+            may_move=may_move,
+        )
+
+    async def _try(self, attempt: Attempt, target: Target) -> AttemptOutcome:
+        book = self._parts.book
+        tokens = self._request.tokens.worst_case if self._request.tokens else 0
+        book.started(target, tokens=tokens)
+        try:
+            outcome = await attempt.run(self._parts.clients.client(target))
+        finally:
+            book.ended(target, tokens=tokens)
+        self._last_outcome = outcome
+        if outcome is AttemptOutcome.DELIVERED:
+            book.succeeded(target)
+        elif outcome is not AttemptOutcome.REJECTED:
+            book.failed(target, now=self._parts.timers.now())
+        return outcome
+
+    def _may_repeat(self, outcome: AttemptOutcome) -> bool:
+        """Return whether another target may be tried after an outcome."""
+        if not outcome.is_certainly_not_run and not self._route.is_repeatable:
+            return False
+        if outcome is AttemptOutcome.NOT_CONNECTED:
+            return True
+        if self._sends >= self._route.attempt_limit:
+            return False
+        return self._retries.permits_retry()
+
+    async def _give_up(
+        self, attempt: Attempt, outcome: AttemptOutcome
+    ) -> Refusal | None:
+        if attempt.failure is not None and not self._writer.started:
+            await self._writer.send(attempt.failure)
+            return None
+        if self._relayed.may_have_run:
+            return may_have_run(Reason.TARGET_FAILED)
+        reason = Reason.OVERLOADED
+        if outcome is AttemptOutcome.NOT_CONNECTED:
+            reason = Reason.CONNECTION_FAILED
+        return not_run(reason, retry_after_s=RETRY_SOON_S)
+
+    def _no_target(self) -> Refusal:
+        if self._relayed.may_have_run:
+            return may_have_run(Reason.TARGET_FAILED)
+        return not_run(Reason.NO_TARGET, retry_after_s=RETRY_SOON_S)
+
+    async def _refuse(self, refusal: Refusal) -> None:
+        if self._writer.started:
+            # The connection ends without the end of the answer.
+            return
+        headers = self._parts.dialect.answer_headers(self._request.attempt_id)
+        await self._writer.send(refusal_response(refusal, headers))
+
+    def _settle(self) -> None:
+        if not self._reserved:
+            return
+        used = 0
+        if self._relayed.may_have_run:
+            service = self._table.service(self._service)
+            per_event = service.event_tokens if service else 0
+            output = min(
+                self._request.tokens.output_limit, self._relayed.events * per_event
+            )
+            used = self._request.tokens.prompt + output
+        self._parts.bank.settle(
+            self._organisation.name, reserved=self._reserved, used=used
+        )
+
+    @property
+    def _retries(self) -> RetryBudget:
+        return self._parts.retries_by_service.setdefault(self._service, RetryBudget())
+
+    def _log(self, refusal: Refusal | None) -> None:
+        now = trio.current_time()
+        first = self._relayed.first_byte_at
+        fields = {
+            "request_id": self._request.attempt_id,
+            "route": self._route.name,
+            "organisation": self._organisation.name if self._organisation else None,
+            "config_version": self._table.version,
+            "service": self._service,
+            "target": self._last_target.id if self._last_target else None,
+            "choice": self._reason,
+            "outcome": self._last_outcome.value if self._last_outcome else None,
+            "refusal": refusal.reason if refusal else None,
+            "status": refusal.status if refusal else None,
+            "sends": self._sends,
+            "events": self._relayed.events,
+            "first_ms": round((first - self._started_at) * 1000) if first else None,
+            "total_ms": round((now - self._started_at) * 1000),
+        }
+        logger.info("request", extra=fields)
+
+
+def pick_service(route: Route, attempt_id: str) -> str:
+    """Return the service that takes an attempt, by the route's weights."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    total = sum(share.weight for share in route.shares)
+    point = xxhash.xxh64_intdigest(attempt_id.encode()) % max(1, total)
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return route.shares[-1].service
--- /dev/null
+++ b/src/lavenderfold/direct/_router.py
@@ -0,0 +1,198 @@
+"""A router that sends callers' requests straight to the targets."""
+
+import logging
+import secrets
+
+import msgspec
+import trio
+
+from lavenderfold.direct._connections import TargetClients
+from lavenderfold.direct._face import CallerFace
+from lavenderfold.direct._load import LoadBook
+from lavenderfold.direct._request_run import RunParts
+from lavenderfold.direct._requests import Dialect
+from lavenderfold.direct._sinks import ConfigSink, RecordReader, TargetSink
+from lavenderfold.escrow import Bank
+from lavenderfold.fleet import PrefixFollower, RouteTable, Target
+from lavenderfold.http import (
+    HttpRequest,
+    HttpResponse,
+    ResponseWriter,
+    ServerLimits,
+    ServerOptions,
+    serve,
+)
+from lavenderfold.settings import Address
+from lavenderfold.shared import SharedStore
+from lavenderfold.timers import TimerService
+
+HOLDER_BYTES = 8
+# New connections keep coming until the load balancer has missed this router.
+LINGER_S = 3.0
+# Left of the grace period for handing grants back.
+EXIT_MARGIN_S = 1.0
+RETURN_TIMEOUT_S = 0.5
+UPKEEP_PERIOD_S = 0.2
+TIDY_PERIOD_S = 2.0
+
+logger = logging.getLogger("lavenderfold.router")
+
+
+class RouterOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a router runs. Keys and prefixes are those of the shared store."""
+
+    name: str
+    domain: str
+    listen: Address
+    ready_listen: Address
+    grace_period_s: float
+    config_prefix: str
+    targets_prefix: str
+    ledger_prefix: str
+
+
+class DirectRouter:
+    """Follows configuration and targets, keeps grants and serves callers."""
+
+    def __init__(
+        self,
+        *,
+        options: RouterOptions,
+        store: SharedStore,
+        reader: RecordReader,
+        dialect: Dialect,
+        timers: TimerService,
+    ):
+        self._options = options
+        self._timers = timers
+        self._holder = secrets.token_hex(HOLDER_BYTES)
+        self._draining = trio.Event()
+        self._bank = Bank(
+            store=store,
+            timers=timers,
+            holder=self._holder,
+            prefix=options.ledger_prefix,
+        )
+        self._config = ConfigSink(reader=reader, on_installed=self._config_installed)
+        self._targets = TargetSink(reader=reader, timers=timers)
+        self._config_follower = PrefixFollower(
+            store=store,
+            timers=timers,
+            prefix=options.config_prefix,
+            sink=self._config,
+        )
+        self._target_follower = PrefixFollower(
+            store=store,
+            timers=timers,
+            prefix=options.targets_prefix,
+            sink=self._targets,
+        )
+        self._parts = RunParts(
+            bank=self._bank,
+            book=LoadBook(),
+            clients=TargetClients(),
+            dialect=dialect,
+            directory=self._targets.directory,
+            timers=timers,
+            retries_by_service={},
+            domain=options.domain,
+        )
+        self._face = CallerFace(parts=self._parts, config=self._config)
+        self._limits = ServerLimits()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers shall be sent here."""
+        return (
+            not self._draining.is_set()
+            and self._config.table is not None
+            and self._target_follower.is_listed
+            and self._bank.is_known
+        )
+
+    def drain(self) -> None:
+        """Take no new connections, finish what is in progress, then exit."""
+        logger.info("drain_started", extra={"active": self._face.active})
+        self._draining.set()
+
+    async def run(self) -> None:
+        """Serve until drained."""
+        fields = {"router": self._options.name, "holder": self._holder}
+        logger.info("router_started", extra=fields)
+        self._timers.every(UPKEEP_PERIOD_S, self._targets.expire)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._timers.run)
+            nursery.start_soon(self._config_follower.run)
+            nursery.start_soon(self._target_follower.run)
+            nursery.start_soon(self._bank.run)
+            nursery.start_soon(self._tidy)
+            await self._start_servers(nursery)
+            await self._draining.wait()
+            await self._finish()
+            nursery.cancel_scope.cancel()
+        logger.info("router_stopped", extra=fields)
+
+    async def _start_servers(self, nursery: trio.Nursery) -> None:
+        options = ServerOptions(
+            limits=lambda: self._limits,
+            is_closing=self._draining.is_set,
+            cancels_abandoned=True,
+        )
+
+        async def serve_callers(task_status) -> None:
+            await serve(
+                self._face.handle,
+                address=self._options.listen,
+                options=options,
+                task_status=task_status,
+            )
+
+        async def serve_readiness(task_status) -> None:
+            await serve(
+                self._answer_readiness,
+                address=self._options.ready_listen,
+                task_status=task_status,
+            )
+
+        await nursery.start(serve_callers)
+        await nursery.start(serve_readiness)
+
+    async def _answer_readiness(
+        self, request: HttpRequest, writer: ResponseWriter
+    ) -> None:
+        await writer.send(HttpResponse(status=200 if self.is_ready else 503))
+
+    async def _finish(self) -> None:
+        with trio.move_on_after(self._options.grace_period_s - EXIT_MARGIN_S):
+            await trio.sleep(LINGER_S)
+            await self._face.wait_idle()
+        with trio.move_on_after(RETURN_TIMEOUT_S):
+            await self._bank.return_all()
+
+    async def _tidy(self) -> None:
+        while True:
+            await trio.sleep(TIDY_PERIOD_S)
+            targets = self._known_targets()
+            self._parts.book.keep_only(targets)
+            await self._parts.clients.keep_only(targets)
+
+    def _known_targets(self) -> list[Target]:
+        table = self._config.table
+        services = table.service_by_name if table else {}
+        directory = self._targets.directory
+        return [each for name in services for each in directory.usable(name)]
+
+    def _config_installed(self, table: RouteTable) -> None:
+        limits = table.config.limits
+        self._limits = ServerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            idle_timeout_s=limits.idle_timeout_s,
+            read_timeout_s=limits.header_timeout_s,
+        )
+        limit_by_organisation = {
+            each.name: each.limit_tokens
+            for each in table.config.organisations
+            if each.limit_tokens is not None
+        }
+        self._bank.set_limits(limit_by_organisation, version=table.version)
--- /dev/null
+++ b/src/lavenderfold/direct/_sinks.py
@@ -0,0 +1,103 @@
+"""Where a router keeps the configuration and the targets that it follows."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from lavenderfold.fleet import FleetConfig, RouteTable, Target, TargetDirectory
+from lavenderfold.shared import Item
+from lavenderfold.timers import TimerService
+
+logger = logging.getLogger(__name__)
+
+
+class UnreadableItemError(Exception):
+    """An item of the store isn't what its key promises."""
+
+
+class RecordReader(msgspec.Struct, frozen=True, kw_only=True):
+    """Decodes a platform's records; both raise UnreadableItemError.
+
+    ``read_target`` returns None for an entry that names no target to use.
+    """
+
+    read_config: Callable[[Item], FleetConfig]
+    read_target: Callable[[Item], Target | None]
+
+
+class ConfigSink:
+    """Keeps the newest configuration; versions never go back."""
+
+    def __init__(
+        self, *, reader: RecordReader, on_installed: Callable[[RouteTable], None]
+    ):
+        self.table: RouteTable | None = None
+        self._reader = reader
+        self._on_installed = on_installed
+
+    def put(self, item: Item) -> None:
+        try:
+            config = self._reader.read_config(item)
+        except UnreadableItemError as error:
+            fault = {"key": item.key, "revision": item.revision, "cause": str(error)}
+            logger.error("config_unreadable", extra=fault)
+            return
+        if self.table is not None and config.version <= self.table.version:
+            return
+        self.table = RouteTable(config)
+        fields = {
+            "version": config.version,
+            "revision": item.revision,
+            "routes": len(config.routes),
+            "organisations": len(config.organisations),
+        }
+        logger.info("config_installed", extra=fields)
+        self._on_installed(self.table)
+
+    def removed(self, key: str, *, revision: int, is_certain: bool) -> None:
+        # An operator replaces a configuration and never removes it.
+        fields = {"key": key, "revision": revision, "certain": is_certain}
+        logger.warning("config_removal_ignored", extra=fields)
+
+    def known_keys(self) -> list[str]:
+        return []
+
+
+class TargetSink:
+    """Keeps the directory of targets."""
+
+    def __init__(self, *, reader: RecordReader, timers: TimerService):
+        self.directory = TargetDirectory()
+        self._reader = reader
+        self._timers = timers
+
+    def put(self, item: Item) -> None:
+        try:
+            target = self._reader.read_target(item)
+        except UnreadableItemError as error:
+            fault = {"key": item.key, "revision": item.revision, "cause": str(error)}
+            logger.warning("target_unreadable", extra=fault)
+            target = None
+        if not self.directory.put(item.key, target, revision=item.revision):
+            return
+        state = "unusable"
+        if target is not None:
+            state = "draining" if target.is_draining else "ready"
+        fields = {"key": item.key, "revision": item.revision, "state": state}
+        logger.info("target_changed", extra=fields)
+
+    def removed(self, key: str, *, revision: int, is_certain: bool) -> None:
+        if is_certain:
+            self.directory.remove(key, revision=revision)
+        else:
+            self.directory.remove_after_grace(key, now=self._timers.now())
+        fields = {"key": key, "revision": revision, "certain": is_certain}
+        logger.info("target_removed", extra=fields)
+
+    def known_keys(self) -> list[str]:
+        return self.directory.keys()
+
+    def expire(self, now: float) -> None:
+        for key in self.directory.expire(now=now):
+            logger.info("target_lapsed", extra={"key": key})
--- /dev/null
+++ b/src/lavenderfold/escrow/_bank.py
@@ -0,0 +1,253 @@
+"""Keeps the router's grants in step with the ledger in the shared store."""
+
+import enum
+import itertools
+import logging
+
+import msgspec
+import trio
+
+from lavenderfold.escrow._ledger import (
+    Balance,
+    LedgerDecodeError,
+    LedgerPage,
+    Transfer,
+    page_key,
+    transfer,
+    with_limit,
+)
+from lavenderfold.escrow._wallet import EMPTY_RETRY_S, Purse, Wallet
+from lavenderfold.shared import (
+    ConditionalWrite,
+    Item,
+    SharedStore,
+    SharedStoreError,
+    WriteConflictError,
+    WriteUncertainError,
+)
+from lavenderfold.timers import TimerService
+
+SYNC_PERIOD_S = 1.0
+# After a failed call, so that a store that returns isn't met by all at once.
+FAILURE_PAUSE_S = 0.25
+CONFLICT_PAUSE_S = 0.003
+ATTEMPTS_PER_SYNC = 6
+
+logger = logging.getLogger(__name__)
+
+
+class Funding(enum.Enum):
+    """Whether a request's worst case is covered."""
+
+    RESERVED = "reserved"
+    SPENT = "spent"
+    UNAVAILABLE = "unavailable"
+
+
+class _Limit(msgspec.Struct, frozen=True):
+    tokens: int
+    version: int
+
+
+class _Page:
+    __slots__ = ("content", "revision")
+
+    def __init__(self, *, content: LedgerPage, revision: int):
+        self.content = content
+        self.revision = revision
+
+
+class Bank:
+    """Reserves tokens for requests and moves grants with the ledger.
+
+    ``holder`` names this incarnation of the router. All tokens that it spends
+    were granted to that name by a write that the store confirmed.
+    """
+
+    def __init__(
+        self, *, store: SharedStore, timers: TimerService, holder: str, prefix: str
+    ):
+        self.wallet = Wallet()
+        self.is_known = False
+        self._store = store
+        self._timers = timers
+        self._holder = holder
+        self._prefix = prefix
+        self._limit_by_organisation: dict[str, _Limit] = {}
+        self._page_by_key: dict[str, _Page] = {}
+        self._wait_ids = itertools.count()
+        self._wake = trio.Event()
+        self._synced = trio.Event()
+        self._is_returning = False
+
+    def set_limits(
+        self, limit_by_organisation: dict[str, int], *, version: int
+    ) -> None:
+        """Install the limits of a configuration version, in tokens."""
+        for organisation, tokens in limit_by_organisation.items():
+            self._limit_by_organisation[organisation] = _Limit(tokens, version)
+        self._poke()
+
+    def reserve_now(self, organisation: str, tokens: int) -> bool:
+        """Reserve tokens if the router holds enough."""
+        purse = self.wallet.purse(organisation, now=self._timers.now())
+        return purse.reserve(tokens)
+
+    async def reserve(self, organisation: str, tokens: int, *, until: float) -> Funding:
+        """Reserve tokens; wait for a grant until a time of the steady clock."""
+        purse = self.wallet.purse(organisation, now=self._timers.now())
+        wait_id = next(self._wait_ids)
+        purse.waiting_by_id[wait_id] = tokens
+        try:
+            return await self._await_grant(purse, wait_id, tokens, until)
+        finally:
+            purse.waiting_by_id.pop(wait_id, None)
+
+    def settle(self, organisation: str, *, reserved: int, used: int) -> None:
+        """End a reservation of which ``used`` tokens were spent."""
+        purse = self.wallet.purse(organisation, now=self._timers.now())
+        purse.settle(reserved=reserved, used=used)
+
+    async def run(self) -> None:
+        """Load the ledger, then keep grants in step until cancelled."""
+        while not self.is_known:
+            self.is_known = await self._load()
+            if not self.is_known:
+                await trio.sleep(FAILURE_PAUSE_S)
+        while True:
+            with trio.move_on_after(SYNC_PERIOD_S):
+                await self._wake.wait()
+            self._wake = trio.Event()
+            if not await self._sync():
+                await trio.sleep(FAILURE_PAUSE_S)
+
+    async def return_all(self) -> None:
+        """Hand back everything that isn't reserved; for the router's exit."""
+        self._is_returning = True
+        await self._sync()
+
+    async def _await_grant(
+        self, purse: Purse, wait_id: int, tokens: int, until: float
+    ) -> Funding:
+        asked_at = self._timers.now()
+        while True:
+            # The request itself is what it waits for.
+            if tokens <= purse.free:
+                purse.waiting_by_id.pop(wait_id, None)
+                purse.reserve(tokens)
+                return Funding.RESERVED
+            if purse.pending is None and purse.seen_at > asked_at - EMPTY_RETRY_S:
+                left = (purse.rest or 0) + max(0, purse.free)
+                if tokens > left:
+                    is_spent = tokens > left + purse.rest_of_others
+                    return Funding.SPENT if is_spent else Funding.UNAVAILABLE
+            remaining_s = until - self._timers.now()
+            if remaining_s <= 0:
+                return Funding.UNAVAILABLE
+            self._poke()
+            synced = self._synced
+            with trio.move_on_after(remaining_s):
+                await synced.wait()
+
+    def _poke(self) -> None:
+        self._wake.set()
+
+    async def _load(self) -> bool:
+        try:
+            listing = await self._store.list_items(self._prefix)
+        except SharedStoreError as error:
+            logger.info("ledger_unreachable", extra={"cause": str(error)})
+            return False
+        self._install(listing.items)
+        return True
+
+    async def _sync(self) -> bool:
+        """Make the planned transfers; returns False if the store failed."""
+        for _ in range(ATTEMPTS_PER_SYNC):
+            transfer_by_organisation = self._plan()
+            if not transfer_by_organisation:
+                return True
+            try:
+                await self._write(transfer_by_organisation)
+            except WriteConflictError as conflict:
+                self._install(conflict.items)
+                self._note_pages(transfer_by_organisation)
+                await trio.sleep(CONFLICT_PAUSE_S)
+                continue
+            except WriteUncertainError as error:
+                logger.info("ledger_write_uncertain", extra={"cause": str(error)})
+                return await self._load() and self._note_pages(transfer_by_organisation)
+            except SharedStoreError as error:
+                logger.info("ledger_write_failed", extra={"cause": str(error)})
+                return False
+            self._note_pages(transfer_by_organisation)
+            return True
+        return True
+
+    def _plan(self) -> dict[str, Transfer]:
+        now = self._timers.now()
+        transfers = {}
+        for organisation, purse in self.wallet.purse_by_organisation.items():
+            if organisation not in self._limit_by_organisation:
+                continue
+            planned = purse.plan_return() if self._is_returning else purse.plan(now)
+            if planned is not None:
+                transfers[organisation] = planned
+        return transfers
+
+    async def _write(self, transfer_by_organisation: dict[str, Transfer]) -> None:
+        draft_by_key: dict[str, LedgerPage] = {}
+        for organisation, request in transfer_by_organisation.items():
+            key = page_key(self._prefix, organisation)
+            draft = draft_by_key.get(key)
+            if draft is None:
+                known = self._page_by_key.get(key)
+                balances = known.content.balance_by_organisation if known else {}
+                draft = draft_by_key[key] = LedgerPage(dict(balances))
+            balance = self._balance(draft, organisation)
+            changed = transfer(balance, self._holder, request)
+            draft.balance_by_organisation[organisation] = changed
+        writes = [
+            ConditionalWrite(key, draft.encode(), self._revision(key))
+            for key, draft in draft_by_key.items()
+        ]
+        revision = await self._store.write(writes)
+        for key, draft in draft_by_key.items():
+            self._page_by_key[key] = _Page(content=draft, revision=revision)
+
+    def _balance(self, page: LedgerPage, organisation: str) -> Balance:
+        limit = self._limit_by_organisation[organisation]
+        known = page.balance_by_organisation.get(organisation)
+        return with_limit(known, limit=limit.tokens, version=limit.version)
+
+    def _revision(self, key: str) -> int:
+        known = self._page_by_key.get(key)
+        return known.revision if known else 0
+
+    def _install(self, items: list[Item]) -> None:
+        for item in items:
+            known = self._page_by_key.get(item.key)
+            if known is not None and item.revision <= known.revision:
+                continue
+            try:
+                content = LedgerPage.decode(item.value)
+            except LedgerDecodeError as error:
+                # An unreadable page can't be written over: nothing is granted.
+                fault = {"key": item.key, "cause": str(error)}
+                logger.error("ledger_page_unreadable", extra=fault)
+                continue
+            self._page_by_key[item.key] = _Page(content=content, revision=item.revision)
+
+    def _note_pages(self, transfer_by_organisation: dict[str, Transfer]) -> bool:
+        """Tell the purses the known state of their balances."""
+        now = self._timers.now()
+        for organisation in transfer_by_organisation:
+            page = self._page_by_key.get(page_key(self._prefix, organisation))
+            if page is None:
+                continue
+            balance = self._balance(page.content, organisation)
+            purse = self.wallet.purse(organisation, now=now)
+            purse.note(balance, self._holder, now=now)
+        self._synced.set()
+        self._synced = trio.Event()
+        return True
--- /dev/null
+++ b/src/lavenderfold/fleet/__init__.py
@@ -0,0 +1,29 @@
+"""What a router knows of its fleet: routes, organisations, services, targets."""
+
+from lavenderfold.fleet._config import (
+    CallerLimits,
+    FleetConfig,
+    Organisation,
+    Repetition,
+    Route,
+    Service,
+    ServiceShare,
+)
+from lavenderfold.fleet._directory import Target, TargetDirectory
+from lavenderfold.fleet._follower import ItemSink, PrefixFollower
+from lavenderfold.fleet._routes import RouteTable
+
+__all__ = [
+    "CallerLimits",
+    "FleetConfig",
+    "ItemSink",
+    "Organisation",
+    "PrefixFollower",
+    "Repetition",
+    "Route",
+    "RouteTable",
+    "Service",
+    "ServiceShare",
+    "Target",
+    "TargetDirectory",
+]
--- /dev/null
+++ b/src/lavenderfold/fleet/_follower.py
@@ -0,0 +1,120 @@
+"""Follows all items under one prefix of the shared store."""
+
+import logging
+import math
+from collections.abc import Callable
+from typing import Protocol
+
+import trio
+
+from lavenderfold.shared import (
+    HistoryLostError,
+    Item,
+    SharedStore,
+    SharedStoreError,
+)
+from lavenderfold.timers import TimerService
+
+# A connection that went silent is noticed within one wait.
+WATCH_WAIT_S = 1.0
+FAILURE_PAUSE_S = 0.15
+# Removals seen this shortly after an outage may be registrations that lapsed
+# because the store was away.
+AFTER_OUTAGE_S = 2.0
+
+logger = logging.getLogger(__name__)
+
+
+class ItemSink(Protocol):
+    """Takes in what a follower sees."""
+
+    def put(self, item: Item) -> None:
+        """Take in an item that is new or changed."""
+
+    def removed(self, key: str, *, revision: int, is_certain: bool) -> None:
+        """Take in a removal; an uncertain one may be undone soon."""
+
+    def known_keys(self) -> list[str]:
+        """Return the keys that a full listing is compared with."""
+
+
+class PrefixFollower:
+    """Lists a prefix, then waits for changes, and lists again when it must."""
+
+    def __init__(
+        self,
+        *,
+        store: SharedStore,
+        timers: TimerService,
+        prefix: str,
+        sink: ItemSink,
+        on_listed: Callable[[], None] | None = None,
+    ):
+        self.is_listed = False
+        self._store = store
+        self._timers = timers
+        self._prefix = prefix
+        self._sink = sink
+        self._on_listed = on_listed
+        self._revision: int | None = None
+        self._failed_at = -math.inf
+        self._is_reachable = True
+
+    async def run(self) -> None:
+        """Follow the prefix until cancelled."""
+        while True:
+            try:
+                await self._follow_once()
+            except HistoryLostError:
+                logger.info("watch_history_lost", extra={"prefix": self._prefix})
+                self._revision = None
+                continue
+            except SharedStoreError as error:
+                self._note_failure(error)
+                await trio.sleep(FAILURE_PAUSE_S)
+                continue
+            self._note_success()
+
+    async def _follow_once(self) -> None:
+        if self._revision is None:
+            await self._list()
+            return
+        changes = await self._store.wait_changes(
+            self._prefix, after=self._revision, wait_s=WATCH_WAIT_S
+        )
+        for change in changes.changes:
+            if change.item is not None:
+                self._sink.put(change.item)
+            else:
+                self._remove(change.key, change.revision)
+        self._revision = max(self._revision, changes.revision)
+
+    async def _list(self) -> None:
+        listing = await self._store.list_items(self._prefix)
+        listed = set()
+        for item in listing.items:
+            listed.add(item.key)
+            self._sink.put(item)
+        for key in self._sink.known_keys():
+            if key not in listed:
+                self._remove(key, listing.revision)
+        self._revision = listing.revision
+        self.is_listed = True
+        if self._on_listed is not None:
+            self._on_listed()
+
+    def _remove(self, key: str, revision: int) -> None:
+        is_certain = self._timers.now() - self._failed_at > AFTER_OUTAGE_S
+        self._sink.removed(key, revision=revision, is_certain=is_certain)
+
+    def _note_failure(self, error: SharedStoreError) -> None:
+        self._failed_at = self._timers.now()
+        if self._is_reachable:
+            self._is_reachable = False
+            fault = {"prefix": self._prefix, "cause": str(error)}
+            logger.warning("store_lost", extra=fault)
+
+    def _note_success(self) -> None:
+        if not self._is_reachable:
+            self._is_reachable = True
+            logger.info("store_regained", extra={"prefix": self._prefix})
--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -14,7 +14,7 @@
     MalformedRequestError,
     json_response,
 )
-from lavenderfold.http._server import ResponseWriter, serve
+from lavenderfold.http._server import ResponseWriter, ServerLimits, ServerOptions, serve
 
 __all__ = [
     "BodyTooLargeError",
@@ -26,6 +26,8 @@
     "RequestNotSentError",
     "ResponseLostError",
     "ResponseWriter",
+    "ServerLimits",
+    "ServerOptions",
     "StreamedResponse",
     "json_response",
     "serve",
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -4,9 +4,10 @@
 that was never sent may be repeated when it isn't idempotent.
 """
 
+import socket
 from collections import deque
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import h11
 import trio
@@ -17,6 +18,21 @@
 RECEIVE_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
 IDLE_CONNECTIONS_LIMIT = 32
+# Longer requests may fill the peer's receive window.
+SENT_AHEAD_BYTES = 8192
+BODILESS_METHODS = frozenset(("GET", "HEAD"))
+
+
+async def _open_stream(address: Address) -> trio.SocketStream:
+    """Connect to an IP address; lighter than a connection by host name."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    stream_socket = trio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        await stream_socket.connect((address.host, address.port))
+    except BaseException:
+        stream_socket.close()
+        raise
+    return trio.SocketStream(stream_socket)
 
 
 class HttpClientError(Exception):
@@ -70,19 +86,47 @@
 class _ClientConnection:
     """One connection, used for one request at a time."""
 
-    __slots__ = ("address", "stream", "protocol")
+    __slots__ = ("address", "stream", "protocol", "is_sent")
 
     def __init__(self, *, address: Address, stream: trio.SocketStream):
         self.address = address
         self.stream = stream
         self.protocol = h11.Connection(h11.CLIENT)
+        self.is_sent = False
+
+    async def exchange(self, request: HttpRequest) -> h11.Response:
+        """Send a request and return the head of its response.
+
+        A peer may answer a long body before it has read it, so that such a body
+        is sent while the response is awaited.
+        """
+        if len(request.body) <= SENT_AHEAD_BYTES:
+            await self.send(request)
+            return await self.response_head()
+        head: h11.Response | None = None
+        failure: HttpClientError | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_beside, request)
+            try:
+                head = await self.response_head()
+            except HttpClientError as error:
+                failure = error
+            nursery.cancel_scope.cancel()
+        if head is None:
+            raise failure
+        return head
+
+    async def _send_beside(self, request: HttpRequest) -> None:
+        # A connection that breaks here also ends the wait for the response.
+        with suppress(ResponseLostError):
+            await self.send(request)
 
     async def send(self, request: HttpRequest) -> None:
-        headers = [
-            ("host", str(self.address)),
-            *request.headers,
-            ("content-length", str(len(request.body))),
-        ]
+        headers = list(request.headers)
+        if request.header("host") is None:
+            headers.insert(0, ("host", str(self.address)))
+        if request.body or request.method not in BODILESS_METHODS:
+            headers.append(("content-length", str(len(request.body))))
         head = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
@@ -92,6 +136,7 @@
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ResponseLostError(self.address, error) from error
+        self.is_sent = True
 
     async def next_event(self) -> h11.Event:
         try:
@@ -122,7 +167,9 @@
 
     def is_reusable(self) -> bool:
         states = (self.protocol.our_state, self.protocol.their_state)
-        return states == (h11.DONE, h11.DONE)
+        # Bytes after a complete response belong to no request.
+        is_done = states == (h11.DONE, h11.DONE) and self.is_sent
+        return is_done and not self.protocol.trailing_data[0]
 
 
 class HttpClient:
@@ -145,12 +192,17 @@
             return await response.read()
 
     @asynccontextmanager
-    async def stream(self, request: HttpRequest) -> AsyncIterator[StreamedResponse]:
-        """Send a request and give its response while the body arrives."""
-        connection = await self._checkout()
+    async def stream(
+        self, request: HttpRequest, *, is_fresh: bool = False
+    ) -> AsyncIterator[StreamedResponse]:
+        """Send a request and give its response while the body arrives.
+
+        ``is_fresh`` opens a new connection: a peer may drop an idle one without
+        notice, and a request that is lost with it may have run.
+        """
+        connection = await (self._connect() if is_fresh else self._checkout())
         try:
-            await connection.send(request)
-            head = await connection.response_head()
+            head = await connection.exchange(request)
             yield StreamedResponse(head=head, connection=connection)
         finally:
             await self._give_back(connection)
@@ -171,9 +223,7 @@
     async def _connect(self) -> _ClientConnection:
         try:
             with trio.fail_after(self._connect_timeout_s):
-                stream = await trio.open_tcp_stream(
-                    self.address.host, self.address.port
-                )
+                stream = await _open_stream(self.address)
         except (OSError, trio.TooSlowError) as error:
             raise RequestNotSentError(self.address, error) from error
         return _ClientConnection(address=self.address, stream=stream)
@@ -181,6 +231,7 @@
     async def _give_back(self, connection: _ClientConnection) -> None:
         if connection.is_reusable() and len(self._idle) < IDLE_CONNECTIONS_LIMIT:
             connection.protocol.start_next_cycle()
+            connection.is_sent = False
             self._idle.append(connection)
             return
         await trio.aclose_forcefully(connection.stream)
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 import h11
+import msgspec
 import trio
 
 from lavenderfold.http._messages import (
@@ -25,6 +26,28 @@
 logger = logging.getLogger(__name__)
 
 
+class ServerLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """What a caller may send. Sizes are in bytes, times in seconds."""
+
+    header_bytes: int = HEADER_BYTES_LIMIT
+    body_bytes: int = BODY_BYTES_LIMIT
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+    read_timeout_s: float = REQUEST_READ_TIMEOUT_S
+
+
+class ServerOptions(msgspec.Struct, kw_only=True):
+    """How a server treats its connections.
+
+    ``limits`` is asked for each request. ``is_closing`` tells whether responses
+    shall end their connections. With ``cancels_abandoned`` a handler is cancelled
+    when its caller closes the connection.
+    """
+
+    limits: Callable[[], ServerLimits] = ServerLimits
+    is_closing: Callable[[], bool] = bool
+    cancels_abandoned: bool = False
+
+
 class ResponseWriter:
     """Sends one response: whole with ``send`` or in parts.
 
@@ -33,17 +56,25 @@
     takes a cut answer for a whole one.
     """
 
-    __slots__ = ("_connection", "_stream", "started", "finished")
+    __slots__ = ("_connection", "_stream", "_is_closing", "started", "finished")
 
-    def __init__(self, *, connection: h11.Connection, stream: trio.SocketStream):
+    def __init__(
+        self,
+        *,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        is_closing: Callable[[], bool] = bool,
+    ):
         self._connection = connection
         self._stream = stream
+        self._is_closing = is_closing
         self.started = False
         self.finished = False
 
     async def send(self, response: HttpResponse) -> None:
         """Send a whole response."""
-        headers = [*response.headers, ("content-length", str(len(response.body)))]
+        length = ("content-length", str(len(response.body)))
+        headers = [*response.headers, length, *self._closing_headers()]
         await self._send_events(
             h11.Response(status_code=response.status, headers=headers),
             h11.Data(data=response.body),
@@ -53,7 +84,8 @@
 
     async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Send the head of a chunked response."""
-        chunked = [*headers, ("transfer-encoding", "chunked")]
+        framing = ("transfer-encoding", "chunked")
+        chunked = [*headers, framing, *self._closing_headers()]
         await self._send_events(h11.Response(status_code=status, headers=chunked))
 
     async def write(self, data: bytes) -> None:
@@ -65,6 +97,9 @@
         await self._send_events(h11.EndOfMessage())
         self.finished = True
 
+    def _closing_headers(self) -> list[tuple[str, str]]:
+        return [("connection", "close")] if self._is_closing() else []
+
     async def _send_events(self, *events: h11.Event) -> None:
         self.started = True
         data = b"".join(self._connection.send(event) or b"" for event in events)
@@ -77,13 +112,18 @@
 class _ServerConnection:
     """Reads requests from one connection and hands them to the handler."""
 
-    def __init__(self, *, stream: trio.SocketStream, handler: Handler, body_limit: int):
+    def __init__(
+        self, *, stream: trio.SocketStream, handler: Handler, options: ServerOptions
+    ):
         self._stream = stream
         self._handler = handler
-        self._body_limit = body_limit
+        self._options = options
+        self._limits = options.limits()
+        # Its own check in _check_head answers with the limits of the moment.
         self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=HEADER_BYTES_LIMIT
+            h11.SERVER, max_incomplete_event_size=2 * self._limits.header_bytes
         )
+        self._is_abandoned = False
 
     async def run(self) -> None:
         async with self._stream:
@@ -95,7 +135,12 @@
 
     async def _serve_one(self) -> bool:
         """Serve one request. Return whether the connection can be used again."""
-        writer = ResponseWriter(connection=self._connection, stream=self._stream)
+        self._limits = self._options.limits()
+        writer = ResponseWriter(
+            connection=self._connection,
+            stream=self._stream,
+            is_closing=self._options.is_closing,
+        )
         try:
             request = await self._read_request()
         except (h11.RemoteProtocolError, MalformedRequestError) as error:
@@ -103,12 +148,47 @@
             return False
         if request is None:
             return False
-        await self._handle(request, writer)
-        if not writer.finished:
+        if self._options.cancels_abandoned:
+            await self._handle_watched(request, writer)
+        else:
+            await self._handle(request, writer)
+        if not writer.finished or self._is_abandoned:
             return False
         states = (self._connection.our_state, self._connection.their_state)
         return states == (h11.DONE, h11.DONE)
 
+    async def _handle_watched(
+        self, request: HttpRequest, writer: ResponseWriter
+    ) -> None:
+        """Run the handler and cancel it if the caller closes the connection."""
+        broken: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+            try:
+                await self._handle(request, writer)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                broken = error
+            nursery.cancel_scope.cancel()
+        if broken is not None:
+            raise broken
+
+    async def _watch_caller(self, handler_scope: trio.CancelScope) -> None:
+        ahead_bytes = 0
+        try:
+            while ahead_bytes <= self._limits.header_bytes:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                if not data:
+                    break
+                # The caller's next request; it is read after this response.
+                self._connection.receive_data(data)
+                ahead_bytes += len(data)
+            else:
+                return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            logger.debug("caller_connection_broken")
+        self._is_abandoned = True
+        handler_scope.cancel()
+
     async def _handle(self, request: HttpRequest, writer: ResponseWriter) -> None:
         try:
             await self._handler(request, writer)
@@ -122,15 +202,28 @@
                 await writer.send(json_response(500, {"error": {"type": "internal"}}))
 
     async def _read_request(self) -> HttpRequest | None:
-        with trio.move_on_after(IDLE_TIMEOUT_S):
-            head = await self._next_event()
-            if not isinstance(head, h11.Request):
-                return None
-            _check_head(head)
-            with trio.move_on_after(REQUEST_READ_TIMEOUT_S):
-                return await self._read_body(head)
-            raise MalformedRequestError("the request took too long", status=408)
-        return None
+        head = await self._read_head()
+        if not isinstance(head, h11.Request):
+            return None
+        _check_head(head, limit=self._limits.header_bytes)
+        with trio.move_on_after(self._limits.read_timeout_s):
+            return await self._read_body(head)
+        raise MalformedRequestError("the request took too long", status=408)
+
+    async def _read_head(self) -> h11.Event | None:
+        """Return the next head; None if nothing came within the idle timeout."""
+        event = self._connection.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        data = None
+        with trio.move_on_after(self._limits.idle_timeout_s):
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+        if data is None:
+            return None
+        self._connection.receive_data(data)
+        with trio.move_on_after(self._limits.read_timeout_s):
+            return await self._next_event()
+        raise MalformedRequestError("the head took too long", status=408)
 
     async def _read_body(self, head: h11.Request) -> HttpRequest:
         if any(name == b"expect" for name, _ in head.headers):
@@ -144,8 +237,8 @@
             if isinstance(event, h11.ConnectionClosed):
                 raise MalformedRequestError("the connection closed inside a request")
             body += event.data
-            if len(body) > self._body_limit:
-                raise BodyTooLargeError(self._body_limit)
+            if len(body) > self._limits.body_bytes:
+                raise BodyTooLargeError(self._limits.body_bytes)
         return HttpRequest(
             method=head.method.decode("ascii"),
             target=head.target.decode("ascii", "replace"),
@@ -180,12 +273,12 @@
         await writer.send(response)
 
 
-def _check_head(head: h11.Request) -> None:
+def _check_head(head: h11.Request, *, limit: int) -> None:
     """Refuse what h11 lets through. Raises MalformedRequestError."""
     # h11 applies its limit only to a head that arrives in several parts.
     size = sum(len(name) + len(value) for name, value in head.headers)
-    if size + len(head.target) > HEADER_BYTES_LIMIT:
-        fault = f"the head is longer than {HEADER_BYTES_LIMIT} bytes"
+    if size + len(head.target) > limit:
+        fault = f"the head is longer than {limit} bytes"
         raise MalformedRequestError(fault, status=431)
     # A proxy in front may go by the length and take the rest for a request.
     names = {name for name, _ in head.headers}
@@ -197,18 +290,14 @@
     handler: Handler,
     *,
     address: Address,
-    body_limit: int = BODY_BYTES_LIMIT,
+    options: ServerOptions | None = None,
     task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve HTTP until cancelled; reports the bound address as started.
-
-    ``body_limit`` is in bytes; a longer body is answered with status 413.
-    """
+    """Serve HTTP until cancelled; reports the bound address as started."""
+    options = options or ServerOptions()
 
     async def serve_connection(stream: trio.SocketStream) -> None:
-        connection = _ServerConnection(
-            stream=stream, handler=handler, body_limit=body_limit
-        )
+        connection = _ServerConnection(stream=stream, handler=handler, options=options)
         try:
             await connection.run()
         except (OSError, h11.LocalProtocolError) as error:
--- a/src/lavenderfold/router/_router.py
+++ b/src/lavenderfold/router/_router.py
@@ -8,7 +8,7 @@
 import trio
 
 from lavenderfold.config import ConfigState, ConfigWatcher, FleetConfig, Revisions
-from lavenderfold.http import serve
+from lavenderfold.http import ServerLimits, ServerOptions, serve
 from lavenderfold.logs import log_event
 from lavenderfold.messages import PeerHello, RouterHello
 from lavenderfold.router._alive import SignOfLife
@@ -128,13 +128,14 @@
 
     async def _start_servers(self, nursery: trio.Nursery) -> None:
         parts = self._parts
+        limits = ServerLimits(body_bytes=self.settings.limits.body_bytes)
         faces = {"listen": parts.callers, "operator_listen": parts.operators}
         for name, face in faces.items():
             start = partial(
                 serve,
                 face.handle,
                 address=getattr(self.settings, name),
-                body_limit=self.settings.limits.body_bytes,
+                options=ServerOptions(limits=lambda: limits),
             )
             self.addresses[name] = await nursery.start(start)
         self.addresses["peer_listen"] = await nursery.start(parts.peers.run)
--- /dev/null
+++ b/src/lavenderfold/shared/__init__.py
@@ -0,0 +1,34 @@
+"""The store that all routers share, as the product sees it.
+
+A platform's adapter implements ``SharedStore``. Values carry a revision that
+grows with every change in the store; revision 0 stands for a key that doesn't
+exist.
+"""
+
+from lavenderfold.shared._store import (
+    Change,
+    Changes,
+    ConditionalWrite,
+    HistoryLostError,
+    Item,
+    Listing,
+    SharedStore,
+    SharedStoreError,
+    WriteConflictError,
+    WriteRefusedError,
+    WriteUncertainError,
+)
+
+__all__ = [
+    "Change",
+    "Changes",
+    "ConditionalWrite",
+    "HistoryLostError",
+    "Item",
+    "Listing",
+    "SharedStore",
+    "SharedStoreError",
+    "WriteConflictError",
+    "WriteRefusedError",
+    "WriteUncertainError",
+]
