--- a/src/lavenderfold/escrow/_wallet.py
+++ b/src/lavenderfold/escrow/_wallet.py
@@ -5,9 +5,9 @@
 from lavenderfold.escrow._ledger import Balance, Transfer
 
 # Seconds of its own draw that a router holds, to go on while the store is away.
-HORIZON_S = 5.0
+HORIZON_S = 10.0
 # A router asks for more when it holds less than this part of its horizon.
-REFILL_SHARE = 0.6
+REFILL_SHARE = 0.85
 # What exceeds the horizon by this factor goes back.
 SURPLUS_FACTOR = 1.6
 # The mean draw follows the traffic with this time constant.
