--- a/src/lavenderfold/direct/_face.py
+++ b/src/lavenderfold/direct/_face.py
@@ -13,15 +13,21 @@
 from lavenderfold.outcomes import Reason
 
 RETRY_NOT_READY_S = 0.5
+# Other routers can take the request at once.
+RETRY_ELSEWHERE_S = 0.05
 
 logger = logging.getLogger("lavenderfold.requests")
 
 
 class CallerFace:
-    """Serves callers' requests and counts those in progress."""
+    """Serves callers' requests and counts those in progress.
+
+    A closed face refuses every request as not run.
+    """
 
     def __init__(self, *, parts: RunParts, config: ConfigSink):
         self.active = 0
+        self.is_closed = False
         self._parts = parts
         self._config = config
         self._idle = trio.Event()
@@ -45,6 +51,10 @@
 
     async def _serve(self, request: CallerRequest, writer: ResponseWriter) -> None:
         table = self._config.table
+        if self.is_closed:
+            refusal = not_run(Reason.DRAINING, retry_after_s=RETRY_ELSEWHERE_S)
+            await self._refuse(request, refusal, writer)
+            return
         if table is None:
             refusal = not_run(Reason.NOT_READY, retry_after_s=RETRY_NOT_READY_S)
             await self._refuse(request, refusal, writer)
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -27,8 +27,9 @@
 from lavenderfold.timers import TimerService
 
 HOLDER_BYTES = 8
-# New connections keep coming until the load balancer has missed this router.
-LINGER_S = 3.0
+# Callers keep coming until the load balancer has missed this router twice. Later
+# ones are refused, because their answers might not end within the grace period.
+LINGER_S = 2.5
 # Left of the grace period for handing grants back.
 EXIT_MARGIN_S = 1.0
 RETURN_TIMEOUT_S = 0.5
@@ -99,6 +100,7 @@
         )
         self._face = CallerFace(parts=self._parts, config=self._config)
         self._limits = ServerLimits()
+        self.listen_address: Address | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -107,7 +109,7 @@
             not self._draining.is_set()
             and self._config.table is not None
             and self._target_follower.is_listed
-            and self._bank.is_known
+            and self._bank.loaded.is_set()
         )
 
     def drain(self) -> None:
@@ -154,7 +156,7 @@
                 task_status=task_status,
             )
 
-        await nursery.start(serve_callers)
+        self.listen_address = await nursery.start(serve_callers)
         await nursery.start(serve_readiness)
 
     async def _answer_readiness(
@@ -165,6 +167,7 @@
     async def _finish(self) -> None:
         with trio.move_on_after(self._options.grace_period_s - EXIT_MARGIN_S):
             await trio.sleep(LINGER_S)
+            self._face.is_closed = True
             await self._face.wait_idle()
         with trio.move_on_after(RETURN_TIMEOUT_S):
             await self._bank.return_all()
--- a/src/lavenderfold/escrow/_bank.py
+++ b/src/lavenderfold/escrow/_bank.py
@@ -68,7 +68,7 @@
         self, *, store: SharedStore, timers: TimerService, holder: str, prefix: str
     ):
         self.wallet = Wallet()
-        self.is_known = False
+        self.loaded = trio.Event()
         self._store = store
         self._timers = timers
         self._holder = holder
@@ -110,10 +110,9 @@
 
     async def run(self) -> None:
         """Load the ledger, then keep grants in step until cancelled."""
-        while not self.is_known:
-            self.is_known = await self._load()
-            if not self.is_known:
-                await trio.sleep(FAILURE_PAUSE_S)
+        while not await self._load():
+            await trio.sleep(FAILURE_PAUSE_S)
+        self.loaded.set()
         while True:
             with trio.move_on_after(SYNC_PERIOD_S):
                 await self._wake.wait()
@@ -162,7 +161,7 @@
         return True
 
     async def _sync(self) -> bool:
-        """Make the planned transfers; returns False if the store failed."""
+        """Make the planned transfers; returns False if a pause is due first."""
         for _ in range(ATTEMPTS_PER_SYNC):
             transfer_by_organisation = self._plan()
             if not transfer_by_organisation:
@@ -176,13 +175,15 @@
                 continue
             except WriteUncertainError as error:
                 logger.info("ledger_write_uncertain", extra={"cause": str(error)})
-                return await self._load() and self._note_pages(transfer_by_organisation)
+                if await self._load():
+                    self._note_pages(transfer_by_organisation)
+                return False
             except SharedStoreError as error:
                 logger.info("ledger_write_failed", extra={"cause": str(error)})
                 return False
             self._note_pages(transfer_by_organisation)
             return True
-        return True
+        return False
 
     def _plan(self) -> dict[str, Transfer]:
         now = self._timers.now()
@@ -238,7 +239,7 @@
                 continue
             self._page_by_key[item.key] = _Page(content=content, revision=item.revision)
 
-    def _note_pages(self, transfer_by_organisation: dict[str, Transfer]) -> bool:
+    def _note_pages(self, transfer_by_organisation: dict[str, Transfer]) -> None:
         """Tell the purses the known state of their balances."""
         now = self._timers.now()
         for organisation in transfer_by_organisation:
@@ -250,4 +251,3 @@
             purse.note(balance, self._holder, now=now)
         self._synced.set()
         self._synced = trio.Event()
-        return True
--- /dev/null
+++ b/tests/direct_support.py
@@ -0,0 +1,311 @@
+"""A direct router on loopback with a store in memory and scripted targets."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import msgspec
+import trio
+
+from lavenderfold.direct import (
+    AnswerHead,
+    CallerRequest,
+    Dialect,
+    DirectRouter,
+    PromptPart,
+    RecordReader,
+    RouterOptions,
+    TargetCall,
+    TokenUse,
+    UnreadableItemError,
+)
+from lavenderfold.fleet import (
+    CallerLimits,
+    FleetConfig,
+    Organisation,
+    Repetition,
+    Route,
+    Service,
+    ServiceShare,
+    Target,
+)
+from lavenderfold.http import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    ResponseWriter,
+    serve,
+)
+from lavenderfold.settings import Address
+from lavenderfold.timers import TimerService
+from standins.memory_store import MemoryStore
+
+LOOPBACK = "127.0.0.1"
+EVENT_TOKENS = 2
+GRACE_S = 6.0
+
+
+def read_request(request: HttpRequest) -> CallerRequest:
+    tokens = request.header("x-tokens")
+    parts = request.header("x-parts") or ""
+    return CallerRequest(
+        attempt_id=request.header("x-attempt") or "none",
+        host="host",
+        method=request.method,
+        target=request.target,
+        path=request.path,
+        forwarded=[("x-attempt", request.header("x-attempt") or "none")],
+        body=request.body,
+        patience_s=float(request.header("x-patience") or 3),
+        key=request.header("x-key"),
+        tokens=TokenUse(*map(int, tokens.split(","))) if tokens else None,
+        parts=tuple(PromptPart(each, 100) for each in parts.split(",") if each),
+        last_event_id=request.header("x-last"),
+    )
+
+
+def write_call(call: TargetCall) -> HttpRequest:
+    headers = [*call.request.forwarded, ("x-target", call.target.id)]
+    if call.last_event_id is not None:
+        headers.append(("x-last", call.last_event_id))
+    return HttpRequest(
+        method=call.request.method,
+        target=call.request.target,
+        headers=headers,
+        body=call.request.body,
+    )
+
+
+def read_answer(status: int, headers: list[tuple[str, str]]) -> AnswerHead:
+    by_name = dict(headers)
+    return AnswerHead(
+        status=status,
+        attempt_id=by_name.get("x-attempt"),
+        is_signed="x-signature" in by_name,
+        is_not_run="x-not-run" in by_name,
+        is_misdirected=status == 421,
+        is_encoded="content-encoding" in by_name,
+        headers=headers,
+    )
+
+
+DIALECT = Dialect(
+    read_request=read_request,
+    write_call=write_call,
+    read_answer=read_answer,
+    answer_headers=lambda attempt_id: [("x-attempt", attempt_id)],
+)
+
+
+class TargetRecord(msgspec.Struct):
+    service: str
+    host: str
+    port: int
+    is_draining: bool = False
+
+
+def _decode(item, wanted):
+    try:
+        return msgspec.json.decode(item.value, type=wanted)
+    except msgspec.DecodeError as error:
+        raise UnreadableItemError(str(error)) from error
+
+
+def read_target(item) -> Target:
+    record = _decode(item, TargetRecord)
+    return Target(
+        id=item.key.partition("/")[2],
+        service=record.service,
+        host=record.host,
+        port=record.port,
+        domain="domain",
+        slots=8,
+        is_draining=record.is_draining,
+    )
+
+
+READER = RecordReader(
+    read_config=lambda item: _decode(item, FleetConfig), read_target=read_target
+)
+
+
+def route(name: str, repetition: Repetition, **changes) -> Route:
+    values = {
+        "name": name,
+        "host": "host",
+        "path_prefix": f"/{name}/",
+        "repetition": repetition,
+        "shares": (ServiceShare("service", 1),),
+        "timeout_s": 2.0,
+        "objective_s": 0.2,
+        "pause_limit_s": 0.2,
+        "attempt_limit": 2,
+    }
+    return Route(**{**values, **changes})
+
+
+def fleet_config(*, version: int = 1, limit: int = 10_000, **changes) -> FleetConfig:
+    values = {
+        "version": version,
+        "routes": (
+            route("read", Repetition.IDEMPOTENT),
+            route("sign", Repetition.SINGLE_RUN),
+            route("chat", Repetition.STREAM),
+            route("draft", Repetition.STREAM, is_resumable=True),
+        ),
+        "services": (
+            Service(name="service", connection_limit=9, event_tokens=EVENT_TOKENS),
+        ),
+        "organisations": (
+            Organisation(name="org", keys=("secret",), limit_tokens=limit),
+        ),
+        "limits": CallerLimits(),
+    }
+    return FleetConfig(**{**values, **changes})
+
+
+Script = Callable[[HttpRequest, ResponseWriter], Awaitable[None]]
+
+
+def good_headers(request: HttpRequest) -> list[tuple[str, str]]:
+    return [("x-attempt", request.header("x-attempt")), ("x-signature", "yes")]
+
+
+def event(number: int) -> bytes:
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+async def answer_whole(request: HttpRequest, writer: ResponseWriter) -> None:
+    response = HttpResponse(status=200, headers=good_headers(request), body=b"done")
+    await writer.send(response)
+
+
+async def reject(request: HttpRequest, writer: ResponseWriter) -> None:
+    headers = [("x-attempt", request.header("x-attempt")), ("x-not-run", "1")]
+    await writer.send(HttpResponse(status=503, headers=headers))
+
+
+async def fail(request: HttpRequest, writer: ResponseWriter) -> None:
+    headers = good_headers(request)
+    await writer.send(HttpResponse(status=500, headers=headers, body=b"failed"))
+
+
+def stream(*, start_at: int = 1, end_at: int = 4, cut: bool = False) -> Script:
+    """Return a script that sends events, from the one after the caller's last."""
+
+    async def script(request: HttpRequest, writer: ResponseWriter) -> None:
+        first = int(request.header("x-last") or start_at - 1) + 1
+        headers = [*good_headers(request), ("content-type", "text/event-stream")]
+        await writer.start(200, headers)
+        for number in range(first, end_at + 1):
+            await writer.write(event(number))
+        if cut:
+            await writer.write(event(end_at + 1)[:7])
+            raise RuntimeError("the target breaks off")
+        await writer.finish()
+
+    return script
+
+
+class FakeTarget:
+    """A target whose script can be changed; ``seen`` holds what it was sent."""
+
+    def __init__(self, *, id: str, script: Script):
+        self.id = id
+        self.script = script
+        self.seen: list[HttpRequest] = []
+        self.cancelled = 0
+        self.address: Address | None = None
+
+    async def handle(self, request: HttpRequest, writer: ResponseWriter) -> None:
+        self.seen.append(request)
+        await self.script(request, writer)
+
+
+class DirectFleet:
+    """The router under test, its store and its targets."""
+
+    def __init__(self, *, nursery: trio.Nursery, store: MemoryStore):
+        self.nursery = nursery
+        self.store = store
+        self.target_by_id: dict[str, FakeTarget] = {}
+        self.router: DirectRouter | None = None
+        self.address: Address | None = None
+
+    async def add_target(self, id: str, script: Script) -> FakeTarget:
+        target = FakeTarget(id=id, script=script)
+        listen = Address(host=LOOPBACK, port=0)
+
+        async def start(task_status) -> None:
+            await serve(target.handle, address=listen, task_status=task_status)
+
+        target.address = await self.nursery.start(start)
+        self.target_by_id[id] = target
+        self.register(target)
+        return target
+
+    def register(self, target: FakeTarget, *, is_draining: bool = False) -> None:
+        record = TargetRecord(
+            service="service",
+            host=target.address.host,
+            port=target.address.port,
+            is_draining=is_draining,
+        )
+        self.store.put(f"targets/{target.id}", msgspec.json.encode(record))
+
+    def configure(self, config: FleetConfig) -> None:
+        self.store.put("config", msgspec.json.encode(config))
+
+    async def start_router(self) -> None:
+        options = RouterOptions(
+            name="router",
+            domain="domain",
+            listen=Address(host=LOOPBACK, port=0),
+            ready_listen=Address(host=LOOPBACK, port=0),
+            grace_period_s=GRACE_S,
+            config_prefix="config",
+            targets_prefix="targets/",
+            ledger_prefix="ledger/",
+        )
+        self.router = DirectRouter(
+            options=options,
+            store=self.store,
+            reader=READER,
+            dialect=DIALECT,
+            timers=TimerService(),
+        )
+        self.nursery.start_soon(self.router.run)
+        for _ in range(300):
+            if self.router.is_ready and self.router.listen_address:
+                break
+            await trio.sleep(0.01)
+        assert self.router.is_ready
+        self.address = self.router.listen_address
+
+    async def ask(self, path: str, **headers: str) -> HttpResponse:
+        """Send a request of the organisation and return the whole answer."""
+        values = {"attempt": "attempt-1", "key": "secret", "tokens": "10,20"}
+        values.update(headers)
+        request = HttpRequest(
+            method="POST",
+            target=path,
+            headers=[(f"x-{name}", text) for name, text in values.items() if text],
+            body=b"body",
+        )
+        client = HttpClient(address=self.address)
+        try:
+            return await client.request(request)
+        finally:
+            await client.close()
+
+
+@asynccontextmanager
+async def direct_fleet(*scripts: Script, config: FleetConfig | None = None):
+    """Run a router before targets ``t0``, ``t1`` and so on with these scripts."""
+    async with trio.open_nursery() as nursery:
+        fleet = DirectFleet(nursery=nursery, store=MemoryStore())
+        fleet.configure(config or fleet_config())
+        for number, script in enumerate(scripts):
+            await fleet.add_target(f"t{number}", script)
+        await fleet.start_router()
+        yield fleet
+        nursery.cancel_scope.cancel()
