--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -35,6 +35,7 @@
 RETURN_TIMEOUT_S = 0.5
 UPKEEP_PERIOD_S = 0.2
 TIDY_PERIOD_S = 2.0
+REPORT_PERIOD_S = 4.0
 
 logger = logging.getLogger("lavenderfold.router")
 
@@ -122,6 +123,7 @@
         fields = {"router": self._options.name, "holder": self._holder}
         logger.info("router_started", extra=fields)
         self._timers.every(UPKEEP_PERIOD_S, self._targets.expire)
+        self._timers.every(REPORT_PERIOD_S, self._bank.report, delay=REPORT_PERIOD_S)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._timers.run)
             nursery.start_soon(self._config_follower.run)
--- a/src/lavenderfold/escrow/_bank.py
+++ b/src/lavenderfold/escrow/_bank.py
@@ -44,6 +44,19 @@
     UNAVAILABLE = "unavailable"
 
 
+class PurseState(msgspec.Struct, frozen=True, kw_only=True):
+    """What a router knows of one balance, in tokens; ``age_ms`` is the ledger's."""
+
+    organisation: str
+    limit: int | None
+    granted: int
+    spent: int
+    reserved: int
+    rest: int | None
+    rest_of_others: int
+    age_ms: int | None
+
+
 class _Limit(msgspec.Struct, frozen=True):
     tokens: int
     version: int
@@ -110,9 +123,7 @@
 
     async def run(self) -> None:
         """Load the ledger, then keep grants in step until cancelled."""
-        while not await self._load():
-            await trio.sleep(FAILURE_PAUSE_S)
-        self.loaded.set()
+        await self._load_first()
         while True:
             with trio.move_on_after(SYNC_PERIOD_S):
                 await self._wake.wait()
@@ -120,6 +131,28 @@
             if not await self._sync():
                 await trio.sleep(FAILURE_PAUSE_S)
 
+    def purse_state(self, organisation: str) -> PurseState:
+        """Return what the router knows of an organisation's balance, for a log."""
+        now = self._timers.now()
+        purse = self.wallet.purse(organisation, now=now)
+        limit = self._limit_by_organisation.get(organisation)
+        return PurseState(
+            organisation=organisation,
+            limit=limit.tokens if limit else None,
+            granted=purse.granted,
+            spent=purse.spent,
+            reserved=purse.reserved,
+            rest=purse.rest,
+            rest_of_others=purse.rest_of_others,
+            age_ms=None if purse.rest is None else round((now - purse.seen_at) * 1000),
+        )
+
+    def report(self, _: float) -> None:
+        """Log the state of each purse."""
+        for organisation in self.wallet.purse_by_organisation:
+            state = self.purse_state(organisation)
+            logger.info("balance", extra=msgspec.structs.asdict(state))
+
     async def return_all(self) -> None:
         """Hand back everything that isn't reserved; for the router's exit."""
         self._is_returning = True
@@ -151,6 +184,13 @@
     def _poke(self) -> None:
         self._wake.set()
 
+    async def _load_first(self) -> None:
+        while True:
+            if await self._load():
+                break
+            await trio.sleep(FAILURE_PAUSE_S)
+        self.loaded.set()
+
     async def _load(self) -> bool:
         try:
             listing = await self._store.list_items(self._prefix)
--- a/src/lavenderfold/escrow/_ledger.py
+++ b/src/lavenderfold/escrow/_ledger.py
@@ -6,7 +6,7 @@
 PAGE_COUNT = 16
 # The share of what is left that one transfer may take beyond waiting requests.
 # Smaller shares keep more for other routers near the end of a balance.
-SHARE_OF_REST = 0.2
+SHARE_OF_REST = 0.35
 
 
 class LedgerDecodeError(Exception):
--- a/src/lavenderfold/escrow/_wallet.py
+++ b/src/lavenderfold/escrow/_wallet.py
@@ -5,7 +5,12 @@
 from lavenderfold.escrow._ledger import Balance, Transfer
 
 # Seconds of its own draw that a router holds, to go on while the store is away.
-HORIZON_S = 10.0
+HORIZON_S = 5.0
+# Requests of the usual size held beyond the horizon, for traffic that comes in
+# clumps.
+SPARE_REQUESTS = 3
+# The usual size follows the requests with this weight of the newest.
+SIZE_WEIGHT = 0.2
 # A router asks for more when it holds less than this part of its horizon.
 REFILL_SHARE = 0.85
 # What exceeds the horizon by this factor goes back.
@@ -13,7 +18,7 @@
 # The mean draw follows the traffic with this time constant.
 DRAW_TIME_CONSTANT_S = 3.0
 # Near the end of a balance a router keeps at most this part of what is left.
-KEPT_SHARE_OF_REST = 0.25
+KEPT_SHARE_OF_REST = 0.4
 # A balance that couldn't cover a request is asked again after this time.
 EMPTY_RETRY_S = 0.4
 
@@ -31,6 +36,7 @@
         "rest_of_others",
         "seen_at",
         "waiting_by_id",
+        "_size",
         "_drawn",
         "_draw_rate",
         "_rated_at",
@@ -46,6 +52,7 @@
         self.rest_of_others = 0
         self.seen_at = -math.inf
         self.waiting_by_id: dict[int, int] = {}
+        self._size = 0.0
         self._drawn = 0
         self._draw_rate = 0.0
         self._rated_at = now
@@ -67,6 +74,7 @@
             return False
         self.reserved += tokens
         self._drawn += tokens
+        self._size += (tokens - self._size) * SIZE_WEIGHT
         return True
 
     def settle(self, *, reserved: int, used: int) -> None:
@@ -89,7 +97,7 @@
 
     def desired(self, rate: float) -> int:
         """Return the tokens to hold free, at a draw of ``rate``."""
-        wanted = rate * HORIZON_S
+        wanted = rate * HORIZON_S + SPARE_REQUESTS * self._size
         if self.rest is not None:
             left = self.rest + max(0, self.free)
             wanted = min(wanted, left * KEPT_SHARE_OF_REST)
--- /dev/null
+++ b/src/lavenderfold/relay/_relay.py
@@ -0,0 +1,100 @@
+"""The relay process: registers its address and passes HTTP calls on."""
+
+import logging
+
+import msgspec
+import trio
+
+from lavenderfold.http import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    RequestNotSentError,
+    ResponseLostError,
+    ResponseWriter,
+    serve,
+)
+from lavenderfold.settings import Address
+from lavenderfold.shared import (
+    ConditionalWrite,
+    SharedStore,
+    SharedStoreError,
+    WriteConflictError,
+)
+
+CONNECT_TIMEOUT_S = 0.5
+REGISTER_PAUSE_S = 0.5
+FORWARDED_HEADERS = frozenset(("content-type",))
+
+logger = logging.getLogger("lavenderfold.relay")
+
+
+class RelayOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a relay runs. ``prefix`` is that of the relays' keys in the store."""
+
+    name: str
+    domain: str
+    listen: Address
+    store_address: Address
+    prefix: str
+
+
+class RelayRecord(msgspec.Struct, frozen=True):
+    """A relay's entry in the store."""
+
+    address: str
+    domain: str
+
+
+class StoreRelay:
+    """Passes calls on to the store and answers with what the store answered."""
+
+    def __init__(self, *, options: RelayOptions, store: SharedStore):
+        self._options = options
+        self._store = store
+        self._client = HttpClient(
+            address=options.store_address, connect_timeout_s=CONNECT_TIMEOUT_S
+        )
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        logger.info("relay_started", extra={"relay": self._options.name})
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._register)
+            await serve(self._pass_on, address=self._options.listen)
+
+    async def _register(self) -> None:
+        key = f"{self._options.prefix}{self._options.name}"
+        record = RelayRecord(str(self._options.listen), self._options.domain)
+        value = msgspec.json.encode(record)
+        while True:
+            try:
+                listing = await self._store.list_items(key)
+                known = {item.key: item for item in listing.items}.get(key)
+                if known is None or known.value != value:
+                    revision = known.revision if known else 0
+                    await self._store.write([ConditionalWrite(key, value, revision)])
+                return
+            except (SharedStoreError, WriteConflictError) as error:
+                logger.info("relay_not_registered", extra={"cause": str(error)})
+                await trio.sleep(REGISTER_PAUSE_S)
+
+    async def _pass_on(self, request: HttpRequest, writer: ResponseWriter) -> None:
+        call = HttpRequest(
+            method=request.method,
+            target=request.target,
+            headers=[item for item in request.headers if item[0] in FORWARDED_HEADERS],
+            body=request.body,
+        )
+        try:
+            answer = await self._client.request(call)
+        except RequestNotSentError as error:
+            logger.info("store_unreachable", extra={"cause": str(error)})
+            await writer.send(HttpResponse(status=503))
+            return
+        except ResponseLostError as error:
+            # The store may have done it: 502 promises nothing.
+            logger.info("store_answer_lost", extra={"cause": str(error)})
+            await writer.send(HttpResponse(status=502))
+            return
+        await writer.send(HttpResponse(status=answer.status, body=answer.body))
--- a/src/lavenderfold/shared/__init__.py
+++ b/src/lavenderfold/shared/__init__.py
@@ -5,6 +5,7 @@
 exist.
 """
 
+from lavenderfold.shared._failover import FailoverStore
 from lavenderfold.shared._store import (
     Change,
     Changes,
@@ -23,6 +24,7 @@
     "Change",
     "Changes",
     "ConditionalWrite",
+    "FailoverStore",
     "HistoryLostError",
     "Item",
     "Listing",
