Witness a router's spending at a relay, so that its successor reclaims the rest

Ruled out: leases as evidence (they may pause while the store is down) and the time of day (it jumps). A router states spent and reserved tokens to a relay before it sends a request; its successor seals the statement and hands the rest back.

--- a/src/lavenderfold/direct/_request_run.py
+++ b/src/lavenderfold/direct/_request_run.py
@@ -105,15 +105,13 @@
         organisation = self._organisation
         if tokens is None or organisation is None or organisation.limit_tokens is None:
             return None
-        bank = self._parts.bank
         worst = tokens.worst_case
-        if not bank.reserve_now(organisation.name, worst):
-            until = self._parts.timers.now() + FUNDING_WAIT_S
-            funding = await bank.reserve(organisation.name, worst, until=until)
-            if funding is Funding.SPENT:
-                return not_run(Reason.BUDGET_SPENT)
-            if funding is Funding.UNAVAILABLE:
-                return not_run(Reason.BUDGET_UNAVAILABLE, retry_after_s=RETRY_FUNDING_S)
+        until = self._parts.timers.now() + FUNDING_WAIT_S
+        funding = await self._parts.bank.reserve(organisation.name, worst, until=until)
+        if funding is Funding.SPENT:
+            return not_run(Reason.BUDGET_SPENT)
+        if funding is Funding.UNAVAILABLE:
+            return not_run(Reason.BUDGET_UNAVAILABLE, retry_after_s=RETRY_FUNDING_S)
         self._reserved = worst
         return None
 
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -23,7 +23,7 @@
     serve,
 )
 from lavenderfold.settings import Address
-from lavenderfold.shared import SharedStore
+from lavenderfold.shared import RelayDirectory, SharedStore
 from lavenderfold.timers import TimerService
 
 HOLDER_BYTES = 8
@@ -64,16 +64,18 @@
         reader: RecordReader,
         dialect: Dialect,
         timers: TimerService,
+        relays: RelayDirectory | None = None,
     ):
         self._options = options
         self._timers = timers
-        self._holder = secrets.token_hex(HOLDER_BYTES)
+        self._holder = f"{options.name}/{secrets.token_hex(HOLDER_BYTES)}"
         self._draining = trio.Event()
         self._bank = Bank(
             store=store,
             timers=timers,
             holder=self._holder,
             prefix=options.ledger_prefix,
+            relays=relays,
         )
         self._config = ConfigSink(reader=reader, on_installed=self._config_installed)
         self._targets = TargetSink(reader=reader, timers=timers)
--- a/src/lavenderfold/escrow/__init__.py
+++ b/src/lavenderfold/escrow/__init__.py
@@ -2,8 +2,8 @@
 
 A ledger page in the shared store holds balances. A router moves tokens from a
 balance into a grant of its own before it spends them, and back if it doesn't
-need them. A grant is never taken from its holder, so that a balance can't be
-overspent by a router that is cut off, paused or dead.
+need them. A witness knows the most that the router can have spent; only what lies
+above that is taken back after the router's death.
 """
 
 from lavenderfold.escrow._bank import Bank, Funding
@@ -14,9 +14,17 @@
     LedgerPage,
     Transfer,
     page_key,
+    reclaim,
     transfer,
 )
 from lavenderfold.escrow._wallet import Purse, Wallet
+from lavenderfold.escrow._witness import (
+    WITNESS_PREFIX,
+    Seal,
+    Statement,
+    WitnessBook,
+    answer_call,
+)
 
 __all__ = [
     "Balance",
@@ -26,8 +34,14 @@
     "LedgerDecodeError",
     "LedgerPage",
     "Purse",
+    "Seal",
+    "Statement",
     "Transfer",
+    "WITNESS_PREFIX",
     "Wallet",
+    "WitnessBook",
+    "answer_call",
     "page_key",
+    "reclaim",
     "transfer",
 ]
--- a/src/lavenderfold/escrow/_ledger.py
+++ b/src/lavenderfold/escrow/_ledger.py
@@ -18,12 +18,15 @@
 
     ``total`` counts all tokens ever moved to it, less those handed back;
     ``number`` is the holder's last transfer, by which it recognises a transfer
-    whose answer was lost.
+    whose answer was lost. ``witness`` is the incarnation of the relay that knows
+    what the holder may have spent, at ``witness_address``; empty if there is none.
     """
 
     total: int
     spent: int
     number: int
+    witness: str = ""
+    witness_address: str = ""
 
 
 class Balance(msgspec.Struct, frozen=True, array_like=True):
@@ -82,6 +85,8 @@
     wanted: int = 0
     returned: int = 0
     spent: int = 0
+    witness: str = ""
+    witness_address: str = ""
 
 
 def page_key(prefix: str, organisation: str) -> str:
@@ -117,9 +122,31 @@
         return balance
     moved = _moved(balance, request) - request.returned
     changed = Grant(
-        total=grant.total + moved, spent=request.spent, number=request.number
+        total=grant.total + moved,
+        spent=request.spent,
+        number=request.number,
+        witness=request.witness,
+        witness_address=request.witness_address,
     )
     grants = {**balance.grant_by_holder, holder: changed}
     return msgspec.structs.replace(
         balance, charged=balance.charged + moved, grant_by_holder=grants
     )
+
+
+def reclaim(balance: Balance, holder: str, *, kept: int | None) -> Balance:
+    """Return the balance without a dead holder's grant.
+
+    ``kept`` is the most that the holder can have spent; all of the grant stays
+    charged if that isn't known.
+    """
+    grant = balance.grant_by_holder.get(holder)
+    if grant is None:
+        return balance
+    used = grant.total if kept is None else min(grant.total, max(grant.spent, kept))
+    grants = {k: v for k, v in balance.grant_by_holder.items() if k != holder}
+    return msgspec.structs.replace(
+        balance,
+        charged=balance.charged - (grant.total - used),
+        grant_by_holder=grants,
+    )
--- a/src/lavenderfold/escrow/_wallet.py
+++ b/src/lavenderfold/escrow/_wallet.py
@@ -5,7 +5,7 @@
 from lavenderfold.escrow._ledger import Balance, Transfer
 
 # Seconds of its own draw that a router holds, to go on while the store is away.
-HORIZON_S = 5.0
+HORIZON_S = 3.5
 # Requests of the usual size held beyond the horizon, for traffic that comes in
 # clumps.
 SPARE_REQUESTS = 3
@@ -36,6 +36,7 @@
         "rest_of_others",
         "seen_at",
         "waiting_by_id",
+        "witness",
         "_size",
         "_drawn",
         "_draw_rate",
@@ -52,6 +53,7 @@
         self.rest_of_others = 0
         self.seen_at = -math.inf
         self.waiting_by_id: dict[int, int] = {}
+        self.witness = ""
         self._size = 0.0
         self._drawn = 0
         self._draw_rate = 0.0
@@ -103,8 +105,19 @@
             wanted = min(wanted, left * KEPT_SHARE_OF_REST)
         return int(wanted) + sum(self.waiting_by_id.values())
 
-    def plan(self, now: float) -> Transfer | None:
-        """Return the transfer to make now, or None if nothing is to be moved."""
+    def names_only(self, witness: str) -> bool:
+        """Return whether the ledger names this witness and can't name another."""
+        if self.pending is not None and self.pending.witness != witness:
+            return False
+        return self.witness == witness
+
+    def plan(
+        self, now: float, *, witness: str = "", witness_address: str = ""
+    ) -> Transfer | None:
+        """Return the transfer to make now, or None if nothing is to be moved.
+
+        ``witness`` is the one that the grant shall name from now on.
+        """
         if self.pending is not None:
             return self.pending
         rate = self.draw_rate(now)
@@ -118,15 +131,30 @@
             returned = self.free - desired
         if self._is_known_empty(needed, now):
             wanted = 0
-        if not wanted and not returned:
+        is_named = self.witness == witness or not self.granted
+        if not wanted and not returned and is_named:
             return None
-        return self._begin(needed=needed if wanted else 0, wanted=wanted, back=returned)
+        self.number += 1
+        self.pending = Transfer(
+            number=self.number,
+            needed=needed if wanted else 0,
+            wanted=wanted,
+            returned=returned,
+            spent=self.spent + self.reserved,
+            witness=witness,
+            witness_address=witness_address,
+        )
+        return self.pending
 
     def plan_return(self) -> Transfer | None:
         """Return the transfer that hands all free tokens back."""
         if self.pending is not None or self.free <= 0:
             return self.pending
-        return self._begin(needed=0, wanted=0, back=self.free)
+        self.number += 1
+        self.pending = Transfer(
+            number=self.number, returned=self.free, spent=self.spent + self.reserved
+        )
+        return self.pending
 
     def note(self, balance: Balance, holder: str, *, now: float) -> None:
         """Take in the state of the balance, as read from or written to the store."""
@@ -137,6 +165,7 @@
         if grant is None or self.pending is None or grant.number < self.number:
             return
         self.granted = grant.total
+        self.witness = grant.witness
         self.pending = None
 
     def _is_known_empty(self, needed: int, now: float) -> bool:
@@ -146,17 +175,6 @@
             self.waiting_by_id.values(), default=needed
         )
 
-    def _begin(self, *, needed: int, wanted: int, back: int) -> Transfer:
-        self.number += 1
-        self.pending = Transfer(
-            number=self.number,
-            needed=needed,
-            wanted=wanted,
-            returned=back,
-            spent=self.spent,
-        )
-        return self.pending
-
 
 class Wallet:
     """The purses of one router, by organisation."""
--- a/src/lavenderfold/relay/_relay.py
+++ b/src/lavenderfold/relay/_relay.py
@@ -1,10 +1,12 @@
-"""The relay process: registers its address and passes HTTP calls on."""
+"""The relay process: passes calls to the store on and witnesses spending."""
 
 import logging
+import secrets
 
 import msgspec
 import trio
 
+from lavenderfold.escrow import WITNESS_PREFIX, WitnessBook, answer_call
 from lavenderfold.http import (
     HttpClient,
     HttpRequest,
@@ -17,6 +19,7 @@
 from lavenderfold.settings import Address
 from lavenderfold.shared import (
     ConditionalWrite,
+    RelayRecord,
     SharedStore,
     SharedStoreError,
     WriteConflictError,
@@ -24,6 +27,7 @@
 
 CONNECT_TIMEOUT_S = 0.5
 REGISTER_PAUSE_S = 0.5
+INCARNATION_BYTES = 8
 FORWARDED_HEADERS = frozenset(("content-type",))
 
 logger = logging.getLogger("lavenderfold.relay")
@@ -39,17 +43,12 @@
     prefix: str
 
 
-class RelayRecord(msgspec.Struct, frozen=True):
-    """A relay's entry in the store."""
-
-    address: str
-    domain: str
-
-
 class StoreRelay:
     """Passes calls on to the store and answers with what the store answered."""
 
     def __init__(self, *, options: RelayOptions, store: SharedStore):
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._witness = WitnessBook(incarnation=self._incarnation)
         self._options = options
         self._store = store
         self._client = HttpClient(
@@ -65,7 +64,9 @@
 
     async def _register(self) -> None:
         key = f"{self._options.prefix}{self._options.name}"
-        record = RelayRecord(str(self._options.listen), self._options.domain)
+        record = RelayRecord(
+            str(self._options.listen), self._options.domain, self._incarnation
+        )
         value = msgspec.json.encode(record)
         while True:
             try:
@@ -80,6 +81,10 @@
                 await trio.sleep(REGISTER_PAUSE_S)
 
     async def _pass_on(self, request: HttpRequest, writer: ResponseWriter) -> None:
+        if request.path.startswith(WITNESS_PREFIX):
+            status, body = answer_call(self._witness, request.path, request.body)
+            await writer.send(HttpResponse(status=status, body=body))
+            return
         call = HttpRequest(
             method=request.method,
             target=request.target,
--- a/src/lavenderfold/shared/__init__.py
+++ b/src/lavenderfold/shared/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from lavenderfold.shared._failover import FailoverStore
+from lavenderfold.shared._relays import Relay, RelayDirectory, RelayRecord
 from lavenderfold.shared._store import (
     Change,
     Changes,
@@ -28,6 +29,9 @@
     "HistoryLostError",
     "Item",
     "Listing",
+    "Relay",
+    "RelayDirectory",
+    "RelayRecord",
     "SharedStore",
     "SharedStoreError",
     "WriteConflictError",
