--- a/src/lavenderfold/direct/_request_run.py
+++ b/src/lavenderfold/direct/_request_run.py
@@ -30,12 +30,13 @@
 from lavenderfold.routing import RetryBudget
 from lavenderfold.timers import TimerService
 
-# A grant from the store of the other region takes about 30 ms.
-FUNDING_WAIT_S = 0.3
+# A grant takes about 30 ms from the other region; a path to the store that was cut
+# is noticed and replaced within 0.6 s.
+FUNDING_WAIT_S = 0.7
 # Connections that can't be established cost no run, but time.
 CONNECTION_ATTEMPTS = 3
 RETRY_SOON_S = 0.25
-RETRY_FUNDING_S = 1.0
+RETRY_FUNDING_S = 0.3
 # A call with less time than this left can't be answered any more.
 LEAST_REMAINING_S = 0.005
 
--- a/src/lavenderfold/escrow/_bank.py
+++ b/src/lavenderfold/escrow/_bank.py
@@ -32,7 +32,7 @@
 )
 from lavenderfold.timers import TimerService
 
-SYNC_PERIOD_S = 1.0
+SYNC_PERIOD_S = 0.5
 # After a failed call, so that a store that returns isn't met by all at once.
 FAILURE_PAUSE_S = 0.25
 CONFLICT_PAUSE_S = 0.003
--- a/src/lavenderfold/escrow/_wallet.py
+++ b/src/lavenderfold/escrow/_wallet.py
@@ -5,10 +5,10 @@
 from lavenderfold.escrow._ledger import Balance, Transfer
 
 # Seconds of its own draw that a router holds, to go on while the store is away.
-HORIZON_S = 3.5
+HORIZON_S = 8.0
 # Requests of the usual size held beyond the horizon, for traffic that comes in
 # clumps.
-SPARE_REQUESTS = 3
+SPARE_REQUESTS = 1
 # The usual size follows the requests with this weight of the newest.
 SIZE_WEIGHT = 0.2
 # A router asks for more when it holds less than this part of its horizon.
@@ -18,7 +18,7 @@
 # The mean draw follows the traffic with this time constant.
 DRAW_TIME_CONSTANT_S = 3.0
 # Near the end of a balance a router keeps at most this part of what is left.
-KEPT_SHARE_OF_REST = 0.4
+KEPT_SHARE_OF_REST = 0.04
 # A balance that couldn't cover a request is asked again after this time.
 EMPTY_RETRY_S = 0.4
 
