--- a/src/lavenderfold/direct/_request_run.py
+++ b/src/lavenderfold/direct/_request_run.py
@@ -1,6 +1,7 @@
 """The life of one request: admission, attempts, answer, settlement."""
 
 import logging
+from collections.abc import Callable
 
 import msgspec
 import trio
@@ -40,6 +41,8 @@
 # A call with less time than this left can't be answered any more.
 LEAST_REMAINING_S = 0.005
 
+UNSIZED = Refusal(status=400, reason="size_missing", outcome="not_run")
+
 logger = logging.getLogger("lavenderfold.requests")
 
 
@@ -52,8 +55,9 @@
     dialect: Dialect
     directory: TargetDirectory
     timers: TimerService
-    retries_by_service: dict[str, RetryBudget]
+    new_retry_budget: Callable[[], RetryBudget]
     domain: str
+    retries_by_service: dict[str, RetryBudget] = msgspec.field(default_factory=dict)
 
 
 class RequestRun:
@@ -104,8 +108,12 @@
     async def _fund(self) -> Refusal | None:
         tokens = self._request.tokens
         organisation = self._organisation
-        if tokens is None or organisation is None or organisation.limit_tokens is None:
+        if organisation is None or organisation.limit_tokens is None:
             return None
+        if tokens is None:
+            service = self._table.service(self._service)
+            # Without its size a generation can't be bounded by the balance.
+            return UNSIZED if service and service.is_model else None
         worst = tokens.worst_case
         until = self._parts.timers.now() + FUNDING_WAIT_S
         funding = await self._parts.bank.reserve(organisation.name, worst, until=until)
@@ -245,7 +253,11 @@
 
     @property
     def _retries(self) -> RetryBudget:
-        return self._parts.retries_by_service.setdefault(self._service, RetryBudget())
+        budget = self._parts.retries_by_service.get(self._service)
+        if budget is None:
+            budget = self._parts.new_retry_budget()
+            self._parts.retries_by_service[self._service] = budget
+        return budget
 
     def _log(self, refusal: Refusal | None) -> None:
         now = trio.current_time()
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -22,6 +22,7 @@
     ServerOptions,
     serve,
 )
+from lavenderfold.routing import RetryBudget
 from lavenderfold.settings import Address
 from lavenderfold.shared import RelayDirectory, SharedStore
 from lavenderfold.timers import TimerService
@@ -41,13 +42,19 @@
 
 
 class RouterOptions(msgspec.Struct, frozen=True, kw_only=True):
-    """Where a router runs. Keys and prefixes are those of the shared store."""
+    """Where a router runs. Keys and prefixes are those of the shared store.
+
+    ``retry_share`` is the part of its requests that a router may repeat, and
+    ``retry_reserve`` the repeats that it may make beyond them in a burst.
+    """
 
     name: str
     domain: str
     listen: Address
     ready_listen: Address
     grace_period_s: float
+    retry_share: float
+    retry_reserve: float
     config_prefix: str
     targets_prefix: str
     ledger_prefix: str
@@ -98,7 +105,9 @@
             dialect=dialect,
             directory=self._targets.directory,
             timers=timers,
-            retries_by_service={},
+            new_retry_budget=lambda: RetryBudget(
+                share=options.retry_share, reserve=options.retry_reserve
+            ),
             domain=options.domain,
         )
         self._face = CallerFace(parts=self._parts, config=self._config)
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -262,6 +262,8 @@
             listen=Address(host=LOOPBACK, port=0),
             ready_listen=Address(host=LOOPBACK, port=0),
             grace_period_s=GRACE_S,
+            retry_share=0.1,
+            retry_reserve=10.0,
             config_prefix="config",
             targets_prefix="targets/",
             ledger_prefix="ledger/",
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -220,6 +220,16 @@
     run(scenario, answer_whole)
 
 
+def test_generation_without_its_size_runs_nowhere():
+    """Nothing bounds what it takes from the balance."""
+
+    async def scenario(fleet):
+        assert (await fleet.ask("/chat/x", tokens="")).status == 400
+        assert runs(fleet) == 0
+
+    run(scenario, stream())
+
+
 def test_used_tokens_are_prompt_and_delivered_events():
     """Billing the worst case would refuse requests that the balance covers."""
 
