--- /dev/null
+++ b/src/lavenderfold/escrow/_pages.py
@@ -0,0 +1,87 @@
+"""The ledger pages that a router knows, and their reads and writes."""
+
+import logging
+
+from lavenderfold.escrow._ledger import LedgerDecodeError, LedgerPage
+from lavenderfold.shared import (
+    ConditionalWrite,
+    Item,
+    SharedStore,
+    SharedStoreError,
+)
+
+logger = logging.getLogger(__name__)
+
+
+class _KnownPage:
+    __slots__ = ("content", "revision")
+
+    def __init__(self, *, content: LedgerPage, revision: int):
+        self.content = content
+        self.revision = revision
+
+
+class LedgerPages:
+    """Pages by key, as last read or written."""
+
+    def __init__(self, *, store: SharedStore, prefix: str):
+        self.prefix = prefix
+        self._store = store
+        self._page_by_key: dict[str, _KnownPage] = {}
+
+    def content_by_key(self) -> dict[str, LedgerPage]:
+        return {key: page.content for key, page in self._page_by_key.items()}
+
+    def content(self, key: str) -> LedgerPage | None:
+        page = self._page_by_key.get(key)
+        return page.content if page else None
+
+    async def load(self) -> bool:
+        """Read all pages; returns False if the store can't be reached."""
+        try:
+            listing = await self._store.list_items(self.prefix)
+        except SharedStoreError as error:
+            logger.info("ledger_unreachable", extra={"cause": str(error)})
+            return False
+        self.install(listing.items)
+        return True
+
+    def install(self, items: list[Item]) -> None:
+        """Take in pages that are newer than the known ones."""
+        for item in items:
+            known = self._page_by_key.get(item.key)
+            if known is not None and item.revision <= known.revision:
+                continue
+            try:
+                content = LedgerPage.decode(item.value)
+            except LedgerDecodeError as error:
+                # Without its revision the page can't be written over.
+                fault = {"key": item.key, "cause": str(error)}
+                logger.error("ledger_page_unreadable", extra=fault)
+                continue
+            self._page_by_key[item.key] = _KnownPage(
+                content=content, revision=item.revision
+            )
+
+    def draft(self, draft_by_key: dict[str, LedgerPage], key: str) -> LedgerPage:
+        """Return the draft of a page; starts one from the known content."""
+        draft = draft_by_key.get(key)
+        if draft is None:
+            known = self.content(key)
+            balances = known.balance_by_organisation if known else {}
+            draft = draft_by_key[key] = LedgerPage(dict(balances))
+        return draft
+
+    async def commit(self, draft_by_key: dict[str, LedgerPage]) -> None:
+        """Write drafts over the known pages; raises the errors of ``write``."""
+        writes = [
+            ConditionalWrite(key, draft.encode(), self._revision(key))
+            for key, draft in draft_by_key.items()
+        ]
+        revision = await self._store.write(writes)
+        for key, draft in draft_by_key.items():
+            self._page_by_key[key] = _KnownPage(content=draft, revision=revision)
+
+    def _revision(self, key: str) -> int:
+        known = self._page_by_key.get(key)
+        return known.revision if known else 0
--- a/src/lavenderfold/relay/_relay.py
+++ b/src/lavenderfold/relay/_relay.py
@@ -2,6 +2,7 @@
 
 import logging
 import secrets
+from functools import partial
 
 import msgspec
 import trio
@@ -55,18 +56,20 @@
             address=options.store_address, connect_timeout_s=CONNECT_TIMEOUT_S
         )
 
-    async def run(self) -> None:
-        """Serve until cancelled."""
+    async def run(
+        self, *, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; reports the bound address as started."""
         logger.info("relay_started", extra={"relay": self._options.name})
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._register)
-            await serve(self._pass_on, address=self._options.listen)
+            start = partial(serve, self._pass_on, address=self._options.listen)
+            address = await nursery.start(start)
+            nursery.start_soon(self._register, address)
+            task_status.started(address)
 
-    async def _register(self) -> None:
+    async def _register(self, address: Address) -> None:
         key = f"{self._options.prefix}{self._options.name}"
-        record = RelayRecord(
-            str(self._options.listen), self._options.domain, self._incarnation
-        )
+        record = RelayRecord(str(address), self._options.domain, self._incarnation)
         value = msgspec.json.encode(record)
         while True:
             try:
