--- /dev/null
+++ b/tests/test_direct_decisions.py
@@ -0,0 +1,147 @@
+"""Target choice, event splitting and bounded logs, without a network."""
+
+import logging
+import os
+
+import pytest
+
+from lavenderfold.direct import CallerRequest, PromptPart
+from lavenderfold.direct._choice import choose_target
+from lavenderfold.direct._events import EventSplitter
+from lavenderfold.direct._load import LoadBook
+from lavenderfold.direct._request_run import pick_service
+from lavenderfold.fleet import Repetition, ServiceShare, Target
+from lavenderfold.logs import LINES_PER_S, BoundedLines
+from tests.direct_support import route
+
+
+def target(name: str, *, domain: str = "here") -> Target:
+    return Target(
+        id=name,
+        service="s",
+        host="h",
+        port=1,
+        domain=domain,
+        slots=8,
+        is_draining=False,
+    )
+
+
+def request(*parts: str) -> CallerRequest:
+    return CallerRequest(
+        attempt_id="a",
+        host="h",
+        method="POST",
+        target="/",
+        path="/",
+        forwarded=[],
+        body=b"",
+        patience_s=1.0,
+        parts=tuple(PromptPart(part, 10) for part in parts),
+    )
+
+
+def choose(candidates, book, caller, *, avoid=frozenset(), now=0.0):
+    return choose_target(candidates, book, caller, avoid=avoid, domain="here", now=now)
+
+
+def test_requests_that_share_a_part_meet_at_one_target():
+    """A prompt that another target holds is read again at full price."""
+    targets = [target(f"t{n}") for n in range(9)]
+    first = choose(targets, LoadBook(), request("shared", "own-1"))
+    second = choose(targets, LoadBook(), request("shared", "own-2"))
+    assert first.target == second.target
+    assert first.reason == "prefix"
+
+
+def test_hot_part_spreads_when_its_home_is_loaded():
+    """One part that gets all the traffic must not queue at one target."""
+    targets = [target(f"t{n}") for n in range(4)]
+    book = LoadBook()
+    used = set()
+    for _ in range(40):
+        chosen = choose(targets, book, request("hot", "own")).target
+        book.started(chosen, tokens=10)
+        used.add(chosen.id)
+    loads = [book.state(each).outstanding for each in targets]
+    # At 1.5 times the mean, three of four targets can hold all of it.
+    assert len(used) >= 3
+    assert max(loads) <= 1.5 * 10 + 1
+
+
+def test_failed_target_is_set_aside_and_tried_again():
+    targets = [target("t0"), target("t1")]
+    book = LoadBook()
+    book.failed(targets[0], now=0.0)
+    assert choose(targets, book, request()).target.id == "t1"
+    assert not book.is_aside(targets[0], now=1.0)
+
+
+def test_all_targets_set_aside_still_serve():
+    targets = [target("t0"), target("t1")]
+    book = LoadBook()
+    for each in targets:
+        book.failed(each, now=0.0)
+    assert choose(targets, book, request()) is not None
+
+
+def test_own_failure_domain_is_preferred_at_equal_load():
+    targets = [target("t0", domain="there"), target("t1")]
+    assert choose(targets, LoadBook(), request()).target.id == "t1"
+
+
+def test_target_that_was_tried_is_avoided():
+    targets = [target("t0")]
+    assert choose(targets, LoadBook(), request(), avoid=frozenset(["t0"])) is None
+
+
+def test_splitter_holds_an_incomplete_event_back():
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\nda") is None
+    events = splitter.feed(b"ta: x\n\nid: 2\n")
+    assert events.data == b"id: 1\ndata: x\n\n"
+    assert (events.count, events.last_id) == (1, "1")
+    assert splitter.has_rest
+
+
+def test_splitter_takes_several_events_at_once():
+    events = EventSplitter().feed(b"id: 1\n\nid: 2\ndata: y\n\n")
+    assert (events.count, events.last_id) == (2, "2")
+
+
+def test_weights_split_a_route_between_services():
+    shares = (ServiceShare("a", 90), ServiceShare("b", 10))
+    split = route("r", Repetition.IDEMPOTENT, shares=shares)
+    picked = [pick_service(split, f"attempt-{n}") for n in range(1000)]
+    assert 50 < picked.count("b") < 150
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def test_full_pipe_never_blocks_a_log_line(pipe):
+    """Nobody may read the output of a process that serves requests."""
+    lines = BoundedLines(fd=pipe[1])
+    logger = logging.Logger("test")
+    logger.addHandler(lines)
+    for number in range(200):
+        logger.warning("x" * 1000 + str(number))
+    lines.flush_pending()
+    assert len(os.read(pipe[0], 1 << 20)) < 200 * 1000
+
+
+def test_failures_are_logged_beyond_the_budget_of_a_second(pipe):
+    lines = BoundedLines(fd=pipe[1])
+    logger = logging.Logger("test")
+    logger.addHandler(lines)
+    for _ in range(3 * LINES_PER_S):
+        logger.info("calm")
+    assert lines.left_out >= LINES_PER_S
+    logger.warning("failure")
+    lines.flush_pending()
+    assert os.read(pipe[0], 1 << 20).endswith(b"failure\n")
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,299 @@
+"""The platform's adapter: its words become types, and strangers' bytes errors."""
+
+from functools import partial
+
+import msgspec
+import pytest
+import trio
+from lavenderfold_platform.headers import read_answer, read_request, write_call
+from lavenderfold_platform.records import read_config, read_target
+from lavenderfold_platform.settings import read_settings, router_options
+from lavenderfold_platform.store import PlatformStore
+
+from lavenderfold.direct import TargetCall, UnreadableItemError
+from lavenderfold.fleet import Repetition
+from lavenderfold.http import (
+    HttpRequest,
+    HttpResponse,
+    MalformedRequestError,
+    json_response,
+    serve,
+)
+from lavenderfold.settings import Address, SettingsError
+from lavenderfold.shared import (
+    ConditionalWrite,
+    HistoryLostError,
+    Item,
+    SharedStoreError,
+    WriteConflictError,
+    WriteRefusedError,
+    WriteUncertainError,
+)
+
+HEADERS = [
+    ("host", "Site.Example:80"),
+    ("attempt-id", "a1"),
+    ("deadline-ms", "2500"),
+    ("key", "secret"),
+    ("token-usage", "100, 20"),
+    ("prompt-prefix", "aa:60,bb:40"),
+    ("tenant", "forged"),
+    ("cache-retain", "forged"),
+    ("target-replica", "forged"),
+    ("kv-from", "forged"),
+    ("connection", "close, x-hop, attempt-id"),
+    ("x-hop", "1"),
+    ("x-own", "2"),
+]
+
+
+def request(headers=HEADERS, target="/a/b?c=1") -> HttpRequest:
+    return HttpRequest(method="POST", target=target, headers=headers, body=b"x")
+
+
+def call(**changes) -> TargetCall:
+    raw = {
+        "version": 1,
+        "routes": [ROUTE],
+        "backends": [],
+        "limits": LIMITS,
+    }
+    config = read_config(Item("op/config", msgspec.json.encode(raw), 1))
+    values = {
+        "request": read_request(request()),
+        "route": config.routes[0],
+        "target": read_target(Item("servers/t1", msgspec.json.encode(ENTRY), 1)),
+        "organisation": "org",
+        "remaining_s": 1.5,
+        "last_event_id": None,
+    }
+    return TargetCall(**{**values, **changes})
+
+
+ROUTE = {
+    "name": "r",
+    "hostname": "Site.Example",
+    "path_prefix": "/a/",
+    "route_type": "streaming",
+    "timeout_ms": 4000,
+    "target_latency_ms": 500,
+    "backend": "s",
+    "stream_resumption": True,
+    "new field": 1,
+}
+LIMITS = {
+    "max_header_bytes": 1000,
+    "max_body_bytes": 2000,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+ENTRY = {
+    "backend": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "state": "ready",
+    "capacity": 4,
+    "born": 7,
+}
+
+
+def test_request_is_decoded():
+    caller = read_request(request())
+    assert (caller.host, caller.path, caller.target) == (
+        "site.example",
+        "/a/b",
+        "/a/b?c=1",
+    )
+    assert caller.patience_s == 2.5
+    assert caller.tokens.worst_case == 120
+    assert [part.id for part in caller.parts] == ["aa", "bb"]
+
+
+def test_target_gets_only_what_the_router_vouches_for():
+    """A key or a forged tenant must not reach a target."""
+    sent = dict(write_call(call()).headers)
+    assert sent["tenant"] == "org"
+    assert sent["target-replica"] == "t1"
+    assert sent["deadline-ms"] == "1500"
+    assert sent["attempt-id"] == "a1"
+    assert sent["x-own"] == "2"
+    withheld = {"key", "cache-retain", "kv-from", "x-hop", "connection"}
+    assert not withheld & sent.keys()
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("deadline-ms", "soon"),
+        ("deadline-ms", "-1"),
+        ("token-usage", "many"),
+        ("token-usage", "1,-2"),
+        ("prompt-prefix", "aa"),
+        ("attempt-id", ""),
+        ("host", ""),
+    ],
+)
+def test_bad_headers_are_refused(name, value):
+    headers = [item for item in HEADERS if item[0] != name] + [(name, value)]
+    with pytest.raises(MalformedRequestError):
+        read_request(request(headers))
+
+
+def test_header_given_twice_is_refused():
+    """The router and the target could each read another one."""
+    with pytest.raises(MalformedRequestError):
+        read_request(request([*HEADERS, ("token-usage", "1,1")]))
+
+
+def test_misdirected_answer_is_not_run():
+    answer = read_answer(421, [("attempt-id", "a1")])
+    assert answer.is_not_run and answer.is_misdirected
+    assert not read_answer(503, [("attempt-id", "a1")]).is_not_run
+    assert read_answer(503, [("not-executed", "1")]).is_not_run
+
+
+def test_configuration_is_decoded_and_new_fields_ignored():
+    route = call().route
+    assert route.repetition is Repetition.STREAM
+    assert (route.host, route.timeout_s, route.is_resumable) == (
+        "site.example",
+        4.0,
+        True,
+    )
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\x00",
+        b"[]",
+        b'{"backend":1}',
+        msgspec.json.encode({**ENTRY, "state": "resting"}),
+        msgspec.json.encode({**ENTRY, "address": "nowhere"}),
+        msgspec.json.encode({**ENTRY, "capacity": "4"}),
+    ],
+)
+def test_stranger_s_entry_names_no_target(value):
+    """Other programs write there too; one bad entry must not hide the others."""
+    with pytest.raises(UnreadableItemError):
+        read_target(Item("servers/t1", value, 1))
+
+
+SETTINGS = """
+node_name = "edge-1"
+zone = "z"
+ip = "10.0.0.1"
+internal_ports = [7200, 7215]
+unknown = 1
+[listen_addrs]
+public_addr = "10.0.0.1:80"
+ready = "10.0.0.1:81"
+[bounds]
+grace_period_s = 8
+retry_budget_ratio = 0.2
+budget_slack = 64
+[platform]
+address = "10.0.0.2:90"
+writes_per_s = 400
+"""
+
+
+def test_settings_are_decoded(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    options = router_options(read_settings(path))
+    assert options.listen == Address(host="10.0.0.1", port=80)
+    assert (options.retry_share, options.retry_reserve) == (0.1, 2.0)
+
+
+@pytest.mark.parametrize("fault", ["zone = 1", "not toml"])
+def test_bad_settings_name_the_file(tmp_path, fault):
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS.replace('zone = "z"', fault))
+    with pytest.raises(SettingsError, match="node.toml"):
+        read_settings(path)
+
+
+def run_store(answers, scenario) -> None:
+    """Run the store's client against a service that gives these answers."""
+
+    async def main():
+        seen = []
+
+        async def handle(request, writer):
+            seen.append(request)
+            answer = answers.pop(0)
+            if answer is None:
+                await trio.sleep_forever()
+            await writer.send(answer)
+
+        async with trio.open_nursery() as nursery:
+            listen = Address(host="127.0.0.1", port=0)
+            address = await nursery.start(partial(serve, handle, address=listen))
+            await scenario(PlatformStore(address=address), seen)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def row(key: str, value: str = "eA==", revision: int = 3) -> dict:
+    return {"key": key, "payload": value, "revision": revision, "created": 1}
+
+
+def test_all_pages_of_a_listing_are_read():
+    pages = [
+        json_response(200, {"entries": [row("a")], "truncated": True, "at": 5}),
+        json_response(200, {"entries": [row("b")], "truncated": False, "at": 9}),
+    ]
+
+    async def scenario(store, seen):
+        listing = await store.list_items("x/")
+        assert [item.key for item in listing.items] == ["a", "b"]
+        # Changes between the pages are found by watching from the first one.
+        assert listing.revision == 5
+        assert "after=a" in seen[1].target
+
+    run_store(pages, scenario)
+
+
+def test_watch_tells_changes_from_removals():
+    events = [row("a"), {"key": "b", "revision": 4, "deleted": True}]
+    answer = json_response(200, {"events": events, "at": 4})
+
+    async def scenario(store, seen):
+        changes = await store.wait_changes("", after=1, wait_s=1)
+        assert [change.item is None for change in changes.changes] == [False, True]
+
+    run_store([answer], scenario)
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        (HttpResponse(status=503), WriteRefusedError),
+        (HttpResponse(status=429), WriteRefusedError),
+        (HttpResponse(status=500), WriteUncertainError),
+        (None, WriteUncertainError),
+        (json_response(412, {"entries": [row("a")]}), WriteConflictError),
+    ],
+)
+def test_errors_of_a_write_say_what_is_certain(answer, error):
+    """A write that may have taken effect must not be taken for refused."""
+
+    async def scenario(store, seen):
+        with pytest.raises(error):
+            await store.write([ConditionalWrite("a", b"x", 1)])
+
+    run_store([answer], scenario)
+
+
+def test_forgotten_history_and_bad_bytes_are_told_apart():
+    answers = [HttpResponse(status=410), HttpResponse(status=200, body=b"{")]
+
+    async def scenario(store, seen):
+        with pytest.raises(HistoryLostError):
+            await store.wait_changes("", after=1, wait_s=1)
+        with pytest.raises(SharedStoreError):
+            await store.wait_changes("", after=1, wait_s=1)
+
+    run_store(answers, scenario)
