Explain a request from log files; log attempts, times and balances of each request

A request's line now names each attempt with target, outcome, status, time and load, what funding took, and for refusals for money what the router knew of the balance and its age. Failures have a budget of lines of their own above that of successes.

--- a/src/lavenderfold/ctl/_options.py
+++ b/src/lavenderfold/ctl/_options.py
@@ -21,6 +21,7 @@
   --store IP:PORT           the key-value service
   --routers IP:PORT,...     the routers' operator addresses, for status and explain
   --base N                  the revision that the folder was edited from
+  --logs FILE,...           routers' JSON log files, for explain without routers
   --token TEXT              repeats an apply whose result is unknown
 
 Exit codes: 0 good, 1 failure, 2 bad input.
@@ -34,6 +35,7 @@
     arguments: list[str] = msgspec.field(default_factory=list)
     store: Address | None = None
     routers: list[Address] = msgspec.field(default_factory=list)
+    logs: list[str] = msgspec.field(default_factory=list)
     base: int | None = None
     token: str = ""
     help: bool = False
@@ -59,6 +61,7 @@
     flags.DEFINE_list(
         "routers", [], "IP:PORT of routers' operator addresses.", flag_values=values
     )
+    flags.DEFINE_list("logs", [], "Routers' log files.", flag_values=values)
     flags.DEFINE_integer(
         "base",
         None,
@@ -77,6 +80,7 @@
         arguments=words[1:],
         store=_address("store", values.store) if values.store else None,
         routers=[_address("routers", text) for text in values.routers],
+        logs=values.logs,
         base=values.base,
         token=values.token,
         help=values.help,
--- a/src/lavenderfold/ctl/_reports.py
+++ b/src/lavenderfold/ctl/_reports.py
@@ -7,6 +7,7 @@
 from lavenderfold.config import FleetConfig, Revisions, merge_files
 from lavenderfold.ctl._errors import BadInputError, CommandError
 from lavenderfold.ctl._ledger import STORE_ADVICE, entries_of, read_ledger
+from lavenderfold.ctl._log_lines import explain_files
 from lavenderfold.ctl._options import Options
 from lavenderfold.ctl._routers import (
     RouterStatus,
@@ -85,6 +86,9 @@
 async def explain(options: Options) -> None:
     """Show each decision about a request, in the order of time."""
     request_id = options.argument("the request's id")
+    if options.logs:
+        explain_files(options.logs, request_id)
+        return
     if request_id_time(request_id).is_err():
         raise BadInputError(f"explain: expected a UUIDv7, got {request_id!r}")
     if options.store is None and not options.routers:
--- a/src/lavenderfold/direct/_request_run.py
+++ b/src/lavenderfold/direct/_request_run.py
@@ -41,6 +41,7 @@
 # A call with less time than this left can't be answered any more.
 LEAST_REMAINING_S = 0.005
 
+BALANCE_REASONS = (Reason.BUDGET_SPENT.value, Reason.BUDGET_UNAVAILABLE.value)
 UNSIZED = Refusal(status=400, reason="size_missing", outcome="not_run")
 
 logger = logging.getLogger("lavenderfold.requests")
@@ -86,9 +87,10 @@
         self._service = pick_service(route, request.attempt_id)
         self._relayed = Relayed()
         self._reserved = 0
+        self._funded_at: float | None = None
         self._sends = 0
         self._last_outcome: AttemptOutcome | None = None
-        self._last_target: Target | None = None
+        self._history: list[str] = []
         self._reason = ""
 
     async def run(self) -> None:
@@ -122,6 +124,7 @@
         if funding is Funding.UNAVAILABLE:
             return not_run(Reason.BUDGET_UNAVAILABLE, retry_after_s=RETRY_FUNDING_S)
         self._reserved = worst
+        self._funded_at = trio.current_time()
         return None
 
     async def _attempt_until_deadline(self) -> Refusal | None:
@@ -160,7 +163,6 @@
         if choice is None:
             return None
         self._reason = choice.reason
-        self._last_target = choice.target
         return choice.target
 
     def _new_attempt(self, target: Target) -> Attempt:
@@ -190,10 +192,19 @@
         book = self._parts.book
         tokens = self._request.tokens.worst_case if self._request.tokens else 0
         book.started(target, tokens=tokens)
+        sent_at = trio.current_time()
+        label = "left"
         try:
             outcome = await attempt.run(self._parts.clients.client(target))
+            label = outcome.value
         finally:
             book.ended(target, tokens=tokens)
+            elapsed_ms = round((trio.current_time() - sent_at) * 1000)
+            status = f" {attempt.status}" if attempt.status else ""
+            load = book.state(target).outstanding
+            self._history.append(
+                f"{target.id} {label}{status} {elapsed_ms}ms load={load}"
+            )
         self._last_outcome = outcome
         if outcome is AttemptOutcome.DELIVERED:
             book.succeeded(target)
@@ -268,17 +279,30 @@
             "organisation": self._organisation.name if self._organisation else None,
             "config_version": self._table.version,
             "service": self._service,
-            "target": self._last_target.id if self._last_target else None,
-            "choice": self._reason,
-            "outcome": self._last_outcome.value if self._last_outcome else None,
+            "choice": self._reason or None,
+            "attempts": self._history,
             "refusal": refusal.reason if refusal else None,
             "status": refusal.status if refusal else None,
-            "sends": self._sends,
+            "outcome": self._last_outcome.value if self._last_outcome else None,
+            "reserved": self._reserved or None,
             "events": self._relayed.events,
-            "first_ms": round((first - self._started_at) * 1000) if first else None,
-            "total_ms": round((now - self._started_at) * 1000),
+            "funded_ms": _ms(self._funded_at, self._started_at),
+            "first_ms": _ms(first, self._started_at),
+            "total_ms": _ms(now, self._started_at),
+            "left_ms": _ms(self._patience_end, now),
         }
-        logger.info("request", extra=fields)
+        if refusal is not None and refusal.reason in BALANCE_REASONS:
+            state = self._parts.bank.purse_state(self._organisation.name)
+            fields["balance"] = msgspec.structs.asdict(state)
+            fields["needed"] = self._request.tokens.worst_case
+        is_delivered = self._last_outcome is AttemptOutcome.DELIVERED
+        logger.log(
+            logging.INFO if is_delivered else logging.WARNING, "request", extra=fields
+        )
+
+
+def _ms(end: float | None, start: float) -> int | None:
+    return None if end is None else round((end - start) * 1000)
 
 
 def pick_service(route: Route, attempt_id: str) -> str:
--- a/src/lavenderfold/logs.py
+++ b/src/lavenderfold/logs.py
@@ -13,6 +13,7 @@
 FLUSH_PERIOD_S = 0.1
 # Lines of level INFO that one process writes in a second; failures come first.
 LINES_PER_S = 300
+FAILURE_LINES_PER_S = 600
 PENDING_LINES_LIMIT = 5000
 WRITE_BYTES = 65536
 QUOTED_CHARACTERS = frozenset(' "=\n\r\t\\')
@@ -118,9 +119,12 @@
         if second != self._second:
             self._second = second
             self._lines_in_second = 0
+        is_failure = record.levelno >= logging.WARNING
+        limit = FAILURE_LINES_PER_S if is_failure else LINES_PER_S
+        if self._lines_in_second >= limit:
+            return False
         self._lines_in_second += 1
-        is_within = self._lines_in_second <= LINES_PER_S
-        return is_within or record.levelno >= logging.WARNING
+        return True
 
 
 def _format_json(record: dict, **_: object) -> str:
