--- a/src/lavenderfold/ctl/_log_lines.py
+++ b/src/lavenderfold/ctl/_log_lines.py
@@ -77,15 +77,18 @@
         if line.fields.get("request_id") != request_id:
             continue
         for other in ordered:
-            is_before = line.time - CONTEXT_S <= other.time <= line.time
-            is_context = other.event in CONTEXT_EVENTS
-            if is_before and is_context and other.process == line.process:
-                if other not in explained:
-                    explained.append(other)
+            if _is_context(other, line) and other not in explained:
+                explained.append(other)
         explained.append(line)
     return explained
 
 
+def _is_context(other: LogLine, line: LogLine) -> bool:
+    is_recent = line.time - CONTEXT_S <= other.time <= line.time
+    is_same = other.process == line.process
+    return is_recent and is_same and other.event in CONTEXT_EVENTS
+
+
 def explain_files(names: list[str], request_id: str) -> None:
     """Print what log files say of a request; raises CommandError if nothing."""
     explained = explain_lines(_read(names), request_id)
--- a/src/lavenderfold/direct/_request_run.py
+++ b/src/lavenderfold/direct/_request_run.py
@@ -11,6 +11,7 @@
 from lavenderfold.direct._choice import choose_target
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._load import LoadBook
+from lavenderfold.direct._metrics import RouterMetrics
 from lavenderfold.direct._refusals import (
     Refusal,
     may_have_run,
@@ -55,6 +56,7 @@
     clients: TargetClients
     dialect: Dialect
     directory: TargetDirectory
+    metrics: RouterMetrics
     timers: TimerService
     new_retry_budget: Callable[[], RetryBudget]
     domain: str
@@ -199,6 +201,7 @@
             label = outcome.value
         finally:
             book.ended(target, tokens=tokens)
+            self._parts.metrics.attempt_ended(label)
             elapsed_ms = round((trio.current_time() - sent_at) * 1000)
             status = f" {attempt.status}" if attempt.status else ""
             load = book.state(target).outstanding
@@ -296,6 +299,14 @@
             fields["balance"] = msgspec.structs.asdict(state)
             fields["needed"] = self._request.tokens.worst_case
         is_delivered = self._last_outcome is AttemptOutcome.DELIVERED
+        end = refusal.reason if refusal else "left"
+        if self._last_outcome is not None and refusal is None:
+            end = self._last_outcome.value
+        self._parts.metrics.request_ended(
+            end,
+            first_s=None if first is None else first - self._started_at,
+            total_s=now - self._started_at,
+        )
         logger.log(
             logging.INFO if is_delivered else logging.WARNING, "request", extra=fields
         )
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -2,6 +2,7 @@
 
 import logging
 import secrets
+from functools import partial
 
 import msgspec
 import trio
@@ -9,6 +10,7 @@
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._face import CallerFace
 from lavenderfold.direct._load import LoadBook
+from lavenderfold.direct._metrics import RouterMetrics
 from lavenderfold.direct._request_run import RunParts
 from lavenderfold.direct._requests import Dialect
 from lavenderfold.direct._sinks import ConfigSink, RecordReader, TargetSink
@@ -52,6 +54,7 @@
     domain: str
     listen: Address
     ready_listen: Address
+    metrics_listen: Address
     grace_period_s: float
     retry_share: float
     retry_reserve: float
@@ -77,6 +80,7 @@
         self._timers = timers
         self._holder = f"{options.name}/{secrets.token_hex(HOLDER_BYTES)}"
         self._draining = trio.Event()
+        self._metrics = RouterMetrics()
         self._bank = Bank(
             store=store,
             timers=timers,
@@ -104,6 +108,7 @@
             clients=TargetClients(),
             dialect=dialect,
             directory=self._targets.directory,
+            metrics=self._metrics,
             timers=timers,
             new_retry_budget=lambda: RetryBudget(
                 share=options.retry_share, reserve=options.retry_reserve
@@ -113,6 +118,7 @@
         self._face = CallerFace(parts=self._parts, config=self._config)
         self._limits = ServerLimits()
         self.listen_address: Address | None = None
+        self.metrics_address: Address | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -169,6 +175,14 @@
                 task_status=task_status,
             )
 
+        async def serve_metrics(task_status) -> None:
+            await serve(
+                partial(self._metrics.answer, self._bank),
+                address=self._options.metrics_listen,
+                task_status=task_status,
+            )
+
+        self.metrics_address = await nursery.start(serve_metrics)
         self.listen_address = await nursery.start(serve_callers)
         await nursery.start(serve_readiness)
 
@@ -199,6 +213,7 @@
         return [each for name in services for each in directory.usable(name)]
 
     def _config_installed(self, table: RouteTable) -> None:
+        self._metrics.config_installed(table.version)
         limits = table.config.limits
         self._limits = ServerLimits(
             header_bytes=limits.header_bytes,
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -261,6 +261,7 @@
             domain="domain",
             listen=Address(host=LOOPBACK, port=0),
             ready_listen=Address(host=LOOPBACK, port=0),
+            metrics_listen=Address(host=LOOPBACK, port=0),
             grace_period_s=GRACE_S,
             retry_share=0.1,
             retry_reserve=10.0,
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -4,7 +4,12 @@
 import trio
 
 from lavenderfold.escrow import LedgerPage, page_key
-from lavenderfold.http import HttpResponse, ResponseLostError
+from lavenderfold.http import (
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+    ResponseLostError,
+)
 from tests.direct_support import (
     answer_whole,
     direct_fleet,
@@ -230,6 +235,21 @@
     run(scenario, stream())
 
 
+def test_metrics_count_ends_and_balances():
+    """An operator sees from outside what became of the requests."""
+
+    async def scenario(fleet):
+        await fleet.ask("/chat/x")
+        await fleet.ask("/chat/x", tokens="9000,2000")
+        client = HttpClient(address=fleet.router.metrics_address)
+        page = (await client.request(HttpRequest(method="GET", target="/"))).body
+        assert b'lavenderfold_requests_total{end="delivered"} 1.0' in page
+        assert b'lavenderfold_requests_total{end="budget_spent"} 1.0' in page
+        assert b'part="spent"} 18.0' in page
+
+    run(scenario, stream())
+
+
 def test_used_tokens_are_prompt_and_delivered_events():
     """Billing the worst case would refuse requests that the balance covers."""
 
