--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -121,6 +121,25 @@
     run(scenario, answer_whole, answer_whole)
 
 
+def test_idempotent_request_leaves_a_target_that_is_silent():
+    """A target that a cut hides answers nothing and closes nothing."""
+
+    async def scenario(fleet):
+        for target in fleet.target_by_id.values():
+
+            async def hang_once(request, writer):
+                if runs(fleet) == 1:
+                    await trio.sleep_forever()
+                await answer_whole(request, writer)
+
+            target.script = hang_once
+        answer = await fleet.ask("/read/x")
+        assert answer.status == 200
+        assert runs(fleet) == 2
+
+    run(scenario, answer_whole, answer_whole)
+
+
 def test_failure_of_a_target_is_relayed_with_its_signature():
     async def scenario(fleet):
         answer = await fleet.ask("/sign/x")
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -1,23 +1,40 @@
 """``lavenderfoldctl explain --logs`` on lines of a bench day."""
 
+import msgspec
 import pytest
 
 from lavenderfold.ctl.__main__ import main
 from lavenderfold.ctl._log_lines import explain_lines, parse_line
 
-LINES = """\
-   6.3356 edge-1 {"time":100.0,"level":"WARNING","event":"store_path_lost","process":"edge-1","relays":9}
-   6.9 edge-1 {"time":100.5,"level":"WARNING","event":"request","process":"edge-1","request_id":"d9d7","refusal":"budget_unavailable","status":503,"balance":{"rest":0}}
-   6.9 edge-2 {"time":100.4,"level":"INFO","event":"config_installed","process":"edge-2","version":9}
-not a line of the log
-   7.0 edge-1 {"time":101.0,"level":"INFO","event":"request","process":"edge-1","request_id":"other","outcome":"delivered"}
-"""  # noqa: E501
+
+def line(prefix: str, time: float, process: str, event: str, **fields) -> str:
+    values = {"time": time, "level": "INFO", "event": event, "process": process}
+    return f"{prefix} {process} {msgspec.json.encode({**values, **fields}).decode()}"
+
+
+LINES = "\n".join(
+    (
+        line("6.33", 100.0, "edge-1", "store_path_lost", relays=9),
+        line(
+            "6.9",
+            100.5,
+            "edge-1",
+            "request",
+            request_id="d9d7",
+            refusal="budget_unavailable",
+            balance={"rest": 0},
+        ),
+        line("6.9", 100.4, "edge-2", "config_installed", version=9),
+        "not a line of the log",
+        line("7.0", 101.0, "edge-1", "request", request_id="other"),
+    )
+)
 
 
 def test_request_is_explained_with_what_its_router_knew():
-    lines = [line for text in LINES.splitlines() if (line := parse_line(text))]
+    lines = [each for text in LINES.splitlines() if (each := parse_line(text))]
     explained = explain_lines(lines, "d9d7")
-    assert [line.event for line in explained] == ["store_path_lost", "request"]
+    assert [each.event for each in explained] == ["store_path_lost", "request"]
     assert "budget_unavailable" in explained[-1].text()
 
 
