--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -225,7 +225,8 @@
             with trio.fail_after(self._connect_timeout_s):
                 stream = await _open_stream(self.address)
         except (OSError, trio.TooSlowError) as error:
-            raise RequestNotSentError(self.address, error) from error
+            cause = f"all attempts to connect failed: {error}"
+            raise RequestNotSentError(self.address, cause) from error
         return _ClientConnection(address=self.address, stream=stream)
 
     async def _give_back(self, connection: _ClientConnection) -> None:
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -82,11 +82,12 @@
     async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Changes:
         await self._call()
         with trio.move_on_after(wait_s):
-            while not (found := self._changes(prefix, after)):
+            while not self._changes(prefix, after):
                 changed = self._changed
                 await changed.wait()
                 await self._call()
-        return Changes(changes=found, revision=self.revision)
+        # The revision must not be newer than the changes that go with it.
+        return Changes(changes=self._changes(prefix, after), revision=self.revision)
 
     async def write(self, writes: list[ConditionalWrite]) -> int:
         await self._call()
