--- a/src/lavenderfold/fleet/_follower.py
+++ b/src/lavenderfold/fleet/_follower.py
@@ -2,7 +2,6 @@
 
 import logging
 import math
-from collections.abc import Callable
 from typing import Protocol
 
 import trio
@@ -48,14 +47,12 @@
         timers: TimerService,
         prefix: str,
         sink: ItemSink,
-        on_listed: Callable[[], None] | None = None,
     ):
         self.is_listed = False
         self._store = store
         self._timers = timers
         self._prefix = prefix
         self._sink = sink
-        self._on_listed = on_listed
         self._revision: int | None = None
         self._failed_at = -math.inf
         self._is_reachable = True
@@ -100,8 +97,6 @@
                 self._remove(key, listing.revision)
         self._revision = listing.revision
         self.is_listed = True
-        if self._on_listed is not None:
-            self._on_listed()
 
     def _remove(self, key: str, revision: int) -> None:
         is_certain = self._timers.now() - self._failed_at > AFTER_OUTAGE_S
