Combine the ledger orders of many routers in one relay

Each router wrote the same 16 ledger pages twice a second, so that most conditional writes met another router's.

Routers now send their transfers and reclaims as one idempotent order to the relay that all of them prefer by hash. The relay gathers orders for 0.1 s (0.01 s if requests wait) and carries them out in one conditional write. Without a relay, or after one failed, a router writes itself; numbers make repeated orders harmless.

Ruled out: the store's rate limit (no 429 in the logs) and grants too small (the ledger answers were missing, not the tokens).

The longest pause of a stream is now in the request's line.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -59,8 +59,22 @@
     events: int = 0
     last_event_id: str | None = None
     first_byte_at: float | None = None
+    last_event_at: float | None = None
+    longest_pause_s: float = 0.0
     may_have_run: bool = False
 
+    def note_events(self, count: int, last_id: str | None, *, now: float) -> None:
+        """Count events that came together."""
+        if self.last_event_at is None:
+            self.first_byte_at = now
+        else:
+            pause_s = now - self.last_event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_event_at = now
+        self.events += count
+        if last_id is not None:
+            self.last_event_id = last_id
+
 
 class Attempt:
     """Sends a call to a target and relays a good answer.
@@ -163,11 +177,10 @@
             if events is None:
                 continue
             if not self._writer.started:
-                self._relayed.first_byte_at = trio.current_time()
                 await self._writer.start(head.status, _relayed_headers(head))
-            self._relayed.events += events.count
-            if events.last_id is not None:
-                self._relayed.last_event_id = events.last_id
+            self._relayed.note_events(
+                events.count, events.last_id, now=trio.current_time()
+            )
             await self._writer.write(events.data)
         if splitter.has_rest:
             return AttemptOutcome.LOST
--- a/src/lavenderfold/direct/_request_run.py
+++ b/src/lavenderfold/direct/_request_run.py
@@ -291,6 +291,7 @@
             "events": self._relayed.events,
             "funded_ms": _ms(self._funded_at, self._started_at),
             "first_ms": _ms(first, self._started_at),
+            "pause_ms": round(self._relayed.longest_pause_s * 1000),
             "total_ms": _ms(now, self._started_at),
             "left_ms": _ms(self._patience_end, now),
         }
--- a/src/lavenderfold/escrow/__init__.py
+++ b/src/lavenderfold/escrow/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from lavenderfold.escrow._bank import Bank, Funding
+from lavenderfold.escrow._combiner import ORDER_PATH, Combiner
 from lavenderfold.escrow._ledger import (
     Balance,
     Grant,
@@ -17,6 +18,15 @@
     reclaim,
     transfer,
 )
+from lavenderfold.escrow._order_path import OrderPath
+from lavenderfold.escrow._orders import (
+    LedgerOrder,
+    LedgerUnavailableError,
+    Limit,
+    Position,
+    Reclaim,
+)
+from lavenderfold.escrow._pages import LedgerPages
 from lavenderfold.escrow._wallet import Purse, Wallet
 from lavenderfold.escrow._witness import (
     WITNESS_PREFIX,
@@ -25,15 +35,26 @@
     WitnessBook,
     answer_call,
 )
+from lavenderfold.escrow._writer import LedgerWriter
 
 __all__ = [
     "Balance",
     "Bank",
+    "Combiner",
     "Funding",
     "Grant",
     "LedgerDecodeError",
+    "LedgerOrder",
     "LedgerPage",
+    "LedgerPages",
+    "LedgerUnavailableError",
+    "LedgerWriter",
+    "Limit",
+    "ORDER_PATH",
+    "OrderPath",
+    "Position",
     "Purse",
+    "Reclaim",
     "Seal",
     "Statement",
     "Transfer",
--- a/src/lavenderfold/escrow/_bank.py
+++ b/src/lavenderfold/escrow/_bank.py
@@ -8,32 +8,25 @@
 import trio
 
 from lavenderfold.escrow._confirm import Confirmer
-from lavenderfold.escrow._ledger import (
-    Balance,
-    LedgerPage,
-    Transfer,
-    page_key,
-    transfer,
-    with_limit,
+from lavenderfold.escrow._ledger import Transfer
+from lavenderfold.escrow._order_path import OrderPath
+from lavenderfold.escrow._orders import (
+    LedgerOrder,
+    LedgerUnavailableError,
+    Limit,
+    Position,
 )
 from lavenderfold.escrow._pages import LedgerPages
 from lavenderfold.escrow._reclaim import Reclaimer
 from lavenderfold.escrow._wallet import EMPTY_RETRY_S, Purse, Wallet
 from lavenderfold.escrow._witness import WitnessClient
-from lavenderfold.shared import (
-    RelayDirectory,
-    SharedStore,
-    SharedStoreError,
-    WriteConflictError,
-    WriteUncertainError,
-)
+from lavenderfold.escrow._writer import LedgerWriter
+from lavenderfold.shared import RelayDirectory, SharedStore
 from lavenderfold.timers import TimerService
 
 SYNC_PERIOD_S = 0.5
 # After a failed call, so that a store that returns isn't met by all at once.
 FAILURE_PAUSE_S = 0.25
-CONFLICT_PAUSE_S = 0.003
-ATTEMPTS_PER_SYNC = 6
 
 logger = logging.getLogger(__name__)
 
@@ -59,11 +52,6 @@
     age_ms: int | None
 
 
-class _Limit(msgspec.Struct, frozen=True):
-    tokens: int
-    version: int
-
-
 class Bank:
     """Reserves tokens for requests and moves grants with the ledger.
 
@@ -84,13 +72,18 @@
         self.wallet = Wallet()
         self._confirmer = Confirmer(wallet=self.wallet, holder=holder, directory=relays)
         self._pages = LedgerPages(store=store, prefix=prefix)
+        writer = LedgerWriter(pages=self._pages)
+        self._order_path = OrderPath(writer=writer, timers=timers, relays=relays)
         self._reclaimer = Reclaimer(
-            pages=self._pages, holder=holder, witnesses=WitnessClient()
+            pages=self._pages,
+            orders=self._order_path,
+            holder=holder,
+            witnesses=WitnessClient(),
         )
         self.loaded = trio.Event()
         self._timers = timers
         self._holder = holder
-        self._limit_by_organisation: dict[str, _Limit] = {}
+        self._limit_by_organisation: dict[str, Limit] = {}
         self._wait_ids = itertools.count()
         self._wake = trio.Event()
         self._synced = trio.Event()
@@ -101,7 +94,7 @@
     ) -> None:
         """Install the limits of a configuration version, in tokens."""
         for organisation, tokens in limit_by_organisation.items():
-            self._limit_by_organisation[organisation] = _Limit(tokens, version)
+            self._limit_by_organisation[organisation] = Limit(tokens, version)
         self._poke()
 
     async def reserve(self, organisation: str, tokens: int, *, until: float) -> Funding:
@@ -218,28 +211,24 @@
 
     async def _sync(self) -> bool:
         """Make the planned transfers; returns False if a pause is due first."""
-        for _ in range(ATTEMPTS_PER_SYNC):
-            transfer_by_organisation = self._plan()
-            if not transfer_by_organisation:
-                return True
-            try:
-                await self._write(transfer_by_organisation)
-            except WriteConflictError as conflict:
-                self._pages.install(conflict.items)
-                self._note_pages(transfer_by_organisation)
-                await trio.sleep(CONFLICT_PAUSE_S)
-                continue
-            except WriteUncertainError as error:
-                logger.info("ledger_write_uncertain", extra={"cause": str(error)})
-                if await self._pages.load():
-                    self._note_pages(transfer_by_organisation)
-                return False
-            except SharedStoreError as error:
-                logger.info("ledger_write_failed", extra={"cause": str(error)})
-                return False
-            self._note_pages(transfer_by_organisation)
+        transfer_by_organisation = self._plan()
+        if not transfer_by_organisation:
             return True
-        return False
+        order = LedgerOrder(
+            holder=self._holder,
+            limit_by_organisation={
+                organisation: self._limit_by_organisation[organisation]
+                for organisation in transfer_by_organisation
+            },
+            transfer_by_organisation=transfer_by_organisation,
+        )
+        try:
+            positions = await self._order_path.make(order)
+        except LedgerUnavailableError as error:
+            logger.info("transfers_not_confirmed", extra={"cause": str(error)})
+            return False
+        self._note(positions)
+        return True
 
     def _plan(self) -> dict[str, Transfer]:
         transfers = {}
@@ -258,32 +247,11 @@
             witness_address=self._confirmer.witness_address,
         )
 
-    async def _write(self, transfer_by_organisation: dict[str, Transfer]) -> None:
-        draft_by_key: dict[str, LedgerPage] = {}
-        for organisation, request in transfer_by_organisation.items():
-            draft = self._pages.draft(
-                draft_by_key, page_key(self._pages.prefix, organisation)
-            )
-            balance = self._balance(draft, organisation)
-            changed = transfer(balance, self._holder, request)
-            draft.balance_by_organisation[organisation] = changed
-        await self._pages.commit(draft_by_key)
-
-    def _balance(self, page: LedgerPage, organisation: str) -> Balance:
-        limit = self._limit_by_organisation[organisation]
-        known = page.balance_by_organisation.get(organisation)
-        return with_limit(known, limit=limit.tokens, version=limit.version)
-
-    def _note_pages(self, transfer_by_organisation: dict[str, Transfer]) -> None:
+    def _note(self, position_by_organisation: dict[str, Position]) -> None:
         """Tell the purses the known state of their balances."""
         now = self._timers.now()
-        for organisation in transfer_by_organisation:
-            page = self._pages.content(page_key(self._pages.prefix, organisation))
-            if page is None:
-                continue
-            balance = self._balance(page, organisation)
-            purse = self.wallet.purse(organisation, now=now)
-            purse.note(balance, self._holder, now=now)
+        for organisation, position in position_by_organisation.items():
+            self.wallet.purse(organisation, now=now).note(position, now=now)
         self._confirmer.purse_changed()
         self._synced.set()
         self._synced = trio.Event()
--- a/src/lavenderfold/escrow/_reclaim.py
+++ b/src/lavenderfold/escrow/_reclaim.py
@@ -5,11 +5,11 @@
 import msgspec
 import trio
 
-from lavenderfold.escrow._ledger import LedgerPage, reclaim
+from lavenderfold.escrow._order_path import OrderPath
+from lavenderfold.escrow._orders import LedgerOrder, LedgerUnavailableError, Reclaim
 from lavenderfold.escrow._pages import LedgerPages
 from lavenderfold.escrow._witness import Seal, WitnessClient, WitnessError
 from lavenderfold.settings import parse_address
-from lavenderfold.shared import SharedStoreError, WriteConflictError
 
 RECLAIM_ATTEMPTS = 12
 RECLAIM_PAUSE_S = 0.5
@@ -20,19 +20,12 @@
 class DeadGrant(msgspec.Struct, frozen=True):
     """A grant of an earlier incarnation, as the ledger shows it."""
 
-    page: str
     organisation: str
     holder: str
     witness: str
     witness_address: str
 
 
-class _Reclaimed(msgspec.Struct, frozen=True):
-    grant: DeadGrant
-    kept: int | None
-    returned: int
-
-
 class Reclaimer:
     """Reclaims for one router incarnation.
 
@@ -41,45 +34,50 @@
     without a witness stays charged.
     """
 
-    def __init__(self, *, pages: LedgerPages, holder: str, witnesses: WitnessClient):
+    def __init__(
+        self,
+        *,
+        pages: LedgerPages,
+        orders: OrderPath,
+        holder: str,
+        witnesses: WitnessClient,
+    ):
         self._pages = pages
+        self._orders = orders
         self._holder = holder
         self._witnesses = witnesses
         self._kept_by_grant: dict[DeadGrant, int | None] = {}
 
     async def run(self) -> None:
         """Reclaim what can be proved; give up after RECLAIM_ATTEMPTS."""
+        missing = self._dead_grants()
         for _ in range(RECLAIM_ATTEMPTS):
-            await self._seal()
-            try:
-                if await self._write():
-                    return
-            except WriteConflictError as conflict:
-                self._pages.install(conflict.items)
-                continue
-            except SharedStoreError as error:
-                logger.info("reclaim_failed", extra={"cause": str(error)})
-                await self._pages.load()
+            await self._seal(missing)
+            known = [grant for grant in missing if grant in self._kept_by_grant]
+            if await self._order(known):
+                missing = [each for each in missing if each not in known]
+            if not missing:
+                return
             await trio.sleep(RECLAIM_PAUSE_S)
-        for grant in self._dead_grants():
+        for grant in missing:
             fields = {"organisation": grant.organisation, "holder": grant.holder}
             logger.warning("grant_written_off", extra=fields)
 
     def _dead_grants(self) -> list[DeadGrant]:
         name = self._holder.rpartition("/")[0]
         return [
-            DeadGrant(key, organisation, holder, grant.witness, grant.witness_address)
-            for key, page in self._pages.content_by_key().items()
+            DeadGrant(organisation, holder, grant.witness, grant.witness_address)
+            for page in self._pages.content_by_key().values()
             for organisation, balance in page.balance_by_organisation.items()
             for holder, grant in balance.grant_by_holder.items()
             if holder != self._holder and holder.rpartition("/")[0] == name
         ]
 
-    async def _seal(self) -> None:
-        """Ask the witnesses of all dead grants that aren't known yet."""
+    async def _seal(self, grants: list[DeadGrant]) -> None:
+        """Ask the witnesses of the grants what the holders can have spent."""
         tokens_by_seal: dict[Seal, dict[str, int]] = {}
         failed: set[Seal] = set()
-        for grant in self._dead_grants():
+        for grant in grants:
             if grant in self._kept_by_grant:
                 continue
             if not grant.witness:
@@ -98,32 +96,27 @@
                 kept = tokens_by_seal[seal].get(grant.organisation, 0)
                 self._kept_by_grant[grant] = kept
 
-    async def _write(self) -> bool:
-        """Write the reclaims that are known; returns False if some are missing."""
-        wanted = self._dead_grants()
-        known = [grant for grant in wanted if grant in self._kept_by_grant]
-        reclaimed: list[_Reclaimed] = []
-        draft_by_key: dict[str, LedgerPage] = {}
-        for grant in known:
-            draft = self._pages.draft(draft_by_key, grant.page)
-            balance = draft.balance_by_organisation[grant.organisation]
-            kept = self._kept_by_grant[grant]
-            changed = reclaim(balance, grant.holder, kept=kept)
-            draft.balance_by_organisation[grant.organisation] = changed
-            returned = balance.charged - changed.charged
-            reclaimed.append(_Reclaimed(grant, kept, returned))
-        if draft_by_key:
-            await self._pages.commit(draft_by_key)
-        for each in reclaimed:
-            _log_reclaimed(each)
-        return len(known) == len(wanted)
-
-
-def _log_reclaimed(reclaimed: _Reclaimed) -> None:
-    fields = {
-        "organisation": reclaimed.grant.organisation,
-        "holder": reclaimed.grant.holder,
-        "kept": reclaimed.kept,
-        "returned": reclaimed.returned,
+    async def _order(self, grants: list[DeadGrant]) -> bool:
+        """Take grants back; returns False if that isn't confirmed."""
+        if not grants:
+            return True
+        reclaims = [
+            Reclaim(grant.organisation, grant.holder, self._kept_by_grant[grant])
+            for grant in grants
+        ]
+        try:
+            await self._orders.make(LedgerOrder(holder=self._holder, reclaims=reclaims))
+        except LedgerUnavailableError as error:
+            logger.info("reclaim_failed", extra={"cause": str(error)})
+            return False
+        for each in reclaims:
+            logger.info("grant_reclaimed", extra=_reclaim_fields(each))
+        return True
+
+
+def _reclaim_fields(reclaim: Reclaim) -> dict[str, str | int | None]:
+    return {
+        "organisation": reclaim.organisation,
+        "holder": reclaim.holder,
+        "kept": reclaim.kept,
     }
-    logger.info("grant_reclaimed", extra=fields)
--- a/src/lavenderfold/escrow/_wallet.py
+++ b/src/lavenderfold/escrow/_wallet.py
@@ -2,7 +2,8 @@
 
 import math
 
-from lavenderfold.escrow._ledger import Balance, Transfer
+from lavenderfold.escrow._ledger import Transfer
+from lavenderfold.escrow._orders import Position
 
 # Seconds of its own draw that a router holds, to go on while the store is away.
 HORIZON_S = 8.0
@@ -156,12 +157,12 @@
         )
         return self.pending
 
-    def note(self, balance: Balance, holder: str, *, now: float) -> None:
-        """Take in the state of the balance, as read from or written to the store."""
-        self.rest = balance.available
-        self.rest_of_others = balance.unspent_by_others(holder)
+    def note(self, position: Position, *, now: float) -> None:
+        """Take in the state of the balance, as the ledger confirmed it."""
+        self.rest = position.available
+        self.rest_of_others = position.unspent_by_others
         self.seen_at = now
-        grant = balance.grant_by_holder.get(holder)
+        grant = position.grant
         if grant is None or self.pending is None or grant.number < self.number:
             return
         self.granted = grant.total
--- a/src/lavenderfold/relay/_relay.py
+++ b/src/lavenderfold/relay/_relay.py
@@ -1,4 +1,4 @@
-"""The relay process: passes calls to the store on and witnesses spending."""
+"""The relay process: passes store calls on, combines orders, witnesses spending."""
 
 import logging
 import secrets
@@ -7,7 +7,15 @@
 import msgspec
 import trio
 
-from lavenderfold.escrow import WITNESS_PREFIX, WitnessBook, answer_call
+from lavenderfold.escrow import (
+    ORDER_PATH,
+    WITNESS_PREFIX,
+    Combiner,
+    LedgerPages,
+    LedgerWriter,
+    WitnessBook,
+    answer_call,
+)
 from lavenderfold.http import (
     HttpClient,
     HttpRequest,
@@ -35,13 +43,14 @@
 
 
 class RelayOptions(msgspec.Struct, frozen=True, kw_only=True):
-    """Where a relay runs. ``prefix`` is that of the relays' keys in the store."""
+    """Where a relay runs. The prefixes are those of keys in the store."""
 
     name: str
     domain: str
     listen: Address
     store_address: Address
     prefix: str
+    ledger_prefix: str
 
 
 class StoreRelay:
@@ -50,6 +59,8 @@
     def __init__(self, *, options: RelayOptions, store: SharedStore):
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
         self._witness = WitnessBook(incarnation=self._incarnation)
+        pages = LedgerPages(store=store, prefix=options.ledger_prefix)
+        self._combiner = Combiner(writer=LedgerWriter(pages=pages))
         self._options = options
         self._store = store
         self._client = HttpClient(
@@ -62,8 +73,9 @@
         """Serve until cancelled; reports the bound address as started."""
         logger.info("relay_started", extra={"relay": self._options.name})
         async with trio.open_nursery() as nursery:
-            start = partial(serve, self._pass_on, address=self._options.listen)
+            start = partial(serve, self._answer, address=self._options.listen)
             address = await nursery.start(start)
+            nursery.start_soon(self._combiner.run)
             nursery.start_soon(self._register, address)
             task_status.started(address)
 
@@ -83,11 +95,14 @@
                 logger.info("relay_not_registered", extra={"cause": str(error)})
                 await trio.sleep(REGISTER_PAUSE_S)
 
-    async def _pass_on(self, request: HttpRequest, writer: ResponseWriter) -> None:
+    async def _answer(self, request: HttpRequest, writer: ResponseWriter) -> None:
         if request.path.startswith(WITNESS_PREFIX):
             status, body = answer_call(self._witness, request.path, request.body)
             await writer.send(HttpResponse(status=status, body=body))
             return
+        if request.path == ORDER_PATH:
+            await writer.send(await self._combiner.answer(request.body))
+            return
         call = HttpRequest(
             method=request.method,
             target=request.target,
--- a/tests/test_escrow.py
+++ b/tests/test_escrow.py
@@ -11,6 +11,7 @@
     Bank,
     Funding,
     LedgerPage,
+    Position,
     Purse,
     Transfer,
     page_key,
@@ -214,7 +215,7 @@
 
     @rule(name=holders)
     def read_back(self, name):
-        self.purse_by_holder[name].note(self.balance, name, now=self.now)
+        self.purse_by_holder[name].note(Position.of(self.balance, name), now=self.now)
 
     @rule(name=holders)
     def hand_back(self, name):
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -182,6 +182,7 @@
                 listen=Address(host="127.0.0.1", port=0),
                 store_address=Address(host="127.0.0.1", port=1),
                 prefix=RELAYS,
+                ledger_prefix=LEDGER,
             ),
             store=self.store,
         )
