Refuse callers of an isolated router at once; put reloaded bounds in force

A router that gets no answer from targets or store for 1.3 s while three attempts failed now says so: not ready, and 503 as not run with a short Retry-After. It tries again after 3 s without an attempt.

Cause 2: SIGHUP only checked the settings file. Grace period and retry bounds are now installed by SIGHUP and by a check of the file every 2 s, because the file may also change without a signal; what needs a restart is logged.

Tests that were owed: smuggled requests, slow heads, long bodies, answers without a length that are reset, share of retries, reload, a lowered limit during an outage, a caller that doesn't read, a silent watch.

--- a/src/lavenderfold/direct/_face.py
+++ b/src/lavenderfold/direct/_face.py
@@ -55,6 +55,10 @@
             refusal = not_run(Reason.DRAINING, retry_after_s=RETRY_ELSEWHERE_S)
             await self._refuse(request, refusal, writer)
             return
+        if self._parts.reachability.is_isolated:
+            refusal = not_run(Reason.ISOLATED, retry_after_s=RETRY_ELSEWHERE_S)
+            await self._refuse(request, refusal, writer)
+            return
         if table is None:
             refusal = not_run(Reason.NOT_READY, retry_after_s=RETRY_NOT_READY_S)
             await self._refuse(request, refusal, writer)
--- a/src/lavenderfold/direct/_refusals.py
+++ b/src/lavenderfold/direct/_refusals.py
@@ -12,6 +12,7 @@
     Reason.CONNECTION_LOST: 502,
     Reason.DEADLINE_PASSED: 504,
     Reason.DRAINING: 503,
+    Reason.ISOLATED: 503,
     Reason.NO_TARGET: 503,
     Reason.NOT_READY: 503,
     Reason.OVERLOADED: 503,
--- a/src/lavenderfold/direct/_request_run.py
+++ b/src/lavenderfold/direct/_request_run.py
@@ -12,6 +12,7 @@
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._load import LoadBook
 from lavenderfold.direct._metrics import RouterMetrics
+from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._refusals import (
     Refusal,
     may_have_run,
@@ -42,6 +43,8 @@
 # A call with less time than this left can't be answered any more.
 LEAST_REMAINING_S = 0.005
 
+# Outcomes of attempts that may mean that the router is cut off.
+UNREACHED = (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.SILENT)
 BALANCE_REASONS = (Reason.BUDGET_SPENT.value, Reason.BUDGET_UNAVAILABLE.value)
 UNSIZED = Refusal(status=400, reason="size_missing", outcome="not_run")
 
@@ -57,6 +60,7 @@
     dialect: Dialect
     directory: TargetDirectory
     metrics: RouterMetrics
+    reachability: Reachability
     timers: TimerService
     new_retry_budget: Callable[[], RetryBudget]
     domain: str
@@ -209,6 +213,10 @@
                 f"{target.id} {label}{status} {elapsed_ms}ms load={load}"
             )
         self._last_outcome = outcome
+        if outcome in UNREACHED:
+            self._parts.reachability.failed()
+        elif outcome is not AttemptOutcome.LOST:
+            self._parts.reachability.heard()
         if outcome is AttemptOutcome.DELIVERED:
             book.succeeded(target)
         elif outcome is not AttemptOutcome.REJECTED:
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -11,6 +11,7 @@
 from lavenderfold.direct._face import CallerFace
 from lavenderfold.direct._load import LoadBook
 from lavenderfold.direct._metrics import RouterMetrics
+from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._request_run import RunParts
 from lavenderfold.direct._requests import Dialect
 from lavenderfold.direct._sinks import ConfigSink, RecordReader, TargetSink
@@ -39,6 +40,8 @@
 UPKEEP_PERIOD_S = 0.2
 TIDY_PERIOD_S = 2.0
 REPORT_PERIOD_S = 4.0
+# The options that a running router can change.
+RELOADED_OPTIONS = ("grace_period_s", "retry_share", "retry_reserve")
 
 logger = logging.getLogger("lavenderfold.router")
 
@@ -81,6 +84,7 @@
         self._holder = f"{options.name}/{secrets.token_hex(HOLDER_BYTES)}"
         self._draining = trio.Event()
         self._metrics = RouterMetrics()
+        self.reachability = Reachability(timers=timers)
         self._bank = Bank(
             store=store,
             timers=timers,
@@ -95,12 +99,14 @@
             timers=timers,
             prefix=options.config_prefix,
             sink=self._config,
+            on_answer=self.reachability.heard,
         )
         self._target_follower = PrefixFollower(
             store=store,
             timers=timers,
             prefix=options.targets_prefix,
             sink=self._targets,
+            on_answer=self.reachability.heard,
         )
         self._parts = RunParts(
             bank=self._bank,
@@ -109,10 +115,9 @@
             dialect=dialect,
             directory=self._targets.directory,
             metrics=self._metrics,
+            reachability=self.reachability,
             timers=timers,
-            new_retry_budget=lambda: RetryBudget(
-                share=options.retry_share, reserve=options.retry_reserve
-            ),
+            new_retry_budget=self._new_retry_budget,
             domain=options.domain,
         )
         self._face = CallerFace(parts=self._parts, config=self._config)
@@ -120,6 +125,16 @@
         self.listen_address: Address | None = None
         self.metrics_address: Address | None = None
 
+    @property
+    def options(self) -> RouterOptions:
+        """The options in force."""
+        return self._options
+
+    @property
+    def active(self) -> int:
+        """How many requests are in progress."""
+        return self._face.active
+
     @property
     def is_ready(self) -> bool:
         """Whether new callers shall be sent here."""
@@ -128,8 +143,26 @@
             and self._config.table is not None
             and self._target_follower.is_listed
             and self._bank.loaded.is_set()
+            and not self.reachability.is_isolated
         )
 
+    def reload(self, options: RouterOptions) -> None:
+        """Put changed bounds in force; other options hold until a restart."""
+        changed = [
+            name
+            for name in options.__struct_fields__
+            if getattr(options, name) != getattr(self._options, name)
+        ]
+        bounds = {name: getattr(options, name) for name in RELOADED_OPTIONS}
+        self._options = msgspec.structs.replace(self._options, **bounds)
+        for budget in self._parts.retries_by_service.values():
+            budget.set_limits(share=options.retry_share, reserve=options.retry_reserve)
+        fields = {
+            "installed": [name for name in changed if name in RELOADED_OPTIONS],
+            "need_restart": [name for name in changed if name not in RELOADED_OPTIONS],
+        }
+        logger.info("settings_reloaded", extra=fields)
+
     def drain(self) -> None:
         """Take no new connections, finish what is in progress, then exit."""
         logger.info("drain_started", extra={"active": self._face.active})
@@ -206,6 +239,11 @@
             self._parts.book.keep_only(targets)
             await self._parts.clients.keep_only(targets)
 
+    def _new_retry_budget(self) -> RetryBudget:
+        return RetryBudget(
+            share=self._options.retry_share, reserve=self._options.retry_reserve
+        )
+
     def _known_targets(self) -> list[Target]:
         table = self._config.table
         services = table.service_by_name if table else {}
--- a/src/lavenderfold/fleet/_follower.py
+++ b/src/lavenderfold/fleet/_follower.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+from collections.abc import Callable
 from typing import Protocol
 
 import trio
@@ -38,7 +39,10 @@
 
 
 class PrefixFollower:
-    """Lists a prefix, then waits for changes, and lists again when it must."""
+    """Lists a prefix, then waits for changes, and lists again when it must.
+
+    ``on_answer`` is called after each answer of the store.
+    """
 
     def __init__(
         self,
@@ -47,12 +51,14 @@
         timers: TimerService,
         prefix: str,
         sink: ItemSink,
+        on_answer: Callable[[], None] | None = None,
     ):
         self.is_listed = False
         self._store = store
         self._timers = timers
         self._prefix = prefix
         self._sink = sink
+        self._on_answer = on_answer
         self._revision: int | None = None
         self._failed_at = -math.inf
         self._is_reachable = True
@@ -110,6 +116,8 @@
             logger.warning("store_lost", extra=fault)
 
     def _note_success(self) -> None:
+        if self._on_answer is not None:
+            self._on_answer()
         if not self._is_reachable:
             self._is_reachable = True
             logger.info("store_regained", extra={"prefix": self._prefix})
--- a/src/lavenderfold/outcomes.py
+++ b/src/lavenderfold/outcomes.py
@@ -22,6 +22,7 @@
     DRAINING = "draining"
     FENCED = "fenced"
     INVALID = "invalid"
+    ISOLATED = "isolated"
     NO_TARGET = "no_target"
     NOT_READY = "not_ready"
     OVERLOADED = "overloaded"
--- a/src/lavenderfold/routing/_retry.py
+++ b/src/lavenderfold/routing/_retry.py
@@ -18,6 +18,12 @@
         self._reserve = reserve
         self._available = reserve
 
+    def set_limits(self, *, share: float, reserve: float) -> None:
+        """Install other limits; retries that were taken stay taken."""
+        self._available = min(reserve, self._available)
+        self._share = share
+        self._reserve = reserve
+
     def record_request(self) -> None:
         """Count a first attempt."""
         self._available = min(self._reserve, self._available + self._share)
--- /dev/null
+++ b/tests/test_direct_faults.py
@@ -0,0 +1,231 @@
+"""Direct routers under bad input, reset connections, reloads and cut watches."""
+
+import msgspec
+import pytest
+import trio
+
+from lavenderfold.direct import RouterOptions
+from lavenderfold.escrow import LedgerPage, page_key
+from lavenderfold.fleet import Organisation
+from lavenderfold.http import HttpClient, HttpRequest, ResponseLostError
+from tests.direct_support import (
+    answer_whole,
+    direct_fleet,
+    fail,
+    fleet_config,
+    good_headers,
+)
+
+HEAD = b"POST /read/x HTTP/1.1\r\nhost: host\r\nx-attempt: a\r\nx-key: secret\r\n"
+
+
+def run(scenario, *scripts, config=None) -> None:
+    async def main():
+        with trio.fail_after(20):
+            async with direct_fleet(*scripts, config=config) as fleet:
+                await scenario(fleet)
+
+    trio.run(main)
+
+
+def runs(fleet) -> int:
+    return sum(len(target.seen) for target in fleet.target_by_id.values())
+
+
+async def send_raw(fleet, data: bytes) -> bytes:
+    """Send bytes to the router and return all that comes back."""
+    address = fleet.address
+    answer = b""
+    async with await trio.open_tcp_stream(address.host, address.port) as stream:
+        await stream.send_all(data)
+        await stream.send_eof()
+        with trio.move_on_after(2):
+            while chunk := await stream.receive_some(65536):
+                answer += chunk
+    return answer
+
+
+SMUGGLED = b"GET /sign/smuggled HTTP/1.1\r\nhost: host\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        HEAD
+        + b"content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"
+        + SMUGGLED,
+        HEAD + b"content-length: 4\r\ncontent-length: 40\r\n\r\nbody" + SMUGGLED,
+        HEAD + b"transfer-encoding: chunked, gzip\r\n\r\n0\r\n\r\n" + SMUGGLED,
+        HEAD + b"transfer-encoding : chunked\r\n\r\n0\r\n\r\n" + SMUGGLED,
+        HEAD + b"content-length: +4\r\n\r\nbody" + SMUGGLED,
+        HEAD + b"transfer-encoding: chunked\r\n\r\n-4\r\nbody\r\n0\r\n\r\n" + SMUGGLED,
+        HEAD + b"content-length: 4\r\n content-length: 40\r\n\r\nbody" + SMUGGLED,
+        b"POST  /read/x HTTP/1.1\r\nhost: host\r\n\r\n" + SMUGGLED,
+        b"\x16\x03\x01 no http\r\n\r\n",
+    ],
+)
+def test_request_inside_another_one_never_runs(data):
+    """A proxy that reads a length differently than a target runs the rest."""
+
+    async def scenario(fleet):
+        answer = await send_raw(fleet, data)
+        target = fleet.target_by_id["t0"]
+        assert all(b"smuggled" not in each.target.encode() for each in target.seen)
+        assert answer.count(b"HTTP/1.1 ") <= 1
+        assert b"HTTP/1.1 2" not in answer or runs(fleet) == 1
+
+    run(scenario, answer_whole)
+
+
+def test_slow_head_is_answered_and_runs_nowhere():
+    limits = fleet_config().limits
+    config = fleet_config(limits=msgspec.structs.replace(limits, header_timeout_s=0.2))
+
+    async def scenario(fleet):
+        address = fleet.address
+        async with await trio.open_tcp_stream(address.host, address.port) as stream:
+            await stream.send_all(HEAD)
+            with trio.fail_after(2):
+                answer = await stream.receive_some(65536)
+        assert answer.startswith(b"HTTP/1.1 408")
+        assert runs(fleet) == 0
+
+    run(scenario, answer_whole, config=config)
+
+
+def test_body_over_its_limit_is_refused():
+    limits = fleet_config().limits
+    config = fleet_config(limits=msgspec.structs.replace(limits, body_bytes=10))
+
+    async def scenario(fleet):
+        data = HEAD + b"content-length: 11\r\n\r\nhello world"
+        assert (await send_raw(fleet, data)).startswith(b"HTTP/1.1 413")
+        assert runs(fleet) == 0
+
+    run(scenario, answer_whole, config=config)
+
+
+@pytest.mark.parametrize("is_reset", [True, False])
+def test_answer_without_length_is_whole_only_if_its_connection_ends(is_reset):
+    """Bytes before a reset look like a whole answer if the reset is overlooked."""
+
+    async def until_close(request, writer):
+        stream = writer._stream
+        head = "".join(f"{k}: {v}\r\n" for k, v in good_headers(request))
+        await stream.send_all(f"HTTP/1.0 200 OK\r\n{head}\r\npart".encode())
+        await trio.sleep(0.1)
+        if is_reset:
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+        await stream.aclose()
+
+    async def scenario(fleet):
+        answer = await fleet.ask("/sign/x")
+        if is_reset:
+            assert answer.status == 502
+        else:
+            assert (answer.status, answer.body) == (200, b"part")
+
+    run(scenario, until_close)
+
+
+def test_repeats_stay_within_the_share_of_requests():
+    """Repeats at failing targets multiply the load that makes them fail."""
+
+    async def scenario(fleet):
+        options = msgspec.structs.replace(
+            fleet.router.options, retry_share=0.1, retry_reserve=2.0
+        )
+        fleet.router.reload(options)
+        for number in range(40):
+            await fleet.ask("/read/x", attempt=f"attempt-{number}")
+        # Two in reserve and a tenth of 40 requests.
+        assert 40 < runs(fleet) <= 40 + 2 + 4
+
+    run(scenario, fail, fail, fail)
+
+
+def test_reload_changes_bounds_but_not_addresses():
+    async def scenario(fleet):
+        options: RouterOptions = fleet.router.options
+        changed = msgspec.structs.replace(options, grace_period_s=3.0, name="other")
+        fleet.router.reload(changed)
+        assert fleet.router.options.grace_period_s == 3.0
+        assert fleet.router.options.name == options.name
+        assert (await fleet.ask("/read/x")).status == 200
+
+    run(scenario, answer_whole)
+
+
+def test_lowered_limit_is_kept_while_the_store_is_away():
+    """A router that is cut off may spend what it holds and nothing more."""
+
+    async def scenario(fleet):
+        for number in range(5):
+            await fleet.ask("/chat/x", attempt=f"a{number}", tokens="10,20")
+        low = Organisation(name="org", keys=("secret",), limit_tokens=60)
+        fleet.configure(fleet_config(version=2, organisations=(low,)))
+        await trio.sleep(0.1)
+        fleet.store.is_down = True
+        for number in range(60):
+            await fleet.ask("/chat/x", attempt=f"b{number}", tokens="10,20")
+        fleet.store.is_down = False
+        await trio.sleep(1.5)
+        page = LedgerPage.decode(fleet.store.value(page_key("ledger/", "org")))
+        balance = page.balance_by_organisation["org"]
+        grant = next(iter(balance.grant_by_holder.values()))
+        granted_before = grant.total
+        assert grant.spent <= granted_before
+        answer = await fleet.ask("/chat/x", attempt="c", tokens="500,500")
+        assert answer.status == 402
+
+    run(scenario, answer_whole)
+
+
+def test_caller_that_doesn_t_read_is_given_up_with_its_target():
+    """Answers that nobody reads must not pile up in the router."""
+    sent = []
+
+    async def endless(request, writer):
+        headers = [*good_headers(request), ("content-type", "text/event-stream")]
+        await writer.start(200, headers)
+        for number in range(100_000):
+            await writer.write(f"id: {number}\ndata: {'x' * 4000}\n\n".encode())
+            sent.append(4000)
+
+    async def scenario(fleet):
+        address = fleet.address
+        data = HEAD.replace(b"/read/x", b"/chat/x")
+        data += b"x-tokens: 10,20\r\nx-patience: 2\r\ncontent-length: 0\r\n\r\n"
+        async with await trio.open_tcp_stream(address.host, address.port) as stream:
+            await stream.send_all(data)
+            await trio.sleep(3)
+            # Socket buffers of three connections, and one chunk in the router.
+            assert sum(sent) < 24 * 1024 * 1024
+            assert fleet.router.active == 0
+
+    run(scenario, endless)
+
+
+def test_cut_connection_is_told_from_a_refusal():
+    async def scenario(fleet):
+        client = HttpClient(address=fleet.address)
+
+        async def close(request, writer):
+            await writer._stream.aclose()
+
+        fleet.target_by_id["t0"].script = close
+        request = HttpRequest(
+            method="POST",
+            target="/chat/x",
+            headers=[("x-attempt", "a"), ("x-key", "secret"), ("x-tokens", "1,2")],
+        )
+        try:
+            answer = await client.request(request)
+        except ResponseLostError:
+            return
+        finally:
+            await client.close()
+        assert answer.status == 502
+
+    run(scenario, answer_whole)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 from lavenderfold_platform.headers import read_answer, read_request, write_call
+from lavenderfold_platform.process import SettingsFile
 from lavenderfold_platform.records import read_config, read_target
 from lavenderfold_platform.settings import read_settings, router_options
 from lavenderfold_platform.store import PlatformStore
@@ -214,6 +215,34 @@
         read_settings(path)
 
 
+def test_changed_settings_are_passed_on_and_bad_ones_aren_t(tmp_path):
+    """A file that is being written must not stop a router or change its bounds."""
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    seen = []
+    settings_file = SettingsFile(path=path, on_changed=seen.append)
+    settings_file.check()
+    assert not seen
+    path.write_text("not toml")
+    settings_file.check()
+    assert not seen
+    path.write_text(SETTINGS.replace("grace_period_s = 8", "grace_period_s = 5"))
+    settings_file.check()
+    assert [router_options(each).grace_period_s for each in seen] == [5.0]
+
+
+def test_silent_watch_is_given_up():
+    """A connection that was cut silently must not outlast the drain bound."""
+
+    async def scenario(store, seen):
+        before = trio.current_time()
+        with pytest.raises(SharedStoreError):
+            await store.wait_changes("", after=1, wait_s=0.2)
+        assert trio.current_time() - before < 1.5
+
+    run_store([None], scenario)
+
+
 def run_store(answers, scenario) -> None:
     """Run the store's client against a service that gives these answers."""
 
