Read long answers to their end over a crowded link; count store calls and states

A call was given up after 0.6 s in total, also while its answer was arriving, and asked for again; 13 routers that fetched the same configuration over and over kept the link between the regions full. A call is now given up when nothing arrived for 0.6 s, or after 8 s.

A peer that closed an idle connection between its check and its use ended the router (LocalProtocolError, once on the grown site); it is a lost answer now.

Watches stay open for half of the time that the platform allows for noticing a silent connection (2 s instead of 1 s), because polls were 4 in 5 of the store's calls on the grown site.

--- a/src/lavenderfold/direct/_load.py
+++ b/src/lavenderfold/direct/_load.py
@@ -12,11 +12,10 @@
 class TargetState:
     """One target's outstanding requests and recent failures."""
 
-    __slots__ = ("outstanding", "outstanding_tokens", "failures", "aside_until")
+    __slots__ = ("outstanding", "failures", "aside_until")
 
     def __init__(self):
         self.outstanding = 0
-        self.outstanding_tokens = 0
         self.failures = 0
         self.aside_until = 0.0
 
@@ -45,17 +44,13 @@
             state = self._state_by_key[key] = TargetState()
         return state
 
-    def started(self, target: Target, *, tokens: int) -> None:
+    def started(self, target: Target) -> None:
         """Count a request that is being sent to a target."""
-        state = self.state(target)
-        state.outstanding += 1
-        state.outstanding_tokens += tokens
+        self.state(target).outstanding += 1
 
-    def ended(self, target: Target, *, tokens: int) -> None:
+    def ended(self, target: Target) -> None:
         """Stop counting a request."""
-        state = self.state(target)
-        state.outstanding -= 1
-        state.outstanding_tokens -= tokens
+        self.state(target).outstanding -= 1
 
     def succeeded(self, target: Target) -> None:
         state = self.state(target)
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -1,14 +1,28 @@
 """Counters and histograms of a router, served as text."""
 
+import msgspec
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
-from lavenderfold.escrow import Bank
+from lavenderfold.escrow import PurseState
 from lavenderfold.http import HttpRequest, HttpResponse, ResponseWriter
 
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 
 
+ROUTER_STATES = ("ready", "draining", "isolated")
+
+
+class RouterMoment(msgspec.Struct, frozen=True, kw_only=True):
+    """What is true of a router while its metrics are read. Ages are in seconds."""
+
+    active: int
+    balances: list[PurseState]
+    log_lines_left_out: int
+    states: frozenset[str]
+    watch_age_by_prefix: dict[str, float]
+
+
 class RouterMetrics:
     """What a router counts. Latencies are in seconds, balances in tokens."""
 
@@ -38,6 +52,40 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._pause = Histogram(
+            "lavenderfold_longest_pause_seconds",
+            "Longest pause between the events of a stream.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._store_calls = Counter(
+            "lavenderfold_store_calls",
+            "Calls to the shared store by kind and result.",
+            ["kind", "result"],
+            registry=self._registry,
+        )
+        self._watch_age = Gauge(
+            "lavenderfold_watch_age_seconds",
+            "Time since the last answer to a watch.",
+            ["prefix"],
+            registry=self._registry,
+        )
+        self._active = Gauge(
+            "lavenderfold_active_requests",
+            "Requests in progress.",
+            registry=self._registry,
+        )
+        self._states = Gauge(
+            "lavenderfold_router_state",
+            "Whether the router is ready, draining or isolated.",
+            ["state"],
+            registry=self._registry,
+        )
+        self._left_out = Gauge(
+            "lavenderfold_log_lines_left_out",
+            "Log lines left out since the start, to bound their volume.",
+            registry=self._registry,
+        )
         self._balance = Gauge(
             "lavenderfold_balance_tokens",
             "Balances as this router knows them.",
@@ -53,28 +101,43 @@
     def attempt_ended(self, outcome: str) -> None:
         self._attempts.labels(outcome).inc()
 
-    def request_ended(self, end: str, *, first_s: float | None, total_s: float) -> None:
+    def store_called(self, kind: str, result: str) -> None:
+        self._store_calls.labels(kind, result).inc()
+
+    def request_ended(
+        self, end: str, *, first_s: float | None, pause_s: float, total_s: float
+    ) -> None:
         """Count a request; ``first_s`` is None if nothing was answered."""
         self._requests.labels(end).inc()
         self._total.observe(total_s)
         if first_s is not None:
             self._first_byte.observe(first_s)
+        if pause_s:
+            self._pause.observe(pause_s)
 
     def config_installed(self, version: int) -> None:
         self._version.set(version)
 
-    def page(self, bank: Bank) -> bytes:
-        """Return the metrics as text, with the balances of the moment."""
-        for organisation in bank.wallet.purse_by_organisation:
-            state = bank.purse_state(organisation)
-            self._balance.labels(organisation, "granted").set(state.granted)
-            self._balance.labels(organisation, "spent").set(state.spent)
-            self._balance.labels(organisation, "reserved").set(state.reserved)
-            self._balance.labels(organisation, "rest").set(state.rest or 0)
+    def page(self, moment: RouterMoment) -> bytes:
+        """Return the metrics as text."""
+        for state in moment.balances:
+            self._balance.labels(state.organisation, "granted").set(state.granted)
+            self._balance.labels(state.organisation, "spent").set(state.spent)
+            self._balance.labels(state.organisation, "reserved").set(state.reserved)
+            if state.rest is not None:
+                self._balance.labels(state.organisation, "rest").set(state.rest)
+        for prefix, age_s in moment.watch_age_by_prefix.items():
+            self._watch_age.labels(prefix).set(age_s)
+        for name in ROUTER_STATES:
+            self._states.labels(name).set(name in moment.states)
+        self._active.set(moment.active)
+        self._left_out.set(moment.log_lines_left_out)
         return generate_latest(self._registry)
 
-    async def answer(self, bank: Bank, _: HttpRequest, writer: ResponseWriter) -> None:
+    async def answer(
+        self, moment: RouterMoment, _: HttpRequest, writer: ResponseWriter
+    ) -> None:
         """Answer a request for the metrics."""
         headers = [("content-type", CONTENT_TYPE_LATEST)]
-        response = HttpResponse(status=200, headers=headers, body=self.page(bank))
-        await writer.send(response)
+        body = self.page(moment)
+        await writer.send(HttpResponse(status=200, headers=headers, body=body))
--- a/src/lavenderfold/direct/_request_run.py
+++ b/src/lavenderfold/direct/_request_run.py
@@ -196,15 +196,14 @@
 
     async def _try(self, attempt: Attempt, target: Target) -> AttemptOutcome:
         book = self._parts.book
-        tokens = self._request.tokens.worst_case if self._request.tokens else 0
-        book.started(target, tokens=tokens)
+        book.started(target)
         sent_at = trio.current_time()
         label = "left"
         try:
             outcome = await attempt.run(self._parts.clients.client(target))
             label = outcome.value
         finally:
-            book.ended(target, tokens=tokens)
+            book.ended(target)
             self._parts.metrics.attempt_ended(label)
             elapsed_ms = round((trio.current_time() - sent_at) * 1000)
             status = f" {attempt.status}" if attempt.status else ""
@@ -314,6 +313,7 @@
         self._parts.metrics.request_ended(
             end,
             first_s=None if first is None else first - self._started_at,
+            pause_s=self._relayed.longest_pause_s,
             total_s=now - self._started_at,
         )
         logger.log(
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -2,7 +2,7 @@
 
 import logging
 import secrets
-from functools import partial
+from collections.abc import Callable
 
 import msgspec
 import trio
@@ -10,7 +10,7 @@
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._face import CallerFace
 from lavenderfold.direct._load import LoadBook
-from lavenderfold.direct._metrics import RouterMetrics
+from lavenderfold.direct._metrics import RouterMetrics, RouterMoment
 from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._request_run import RunParts
 from lavenderfold.direct._requests import Dialect
@@ -27,7 +27,7 @@
 )
 from lavenderfold.routing import RetryBudget
 from lavenderfold.settings import Address
-from lavenderfold.shared import RelayDirectory, SharedStore
+from lavenderfold.shared import CountedStore, RelayDirectory, SharedStore
 from lavenderfold.timers import TimerService
 
 HOLDER_BYTES = 8
@@ -49,6 +49,7 @@
 class RouterOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Where a router runs. Keys and prefixes are those of the shared store.
 
+    ``watch_wait_s`` is how long a watch without changes stays open.
     ``retry_share`` is the part of its requests that a router may repeat, and
     ``retry_reserve`` the repeats that it may make beyond them in a burst.
     """
@@ -61,6 +62,7 @@
     grace_period_s: float
     retry_share: float
     retry_reserve: float
+    watch_wait_s: float
     config_prefix: str
     targets_prefix: str
     ledger_prefix: str
@@ -78,13 +80,16 @@
         dialect: Dialect,
         timers: TimerService,
         relays: RelayDirectory | None = None,
+        log_lines_left_out: Callable[[], int] = int,
     ):
         self._options = options
         self._timers = timers
+        self._log_lines_left_out = log_lines_left_out
         self._holder = f"{options.name}/{secrets.token_hex(HOLDER_BYTES)}"
         self._draining = trio.Event()
         self._metrics = RouterMetrics()
         self.reachability = Reachability(timers=timers)
+        store = CountedStore(store=store, on_call=self._metrics.store_called)
         self._bank = Bank(
             store=store,
             timers=timers,
@@ -99,6 +104,7 @@
             timers=timers,
             prefix=options.config_prefix,
             sink=self._config,
+            wait_s=options.watch_wait_s,
             on_answer=self.reachability.heard,
         )
         self._target_follower = PrefixFollower(
@@ -106,6 +112,7 @@
             timers=timers,
             prefix=options.targets_prefix,
             sink=self._targets,
+            wait_s=options.watch_wait_s,
             on_answer=self.reachability.heard,
         )
         self._parts = RunParts(
@@ -210,7 +217,7 @@
 
         async def serve_metrics(task_status) -> None:
             await serve(
-                partial(self._metrics.answer, self._bank),
+                self._answer_metrics,
                 address=self._options.metrics_listen,
                 task_status=task_status,
             )
@@ -224,6 +231,30 @@
     ) -> None:
         await writer.send(HttpResponse(status=200 if self.is_ready else 503))
 
+    async def _answer_metrics(
+        self, request: HttpRequest, writer: ResponseWriter
+    ) -> None:
+        await self._metrics.answer(self._moment(), request, writer)
+
+    def _moment(self) -> RouterMoment:
+        is_true_by_state = {
+            "ready": self.is_ready,
+            "draining": self._draining.is_set(),
+            "isolated": self.reachability.is_isolated,
+        }
+        now = self._timers.now()
+        options = self._options
+        return RouterMoment(
+            active=self._face.active,
+            balances=self._bank.purse_states(),
+            log_lines_left_out=self._log_lines_left_out(),
+            states=frozenset(name for name, holds in is_true_by_state.items() if holds),
+            watch_age_by_prefix={
+                options.config_prefix: now - self._config_follower.answered_at,
+                options.targets_prefix: now - self._target_follower.answered_at,
+            },
+        )
+
     async def _finish(self) -> None:
         with trio.move_on_after(self._options.grace_period_s - EXIT_MARGIN_S):
             await trio.sleep(LINGER_S)
--- a/src/lavenderfold/escrow/__init__.py
+++ b/src/lavenderfold/escrow/__init__.py
@@ -6,7 +6,7 @@
 above that is taken back after the router's death.
 """
 
-from lavenderfold.escrow._bank import Bank, Funding
+from lavenderfold.escrow._bank import Bank, Funding, PurseState
 from lavenderfold.escrow._combiner import ORDER_PATH, Combiner
 from lavenderfold.escrow._ledger import (
     Balance,
@@ -54,6 +54,7 @@
     "OrderPath",
     "Position",
     "Purse",
+    "PurseState",
     "Reclaim",
     "Seal",
     "Statement",
--- a/src/lavenderfold/escrow/_bank.py
+++ b/src/lavenderfold/escrow/_bank.py
@@ -165,10 +165,13 @@
             age_ms=None if purse.rest is None else round((now - purse.seen_at) * 1000),
         )
 
+    def purse_states(self) -> list[PurseState]:
+        """Return what the router knows of all balances that it drew from."""
+        return [self.purse_state(each) for each in self.wallet.purse_by_organisation]
+
     def report(self, _: float) -> None:
         """Log the state of each purse."""
-        for organisation in self.wallet.purse_by_organisation:
-            state = self.purse_state(organisation)
+        for state in self.purse_states():
             logger.info("balance", extra=msgspec.structs.asdict(state))
 
     async def return_all(self) -> None:
--- a/src/lavenderfold/fleet/_follower.py
+++ b/src/lavenderfold/fleet/_follower.py
@@ -15,7 +15,6 @@
 )
 from lavenderfold.timers import TimerService
 
-# A connection that went silent is noticed within one wait.
 WATCH_WAIT_S = 1.0
 FAILURE_PAUSE_S = 0.15
 # Removals seen this shortly after an outage may be registrations that lapsed
@@ -41,6 +40,7 @@
 class PrefixFollower:
     """Lists a prefix, then waits for changes, and lists again when it must.
 
+    A connection that went silent is noticed within one wait of ``wait_s``.
     ``on_answer`` is called after each answer of the store.
     """
 
@@ -51,13 +51,16 @@
         timers: TimerService,
         prefix: str,
         sink: ItemSink,
+        wait_s: float = WATCH_WAIT_S,
         on_answer: Callable[[], None] | None = None,
     ):
         self.is_listed = False
+        self.answered_at = timers.now()
         self._store = store
         self._timers = timers
         self._prefix = prefix
         self._sink = sink
+        self._wait_s = wait_s
         self._on_answer = on_answer
         self._revision: int | None = None
         self._failed_at = -math.inf
@@ -83,7 +86,7 @@
             await self._list()
             return
         changes = await self._store.wait_changes(
-            self._prefix, after=self._revision, wait_s=WATCH_WAIT_S
+            self._prefix, after=self._revision, wait_s=self._wait_s
         )
         for change in changes.changes:
             if change.item is not None:
@@ -116,6 +119,7 @@
             logger.warning("store_lost", extra=fault)
 
     def _note_success(self) -> None:
+        self.answered_at = self._timers.now()
         if self._on_answer is not None:
             self._on_answer()
         if not self._is_reachable:
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -131,7 +131,11 @@
             method=request.method, target=request.target, headers=headers
         )
         events = (head, h11.Data(data=request.body), h11.EndOfMessage())
-        data = b"".join(self.protocol.send(event) or b"" for event in events)
+        try:
+            data = b"".join(self.protocol.send(event) or b"" for event in events)
+        except h11.LocalProtocolError as error:
+            # The peer closed an idle connection just before it was used.
+            raise ResponseLostError(self.address, error) from error
         try:
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
--- a/src/lavenderfold/shared/__init__.py
+++ b/src/lavenderfold/shared/__init__.py
@@ -5,6 +5,7 @@
 exist.
 """
 
+from lavenderfold.shared._counted import CountedStore
 from lavenderfold.shared._failover import FailoverStore
 from lavenderfold.shared._relays import Relay, RelayDirectory, RelayRecord
 from lavenderfold.shared._store import (
@@ -25,6 +26,7 @@
     "Change",
     "Changes",
     "ConditionalWrite",
+    "CountedStore",
     "FailoverStore",
     "HistoryLostError",
     "Item",
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -265,6 +265,7 @@
             grace_period_s=GRACE_S,
             retry_share=0.1,
             retry_reserve=10.0,
+            watch_wait_s=1.0,
             config_prefix="config",
             targets_prefix="targets/",
             ledger_prefix="ledger/",
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -61,7 +61,7 @@
     used = set()
     for _ in range(40):
         chosen = choose(targets, book, request("hot", "own")).target
-        book.started(chosen, tokens=10)
+        book.started(chosen)
         used.add(chosen.id)
     loads = [book.state(each).outstanding for each in targets]
     # At 1.5 times the mean, three of four targets can hold all of it.
--- a/tests/test_direct_faults.py
+++ b/tests/test_direct_faults.py
@@ -8,6 +8,8 @@
 from lavenderfold.escrow import LedgerPage, page_key
 from lavenderfold.fleet import Organisation
 from lavenderfold.http import HttpClient, HttpRequest, ResponseLostError
+from lavenderfold.http._client import _ClientConnection
+from lavenderfold.settings import Address
 from tests.direct_support import (
     answer_whole,
     direct_fleet,
@@ -229,3 +231,21 @@
         assert answer.status == 502
 
     run(scenario, answer_whole)
+
+
+def test_idle_connection_closed_at_its_next_use_loses_only_that_answer():
+    """The peer's close was read before the request was written, and ended a router."""
+
+    async def main():
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        peer = await listeners[0].accept()
+        address = Address(host="127.0.0.1", port=port)
+        connection = _ClientConnection(address=address, stream=stream)
+        await peer.aclose()
+        with pytest.raises(ResponseLostError):
+            await connection.next_event()
+            await connection.send(HttpRequest(method="POST", target="/", body=b"x"))
+
+    trio.run(main)
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -265,6 +265,12 @@
         assert b'lavenderfold_requests_total{end="delivered"} 1.0' in page
         assert b'lavenderfold_requests_total{end="budget_spent"} 1.0' in page
         assert b'part="spent"} 18.0' in page
+        assert b'lavenderfold_store_calls_total{kind="write",result="ok"}' in page
+        assert b'lavenderfold_watch_age_seconds{prefix="targets/"}' in page
+        assert b'lavenderfold_router_state{state="ready"} 1.0' in page
+        assert b"lavenderfold_active_requests 0.0" in page
+        assert b"lavenderfold_log_lines_left_out 0.0" in page
+        assert b"lavenderfold_longest_pause_seconds_count" in page
 
     run(scenario, stream())
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -193,6 +193,7 @@
 grace_period_s = 8
 retry_budget_ratio = 0.2
 budget_slack = 64
+connectivity_ms = 4000
 [platform]
 address = "10.0.0.2:90"
 writes_per_s = 400
@@ -205,6 +206,7 @@
     options = router_options(read_settings(path))
     assert options.listen == Address(host="10.0.0.1", port=80)
     assert (options.retry_share, options.retry_reserve) == (0.1, 2.0)
+    assert options.watch_wait_s == 2.0
 
 
 @pytest.mark.parametrize("fault", ["zone = 1", "not toml"])
@@ -231,6 +233,29 @@
     assert [router_options(each).grace_period_s for each in seen] == [5.0]
 
 
+def test_long_answer_over_a_slow_link_is_read_to_its_end():
+    """Given up and asked for again, large answers kept a crowded link full."""
+    page = {"entries": [row("a", "eHh4" * 3000)], "truncated": False, "at": 5}
+    body = msgspec.json.encode(page)
+
+    async def main():
+        async def handle(request, writer):
+            await writer.start(200, [])
+            for start in range(0, len(body), 3000):
+                await writer.write(body[start : start + 3000])
+                await trio.sleep(0.3)
+            await writer.finish()
+
+        async with trio.open_nursery() as nursery:
+            listen = Address(host="127.0.0.1", port=0)
+            address = await nursery.start(partial(serve, handle, address=listen))
+            listing = await PlatformStore(address=address).list_items("")
+            assert len(listing.items) == 1
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_silent_watch_is_given_up():
     """A connection that was cut silently must not outlast the drain bound."""
 
