Fetch the configuration once for all routers of a region

A relay now follows a prefix as soon as a router of its region asks, and answers all of them from memory. It refuses when its own watch failed or is older than 2 s, and routers then ask the store, so a relay that is cut off can't hold them back. The order of relays and the memory of failed ones (RelayChoice) now serve orders and hubs alike.

--- a/src/lavenderfold/fleet/_follower.py
+++ b/src/lavenderfold/fleet/_follower.py
@@ -64,7 +64,12 @@
         self._on_answer = on_answer
         self._revision: int | None = None
         self._failed_at = -math.inf
-        self._is_reachable = True
+        self.is_reachable = True
+
+    @property
+    def revision(self) -> int:
+        """The revision up to which no change is missing; 0 before a listing."""
+        return self._revision or 0
 
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
@@ -113,8 +118,8 @@
 
     def _note_failure(self, error: SharedStoreError) -> None:
         self._failed_at = self._timers.now()
-        if self._is_reachable:
-            self._is_reachable = False
+        if self.is_reachable:
+            self.is_reachable = False
             fault = {"prefix": self._prefix, "cause": str(error)}
             logger.warning("store_lost", extra=fault)
 
@@ -122,6 +127,6 @@
         self.answered_at = self._timers.now()
         if self._on_answer is not None:
             self._on_answer()
-        if not self._is_reachable:
-            self._is_reachable = True
+        if not self.is_reachable:
+            self.is_reachable = True
             logger.info("store_regained", extra={"prefix": self._prefix})
--- a/src/lavenderfold/relay/_relay.py
+++ b/src/lavenderfold/relay/_relay.py
@@ -1,4 +1,4 @@
-"""The relay process: passes store calls on, combines orders, witnesses spending."""
+"""The relay process: what routers share beside the store."""
 
 import logging
 import secrets
@@ -16,6 +16,7 @@
     WitnessBook,
     answer_call,
 )
+from lavenderfold.fleet import HUB_PATH, PrefixHub
 from lavenderfold.http import (
     HttpClient,
     HttpRequest,
@@ -33,6 +34,7 @@
     SharedStoreError,
     WriteConflictError,
 )
+from lavenderfold.timers import TimerService
 
 CONNECT_TIMEOUT_S = 0.5
 REGISTER_PAUSE_S = 0.5
@@ -47,6 +49,7 @@
 
     name: str
     domain: str
+    region: str
     listen: Address
     store_address: Address
     prefix: str
@@ -56,7 +59,10 @@
 class StoreRelay:
     """Passes calls on to the store and answers with what the store answered."""
 
-    def __init__(self, *, options: RelayOptions, store: SharedStore):
+    def __init__(
+        self, *, options: RelayOptions, store: SharedStore, timers: TimerService
+    ):
+        self._hub = PrefixHub(store=store, timers=timers)
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
         self._witness = WitnessBook(incarnation=self._incarnation)
         pages = LedgerPages(store=store, prefix=options.ledger_prefix)
@@ -76,12 +82,18 @@
             start = partial(serve, self._answer, address=self._options.listen)
             address = await nursery.start(start)
             nursery.start_soon(self._combiner.run)
+            nursery.start_soon(self._hub.run)
             nursery.start_soon(self._register, address)
             task_status.started(address)
 
     async def _register(self, address: Address) -> None:
         key = f"{self._options.prefix}{self._options.name}"
-        record = RelayRecord(str(address), self._options.domain, self._incarnation)
+        record = RelayRecord(
+            address=str(address),
+            domain=self._options.domain,
+            incarnation=self._incarnation,
+            region=self._options.region,
+        )
         value = msgspec.json.encode(record)
         while True:
             try:
@@ -103,6 +115,9 @@
         if request.path == ORDER_PATH:
             await writer.send(await self._combiner.answer(request.body))
             return
+        if request.path == HUB_PATH:
+            await writer.send(await self._hub.answer(request.body))
+            return
         call = HttpRequest(
             method=request.method,
             target=request.target,
--- a/src/lavenderfold/shared/_relays.py
+++ b/src/lavenderfold/shared/_relays.py
@@ -20,6 +20,7 @@
     address: str
     domain: str
     incarnation: str
+    region: str = ""
 
 
 class Relay(msgspec.Struct, frozen=True):
@@ -28,6 +29,7 @@
     address: Address
     domain: str
     incarnation: str
+    region: str = ""
 
 
 class RelayDirectory:
@@ -63,7 +65,9 @@
                 fault = {"key": item.key, "cause": str(error)}
                 logger.warning("relay_record_unreadable", extra=fault)
                 continue
-            by_address[address] = Relay(address, record.domain, record.incarnation)
+            by_address[address] = Relay(
+                address, record.domain, record.incarnation, record.region
+            )
         known = [each.address for each in self.relays if each.address in by_address]
         added = [address for address in by_address if address not in known]
         added.sort(key=lambda each: (by_address[each].domain != self._domain, each))
--- /dev/null
+++ b/tests/test_hub.py
@@ -0,0 +1,150 @@
+"""A hub: one follower of the store for all routers of a region."""
+
+import trio
+
+from lavenderfold.fleet import HUB_PATH, PrefixHub, RegionalStore
+from lavenderfold.fleet._hub import FRESH_S
+from lavenderfold.http import HttpResponse, serve
+from lavenderfold.settings import Address
+from lavenderfold.shared import Relay, RelayChoice, RelayDirectory
+from lavenderfold.timers import TimerService
+from standins.memory_store import MemoryStore
+
+CONFIG = "config"
+LISTEN = Address(host="127.0.0.1", port=0)
+
+
+class Region:
+    """A hub on loopback, its store, and the store that routers fall back to."""
+
+    def __init__(self, *, nursery: trio.Nursery):
+        self.nursery = nursery
+        self.hub_store = MemoryStore()
+        self.own_store = MemoryStore()
+        self.timers = TimerService()
+        self.address: Address | None = None
+
+    async def start(self) -> None:
+        hub = PrefixHub(store=self.hub_store, timers=self.timers)
+        self.nursery.start_soon(hub.run)
+
+        async def handle(request, writer):
+            assert request.path == HUB_PATH
+            await writer.send(await hub.answer(request.body))
+
+        await self.serve(handle)
+
+    async def serve(self, handle) -> None:
+        async def start(task_status):
+            await serve(handle, address=LISTEN, task_status=task_status)
+
+        self.address = await self.nursery.start(start)
+
+    def router_store(self, *, region: str = "here") -> RegionalStore:
+        relays = RelayDirectory(store=self.own_store, prefix="relays/", domain="d")
+        relays.relays = [Relay(self.address, "d", "incarnation", region)]
+        hubs = RelayChoice(directory=relays, timers=self.timers, region="here")
+        return RegionalStore(
+            store=self.own_store, hubs=hubs, prefixes=frozenset((CONFIG,))
+        )
+
+
+def run(scenario) -> None:
+    async def main():
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                await scenario(Region(nursery=nursery))
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_routers_of_a_region_take_one_watch_at_the_store():
+    """Each router's own copy of a large configuration filled the link."""
+
+    async def scenario(region):
+        region.hub_store.put(CONFIG, b"v1")
+        await region.start()
+        stores = [region.router_store() for _ in range(10)]
+        await stores[0].list_items(CONFIG)
+        calls = region.hub_store.calls
+        seen = []
+
+        async def follow(store):
+            changes = await store.wait_changes(CONFIG, after=2, wait_s=2)
+            seen.extend(each.item.value for each in changes.changes)
+
+        async with trio.open_nursery() as nursery:
+            for store in stores:
+                nursery.start_soon(follow, store)
+            await trio.sleep(0.2)
+            region.hub_store.put(CONFIG, b"v2")
+        assert seen == [b"v2"] * 10
+        # The change wakes the call that waits in the store; others may follow.
+        assert region.hub_store.calls - calls <= 4
+        assert region.own_store.calls == 0
+
+    run(scenario)
+
+
+def test_router_asks_the_store_when_its_hub_is_cut_off():
+    """The router may reach the store, and is bound by what changed there."""
+
+    async def scenario(region):
+        region.hub_store.put(CONFIG, b"old")
+        region.own_store.put(CONFIG, b"old")
+        await region.start()
+        store = region.router_store()
+        await store.list_items(CONFIG)
+        region.hub_store.is_down = True
+        region.own_store.put(CONFIG, b"new")
+        with trio.fail_after(FRESH_S + 1.0):
+            while True:
+                changes = await store.wait_changes(CONFIG, after=2, wait_s=1)
+                if changes.changes:
+                    break
+        assert changes.changes[0].item.value == b"new"
+
+    run(scenario)
+
+
+def test_router_asks_the_store_when_its_hub_is_silent():
+    async def scenario(region):
+        async def silent(request, writer):
+            await trio.sleep_forever()
+
+        await region.serve(silent)
+        region.own_store.put(CONFIG, b"v1")
+        store = region.router_store()
+        with trio.fail_after(1.5):
+            listing = await store.list_items(CONFIG)
+        assert [item.value for item in listing.items] == [b"v1"]
+
+    run(scenario)
+
+
+def test_bad_answers_and_other_regions_are_not_used():
+    async def scenario(region):
+        async def garbage(request, writer):
+            await writer.send(HttpResponse(status=200, body=b"\xc1"))
+
+        await region.serve(garbage)
+        region.own_store.put(CONFIG, b"v1")
+        for store in (region.router_store(), region.router_store(region="there")):
+            listing = await store.list_items(CONFIG)
+            assert [item.value for item in listing.items] == [b"v1"]
+
+    run(scenario)
+
+
+def test_hub_without_a_listing_refuses():
+    """An empty answer would look like a store without a configuration."""
+
+    async def scenario(region):
+        region.hub_store.is_down = True
+        region.own_store.put(CONFIG, b"v1")
+        await region.start()
+        listing = await region.router_store().list_items(CONFIG)
+        assert [item.value for item in listing.items] == [b"v1"]
+
+    run(scenario)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -183,6 +183,7 @@
 SETTINGS = """
 node_name = "edge-1"
 zone = "z"
+region = "r"
 ip = "10.0.0.1"
 internal_ports = [7200, 7215]
 unknown = 1
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -179,12 +179,14 @@
             options=RelayOptions(
                 name="relay",
                 domain="domain",
+                region="region",
                 listen=Address(host="127.0.0.1", port=0),
                 store_address=Address(host="127.0.0.1", port=1),
                 prefix=RELAYS,
                 ledger_prefix=LEDGER,
             ),
             store=self.store,
+            timers=TimerService(),
         )
 
         async def run(task_status=trio.TASK_STATUS_IGNORED):
