Bound what all routers hold of a balance together; refuse at once while the ledger is away

The part is now 16% of the rest divided by the routers that the ledger entry names (4% each for four).

Cause 2: relays whose machine is gone for good stay registered, and were tried every 3 s with 0.3 to 0.5 s each. The pause now doubles up to 48 s.

Cause 3: while the ledger is away, each request still waited 0.7 s for its grant. Once orders have failed for 1 s, requests that the grant doesn't cover are refused at once.

--- a/src/lavenderfold/escrow/_bank.py
+++ b/src/lavenderfold/escrow/_bank.py
@@ -25,6 +25,8 @@
 from lavenderfold.timers import TimerService
 
 SYNC_PERIOD_S = 0.5
+# While no order was confirmed for this time, requests aren't kept waiting.
+LEDGER_AWAY_S = 1.0
 # After a failed call, so that a store that returns isn't met by all at once.
 FAILURE_PAUSE_S = 0.25
 
@@ -88,6 +90,7 @@
         self._wake = trio.Event()
         self._synced = trio.Event()
         self._is_returning = False
+        self._away_since: float | None = None
 
     def set_limits(
         self, limit_by_organisation: dict[str, int], *, version: int
@@ -197,11 +200,19 @@
             remaining_s = until - self._timers.now()
             if remaining_s <= 0:
                 return Funding.UNAVAILABLE
+            if purse.pending is not None and self._is_ledger_away():
+                return Funding.UNAVAILABLE
             self._poke()
             synced = self._synced
             with trio.move_on_after(remaining_s):
                 await synced.wait()
 
+    def _is_ledger_away(self) -> bool:
+        """Return whether orders have failed for so long that waiting is no use."""
+        if self._away_since is None:
+            return False
+        return self._timers.now() - self._away_since >= LEDGER_AWAY_S
+
     def _poke(self) -> None:
         self._wake.set()
 
@@ -217,6 +228,7 @@
         transfer_by_organisation = self._plan()
         if not transfer_by_organisation:
             return True
+        started_at = self._timers.now()
         order = LedgerOrder(
             holder=self._holder,
             limit_by_organisation={
@@ -228,8 +240,11 @@
         try:
             positions = await self._order_path.make(order)
         except LedgerUnavailableError as error:
+            if self._away_since is None:
+                self._away_since = started_at
             logger.info("transfers_not_confirmed", extra={"cause": str(error)})
             return False
+        self._away_since = None
         self._note(positions)
         return True
 
--- a/src/lavenderfold/escrow/_ledger.py
+++ b/src/lavenderfold/escrow/_ledger.py
@@ -89,6 +89,11 @@
     witness_address: str = ""
 
 
+def router_name(holder: str) -> str:
+    """Return the router of which a holder is an incarnation."""
+    return holder.rpartition("/")[0]
+
+
 def page_key(prefix: str, organisation: str) -> str:
     """Return the key of the page that holds an organisation's balance."""
     number = xxhash.xxh64_intdigest(organisation.encode()) % PAGE_COUNT
--- a/src/lavenderfold/escrow/_order_path.py
+++ b/src/lavenderfold/escrow/_order_path.py
@@ -35,9 +35,12 @@
         combiner = self._combiners.best() if self._combiners else None
         if combiner is not None:
             try:
-                return await self._client.make(combiner.address, order)
+                positions = await self._client.make(combiner.address, order)
             except LedgerUnavailableError as error:
                 fields = {"address": str(combiner.address), "cause": str(error)}
                 logger.warning("combiner_failed", extra=fields)
                 self._combiners.failed(combiner)
+            else:
+                self._combiners.worked(combiner)
+                return positions
         return (await self._writer.apply([order]))[0]
--- a/src/lavenderfold/escrow/_orders.py
+++ b/src/lavenderfold/escrow/_orders.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from lavenderfold.escrow._ledger import Balance, Grant, Transfer
+from lavenderfold.escrow._ledger import Balance, Grant, Transfer, router_name
 
 
 class LedgerUnavailableError(Exception):
@@ -46,11 +46,16 @@
 
 
 class Position(msgspec.Struct, frozen=True, array_like=True):
-    """A balance as one holder sees it. Amounts are in tokens."""
+    """A balance as one holder sees it. Amounts are in tokens.
+
+    ``routers`` counts the routers that draw from it, dead incarnations of one
+    router once.
+    """
 
     available: int
     unspent_by_others: int
     grant: Grant | None
+    routers: int = 1
 
     @classmethod
     def of(cls, balance: Balance, holder: str) -> "Position":
@@ -58,4 +63,5 @@
             available=balance.available,
             unspent_by_others=balance.unspent_by_others(holder),
             grant=balance.grant_by_holder.get(holder),
+            routers=len({router_name(each) for each in balance.grant_by_holder}),
         )
--- a/src/lavenderfold/escrow/_reclaim.py
+++ b/src/lavenderfold/escrow/_reclaim.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from lavenderfold.escrow._ledger import router_name
 from lavenderfold.escrow._order_path import OrderPath
 from lavenderfold.escrow._orders import LedgerOrder, LedgerUnavailableError, Reclaim
 from lavenderfold.escrow._pages import LedgerPages
@@ -64,13 +65,13 @@
             logger.warning("grant_written_off", extra=fields)
 
     def _dead_grants(self) -> list[DeadGrant]:
-        name = self._holder.rpartition("/")[0]
+        name = router_name(self._holder)
         return [
             DeadGrant(organisation, holder, grant.witness, grant.witness_address)
             for page in self._pages.content_by_key().values()
             for organisation, balance in page.balance_by_organisation.items()
             for holder, grant in balance.grant_by_holder.items()
-            if holder != self._holder and holder.rpartition("/")[0] == name
+            if holder != self._holder and router_name(holder) == name
         ]
 
     async def _seal(self, grants: list[DeadGrant]) -> None:
--- a/src/lavenderfold/escrow/_wallet.py
+++ b/src/lavenderfold/escrow/_wallet.py
@@ -18,8 +18,11 @@
 SURPLUS_FACTOR = 1.6
 # The mean draw follows the traffic with this time constant.
 DRAW_TIME_CONSTANT_S = 3.0
-# Near the end of a balance a router keeps at most this part of what is left.
-KEPT_SHARE_OF_REST = 0.04
+# Near the end of a balance all routers together keep at most this part of what is
+# left, because it is lost if they die together with their witnesses.
+KEPT_SHARE_OF_REST = 0.16
+# Routers that share a balance before its ledger entry tells.
+LEAST_ROUTERS = 4
 # A balance that couldn't cover a request is asked again after this time.
 EMPTY_RETRY_S = 0.4
 
@@ -35,6 +38,7 @@
         "pending",
         "rest",
         "rest_of_others",
+        "routers",
         "seen_at",
         "waiting_by_id",
         "witness",
@@ -52,6 +56,7 @@
         self.pending: Transfer | None = None
         self.rest: int | None = None
         self.rest_of_others = 0
+        self.routers = LEAST_ROUTERS
         self.seen_at = -math.inf
         self.waiting_by_id: dict[int, int] = {}
         self.witness = ""
@@ -103,7 +108,7 @@
         wanted = rate * HORIZON_S + SPARE_REQUESTS * self._size
         if self.rest is not None:
             left = self.rest + max(0, self.free)
-            wanted = min(wanted, left * KEPT_SHARE_OF_REST)
+            wanted = min(wanted, left * KEPT_SHARE_OF_REST / self.routers)
         return int(wanted) + sum(self.waiting_by_id.values())
 
     def names_only(self, witness: str) -> bool:
@@ -161,6 +166,7 @@
         """Take in the state of the balance, as the ledger confirmed it."""
         self.rest = position.available
         self.rest_of_others = position.unspent_by_others
+        self.routers = max(LEAST_ROUTERS, position.routers)
         self.seen_at = now
         grant = position.grant
         if grant is None or self.pending is None or grant.number < self.number:
--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -67,7 +67,9 @@
             try:
                 response = await self._client(hub).request(request)
                 if response.status == 200:
-                    return msgspec.msgpack.decode(response.body, type=FollowAnswer)
+                    answer = msgspec.msgpack.decode(response.body, type=FollowAnswer)
+                    self._hubs.worked(hub)
+                    return answer
                 cause = f"status {response.status}"
             except (HttpClientError, msgspec.DecodeError) as error:
                 cause = str(error)
--- a/src/lavenderfold/shared/_relay_choice.py
+++ b/src/lavenderfold/shared/_relay_choice.py
@@ -2,18 +2,37 @@
 
 import xxhash
 
-from lavenderfold.settings import Address
 from lavenderfold.shared._relays import Relay, RelayDirectory
 from lavenderfold.timers import TimerService
 
-# A relay that failed is left out for this time.
+# A relay that failed is left out for this time, doubled at each failure in a row:
+# one whose machine is gone for good stays registered.
 RELAY_RETRY_S = 3.0
+RELAY_RETRY_LIMIT_S = 48.0
 
 
 def _rank(relay: Relay) -> int:
     return xxhash.xxh64_intdigest(str(relay.address).encode())
 
 
+class _Failures:
+    """Failures of one relay in a row."""
+
+    __slots__ = ("count", "last_at")
+
+    def __init__(self):
+        self.count = 0
+        self.last_at = 0.0
+
+    def note(self, now: float) -> None:
+        self.count += 1
+        self.last_at = now
+
+    def is_over(self, now: float) -> bool:
+        pause_s = RELAY_RETRY_S * 2 ** (self.count - 1)
+        return now - self.last_at >= min(RELAY_RETRY_LIMIT_S, pause_s)
+
+
 class RelayChoice:
     """Ranks the known relays in the same order at every router.
 
@@ -30,7 +49,7 @@
         self._directory = directory
         self._timers = timers
         self._region = region
-        self._failed_at_by_address: dict[Address, float] = {}
+        self._failures_by_incarnation: dict[str, _Failures] = {}
 
     def best(self) -> Relay | None:
         """Return the relay to use now, or None if none is known to work."""
@@ -38,13 +57,18 @@
         return min(usable, key=_rank, default=None)
 
     def failed(self, relay: Relay) -> None:
-        """Leave a relay out for RELAY_RETRY_S."""
-        self._failed_at_by_address[relay.address] = self._timers.now()
+        """Leave a relay out for a while."""
+        failures = self._failures_by_incarnation.setdefault(
+            relay.incarnation, _Failures()
+        )
+        failures.note(self._timers.now())
+
+    def worked(self, relay: Relay) -> None:
+        """Forget the failures of a relay that answered."""
+        self._failures_by_incarnation.pop(relay.incarnation, None)
 
     def _is_usable(self, relay: Relay) -> bool:
         if self._region is not None and relay.region != self._region:
             return False
-        failed_at = self._failed_at_by_address.get(relay.address)
-        if failed_at is None:
-            return True
-        return self._timers.now() - failed_at >= RELAY_RETRY_S
+        failures = self._failures_by_incarnation.get(relay.incarnation)
+        return failures is None or failures.is_over(self._timers.now())
--- a/tests/test_escrow.py
+++ b/tests/test_escrow.py
@@ -85,6 +85,19 @@
     assert changed.grant_by_holder["b"].total == 0
 
 
+@pytest.mark.parametrize("routers", [4, 28, 390])
+def test_routers_together_hold_a_bounded_part_of_what_is_left(routers):
+    """A fixed part for each router let 28 of them hold more than half of it."""
+    balance = Balance(limit=1_000_000, limit_version=1)
+    for number in range(routers):
+        request = Transfer(number=1, wanted=1)
+        balance = transfer(balance, f"router-{number}/1", request)
+    purse = Purse(now=0.0)
+    purse.note(Position.of(balance, "router-0/1"), now=0.0)
+    held = purse.desired(1e9) * routers
+    assert held <= 0.17 * 1_000_000
+
+
 def test_request_waits_for_a_grant():
     """The first request of an organisation finds no grant at its router."""
 
@@ -108,6 +121,24 @@
     run(scenario)
 
 
+def test_requests_don_t_wait_while_the_ledger_is_away():
+    """Other routers may be in touch: a refusal at once lets the caller ask them."""
+
+    async def scenario(nursery, store):
+        bank = await started(store, nursery, "a")
+        store.is_down = True
+        assert await bank.reserve("org", 9, until=until(0.7)) is Funding.UNAVAILABLE
+        await trio.sleep(1.0)
+        before = trio.current_time()
+        assert await bank.reserve("org", 9, until=until(0.7)) is Funding.UNAVAILABLE
+        assert trio.current_time() - before < 0.1
+        store.is_down = False
+        await trio.sleep(1.0)
+        assert await bank.reserve("org", 9, until=until(0.7)) is Funding.RESERVED
+
+    run(scenario)
+
+
 def test_spending_goes_on_while_the_store_is_down():
     """Grants must outlast an outage of several seconds."""
 
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -49,6 +49,28 @@
         )
 
 
+def test_relay_that_is_gone_for_good_is_asked_ever_more_rarely():
+    """Its machine is gone, but nobody removes its entry."""
+    now = 0.0
+    timers = TimerService(clock=lambda: now)
+    relays = RelayDirectory(store=MemoryStore(), prefix="relays/", domain="d")
+    gone = Relay(LISTEN, "d", "gone")
+    relays.relays = [gone]
+    choice = RelayChoice(directory=relays, timers=timers)
+    asked = 0
+    while now < 100:
+        if choice.best() is not None:
+            asked += 1
+            choice.failed(gone)
+        now += 0.5
+    assert asked <= 6
+    relays.relays = [Relay(LISTEN, "d", "started anew")]
+    assert choice.best() is not None
+    choice.failed(choice.best())
+    choice.worked(relays.relays[0])
+    assert choice.best() is not None
+
+
 def run(scenario) -> None:
     async def main():
         with trio.fail_after(20):
