Post calls between own processes in one place; split the ledger client

The clients of witnesses, combining relays and hubs each kept HTTP clients by address and turned the same failures into errors. Tests of direct routers share their scenario runner.

--- a/src/lavenderfold/budgets/__init__.py
+++ b/src/lavenderfold/budgets/__init__.py
@@ -3,8 +3,6 @@
 from lavenderfold.budgets._apply import RETENTION_S, LedgerInvariantError, apply
 from lavenderfold.budgets._client import (
     LedgerClient,
-    LedgerFullError,
-    LedgerUnavailableError,
 )
 from lavenderfold.budgets._pool import (
     GrantOrder,
@@ -22,6 +20,7 @@
     UsageEntry,
     pack_request_id,
 )
+from lavenderfold.budgets._shard_state import LedgerFullError, LedgerUnavailableError
 from lavenderfold.budgets._sizing import DrawRate, excess_tokens, order_tokens
 from lavenderfold.operations import (
     AlreadySettled,
--- a/src/lavenderfold/budgets/_client.py
+++ b/src/lavenderfold/budgets/_client.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections import OrderedDict, deque
+from collections import OrderedDict
 
 import trio
 from result import Err, Ok, Result
@@ -13,6 +13,14 @@
     LedgerDecodeError,
     LedgerShard,
 )
+from lavenderfold.budgets._shard_state import (
+    LedgerFullError,
+    LedgerUnavailableError,
+    Pending,
+    ShardState,
+    drop_unwanted,
+    take_batch,
+)
 from lavenderfold.identifiers import BudgetKey
 from lavenderfold.logs import log_event
 from lavenderfold.operations import (
@@ -33,8 +41,6 @@
 LEDGER_PREFIX = "ledger/"
 # The service refuses values above one megabyte.
 MAX_VALUE_BYTES = 1_000_000
-# A caller waits for the whole batch, so that a batch is bounded.
-MAX_BATCH_OPERATIONS = 512
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 5.0
 # A new operation ends a longer pause after this time: its request may not wait
@@ -49,69 +55,6 @@
 logger = logging.getLogger(__name__)
 
 
-class LedgerUnavailableError(Exception):
-    """The store couldn't be reached in time.
-
-    With ``may_apply`` the operation was sent and may yet take effect; it's
-    safe to submit it again.
-    """
-
-    def __init__(self, key: str, *, cause: object, may_apply: bool):
-        super().__init__(f"ledger shard {key!r}: {cause}")
-        self.key = key
-        self.may_apply = may_apply
-
-
-class LedgerFullError(LedgerUnavailableError):
-    """The shard has grown beyond what the store takes; nothing was written."""
-
-
-class _Pending:
-    """An operation on its way, and the event that its result sets."""
-
-    __slots__ = ("operation", "result", "done", "sent", "abandoned")
-
-    def __init__(self, operation: Operation):
-        self.operation = operation
-        self.result: Result[OperationResult, LedgerUnavailableError] | None = None
-        self.done = trio.Event()
-        self.sent = False
-        self.abandoned = False
-
-    def resolve(self, result: Result[OperationResult, LedgerUnavailableError]) -> None:
-        self.result = result
-        self.done.set()
-
-
-class _ShardState:
-    """The queue of one shard and the value last seen of it.
-
-    ``read_first`` is set while other writers are active, when a write based on
-    the cached value would only meet a conflict.
-    """
-
-    __slots__ = (
-        "key",
-        "queue",
-        "shard",
-        "version",
-        "size",
-        "read_first",
-        "active",
-        "arrived",
-    )
-
-    def __init__(self, *, key: str):
-        self.key = key
-        self.queue: deque[_Pending] = deque()
-        self.arrived = trio.Event()
-        self.shard: LedgerShard | None = None
-        self.version = 0
-        self.size = 0
-        self.read_first = False
-        self.active = False
-
-
 class LedgerClient:
     """Writes operations of one process to the ledger, batched per shard.
 
@@ -135,7 +78,7 @@
         self._shard_count = shard_count
         self._batch_window_s = batch_window_s
         self._retention_s = retention_s
-        self._states: dict[int, _ShardState] = {}
+        self._states: dict[int, ShardState] = {}
         self._cached: OrderedDict[int, None] = OrderedDict()
         self._wake_send, self._wake_receive = trio.open_memory_channel(float("inf"))
         self._outage_began = 0.0
@@ -156,7 +99,7 @@
         """
         number = operation.budget.shard(self._shard_count)
         state = self._state(number)
-        pending = _Pending(operation)
+        pending = Pending(operation)
         state.queue.append(pending)
         state.arrived.set()
         if not state.active:
@@ -194,10 +137,10 @@
             )
         )
 
-    def _state(self, number: int) -> _ShardState:
+    def _state(self, number: int) -> ShardState:
         state = self._states.get(number)
         if state is None:
-            state = _ShardState(key=f"{LEDGER_PREFIX}{number:04d}")
+            state = ShardState(key=f"{LEDGER_PREFIX}{number:04d}")
             self._states[number] = state
         return state
 
@@ -206,13 +149,13 @@
         state = self._states[number]
         while state.queue:
             await trio.sleep(self._batch_window_s)
-            batch = _take_batch(state.queue)
+            batch = take_batch(state.queue)
             if batch:
                 await self._commit(state, batch)
         state.active = False
         self._trim_cache(number)
 
-    async def _commit(self, state: _ShardState, batch: list[_Pending]) -> None:
+    async def _commit(self, state: ShardState, batch: list[Pending]) -> None:
         pause_s, conflict_pause_s = FIRST_PAUSE_S, FIRST_CONFLICT_PAUSE_S
         while batch:
             written = await self._attempt(state, batch)
@@ -224,10 +167,10 @@
             else:
                 await _pause(state, random.uniform(pause_s / 2, pause_s))
                 pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
-            _drop_unwanted(batch)
+            drop_unwanted(batch)
 
     async def _attempt(
-        self, state: _ShardState, batch: list[_Pending]
+        self, state: ShardState, batch: list[Pending]
     ) -> Result[None, StoreError | LedgerDecodeError]:
         """Read if needed, apply, write once; resolve the batch on success."""
         is_fresh = state.shard is None or state.read_first
@@ -235,14 +178,14 @@
             found = await self._refresh(state)
             if found.is_err():
                 return found
-            _drop_unwanted(batch)
+            drop_unwanted(batch)
         shard, results = self._apply(state, batch)
         if shard == state.shard and not is_fresh:
             # Only a write proves that the cached value was the current one.
             found = await self._refresh(state)
             if found.is_err():
                 return found
-            _drop_unwanted(batch)
+            drop_unwanted(batch)
             shard, results = self._apply(state, batch)
         if shard != state.shard:
             value = shard.encode()
@@ -256,7 +199,7 @@
         return Ok(None)
 
     def _apply(
-        self, state: _ShardState, batch: list[_Pending]
+        self, state: ShardState, batch: list[Pending]
     ) -> tuple[LedgerShard, list[OperationResult]]:
         return apply(
             state.shard,
@@ -266,7 +209,7 @@
         )
 
     async def _refresh(
-        self, state: _ShardState
+        self, state: ShardState
     ) -> Result[None, StoreError | LedgerDecodeError]:
         fetched = await self._fetch(state.key)
         if fetched.is_err():
@@ -297,10 +240,10 @@
 
     async def _write(
         self,
-        state: _ShardState,
+        state: ShardState,
         shard: LedgerShard,
         value: bytes,
-        batch: list[_Pending],
+        batch: list[Pending],
     ) -> Result[int, StoreError]:
         for pending in batch:
             pending.sent = True
@@ -319,8 +262,8 @@
 
     def _resolve(
         self,
-        state: _ShardState,
-        batch: list[_Pending],
+        state: ShardState,
+        batch: list[Pending],
         results: list[OperationResult],
     ) -> None:
         self.operations += len(batch)
@@ -338,7 +281,7 @@
                 _log_settlement(pending.operation, result)
             pending.resolve(Ok(result))
 
-    def _refuse(self, state: _ShardState, batch: list[_Pending], size: int) -> None:
+    def _refuse(self, state: ShardState, batch: list[Pending], size: int) -> None:
         logger.error("ledger_full", extra={"key": state.key, "bytes": size})
         cause = f"{size} bytes exceed {MAX_VALUE_BYTES}"
         for pending in batch:
@@ -372,7 +315,7 @@
                 del self._states[oldest]
 
 
-async def _pause(state: _ShardState, pause_s: float) -> None:
+async def _pause(state: ShardState, pause_s: float) -> None:
     """Wait before a retry, less long if an operation arrives meanwhile."""
     state.arrived = trio.Event()
     await trio.sleep(min(pause_s, WOKEN_PAUSE_S))
@@ -380,24 +323,6 @@
         await state.arrived.wait()
 
 
-def _take_batch(queue: deque[_Pending]) -> list[_Pending]:
-    batch = []
-    while queue and len(batch) < MAX_BATCH_OPERATIONS:
-        pending = queue.popleft()
-        if not pending.abandoned:
-            batch.append(pending)
-    return batch
-
-
-def _drop_unwanted(batch: list[_Pending]) -> None:
-    """Leave out what was given up before it was sent.
-
-    What was sent stays, so that an effect of a lost write isn't left unknown to
-    the operations that follow.
-    """
-    batch[:] = [item for item in batch if item.sent or not item.abandoned]
-
-
 def _log_settlement(operation: Settle, result: OperationResult) -> None:
     if isinstance(result, AlreadySettled):
         log_event(
--- a/src/lavenderfold/escrow/_combiner.py
+++ b/src/lavenderfold/escrow/_combiner.py
@@ -12,7 +12,7 @@
 
 from lavenderfold.escrow._orders import LedgerOrder, LedgerUnavailableError, Position
 from lavenderfold.escrow._writer import LedgerWriter
-from lavenderfold.http import HttpClient, HttpClientError, HttpRequest, HttpResponse
+from lavenderfold.http import CallFailedError, HttpResponse, PeerCalls
 from lavenderfold.settings import Address
 
 ORDER_PATH = "/ledger/order"
@@ -103,28 +103,15 @@
     """Sends orders to combiners; raises LedgerUnavailableError."""
 
     def __init__(self):
-        self._client_by_address: dict[Address, HttpClient] = {}
+        self._calls = PeerCalls(connect_timeout_s=CONNECT_TIMEOUT_S)
 
     async def make(self, address: Address, order: LedgerOrder) -> dict[str, Position]:
         """Return the positions after the order."""
-        client = self._client_by_address.get(address)
-        if client is None:
-            client = HttpClient(address=address, connect_timeout_s=CONNECT_TIMEOUT_S)
-            self._client_by_address[address] = client
         body = msgspec.json.encode(order)
-        request = HttpRequest(method="POST", target=ORDER_PATH, body=body)
-        response = None
         try:
-            with trio.move_on_after(CALL_TIMEOUT_S):
-                response = await client.request(request)
-        except HttpClientError as error:
-            raise LedgerUnavailableError(str(error)) from error
-        if response is None:
-            fault = f"{address}: no answer within {CALL_TIMEOUT_S:g} s"
-            raise LedgerUnavailableError(fault)
-        if response.status != 200:
-            raise LedgerUnavailableError(f"{address}: status {response.status}")
-        try:
-            return msgspec.json.decode(response.body, type=dict[str, Position])
-        except msgspec.DecodeError as error:
+            answer = await self._calls.post(
+                address, ORDER_PATH, body, timeout_s=CALL_TIMEOUT_S
+            )
+            return msgspec.json.decode(answer, type=dict[str, Position])
+        except (CallFailedError, msgspec.DecodeError) as error:
             raise LedgerUnavailableError(str(error)) from error
--- a/src/lavenderfold/escrow/_witness.py
+++ b/src/lavenderfold/escrow/_witness.py
@@ -9,9 +9,8 @@
 import logging
 
 import msgspec
-import trio
 
-from lavenderfold.http import HttpClient, HttpClientError, HttpRequest, HttpResponse
+from lavenderfold.http import CallFailedError, PeerCalls
 from lavenderfold.settings import Address
 
 WITNESS_PREFIX = "/witness/"
@@ -94,7 +93,7 @@
     """Calls witnesses; raises WitnessError."""
 
     def __init__(self):
-        self._client_by_address: dict[Address, HttpClient] = {}
+        self._calls = PeerCalls(connect_timeout_s=CONNECT_TIMEOUT_S)
 
     async def state(self, address: Address, statement: Statement) -> None:
         """Return once the witness has acknowledged the statement."""
@@ -102,26 +101,14 @@
 
     async def seal(self, address: Address, seal: Seal) -> dict[str, int]:
         """Return the most that the holder can have spent, by organisation."""
-        response = await self._call(address, SEAL_PATH, msgspec.json.encode(seal))
+        answer = await self._call(address, SEAL_PATH, msgspec.json.encode(seal))
         try:
-            return msgspec.json.decode(response.body, type=dict[str, int])
+            return msgspec.json.decode(answer, type=dict[str, int])
         except msgspec.DecodeError as error:
             raise WitnessError(str(error)) from error
 
-    async def _call(self, address: Address, path: str, body: bytes) -> HttpResponse:
-        client = self._client_by_address.get(address)
-        if client is None:
-            client = HttpClient(address=address, connect_timeout_s=CONNECT_TIMEOUT_S)
-            self._client_by_address[address] = client
-        response = None
-        with trio.move_on_after(CALL_TIMEOUT_S):
-            try:
-                request = HttpRequest(method="POST", target=path, body=body)
-                response = await client.request(request)
-            except HttpClientError as error:
-                raise WitnessError(str(error)) from error
-        if response is None:
-            raise WitnessError(f"{address}: no answer within {CALL_TIMEOUT_S:g} s")
-        if response.status != 200:
-            raise WitnessError(f"{address}: status {response.status}")
-        return response
+    async def _call(self, address: Address, path: str, body: bytes) -> bytes:
+        try:
+            return await self._calls.post(address, path, body, timeout_s=CALL_TIMEOUT_S)
+        except CallFailedError as error:
+            raise WitnessError(str(error)) from error
--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -3,17 +3,14 @@
 import logging
 
 import msgspec
-import trio
 
 from lavenderfold.fleet._hub import HUB_PATH, FollowAnswer, FollowCall
-from lavenderfold.http import HttpClient, HttpClientError, HttpRequest
-from lavenderfold.settings import Address
+from lavenderfold.http import CallFailedError, PeerCalls
 from lavenderfold.shared import (
     Change,
     Changes,
     ConditionalWrite,
     Listing,
-    Relay,
     RelayChoice,
     SharedStore,
 )
@@ -37,7 +34,7 @@
         self._store = store
         self._hubs = hubs
         self._prefixes = prefixes
-        self._client_by_address: dict[Address, HttpClient] = {}
+        self._calls = PeerCalls(connect_timeout_s=CONNECT_TIMEOUT_S)
 
     async def list_items(self, prefix: str) -> Listing:
         answer = await self._ask(FollowCall(prefix, 0, 0.0))
@@ -60,29 +57,18 @@
         hub = self._hubs.best() if call.prefix in self._prefixes else None
         if hub is None:
             return None
-        body = msgspec.msgpack.encode(call)
-        request = HttpRequest(method="POST", target=HUB_PATH, body=body)
-        cause = "no answer in time"
-        with trio.move_on_after(call.wait_s + ANSWER_MARGIN_S):
-            try:
-                response = await self._client(hub).request(request)
-                if response.status == 200:
-                    answer = msgspec.msgpack.decode(response.body, type=FollowAnswer)
-                    self._hubs.worked(hub)
-                    return answer
-                cause = f"status {response.status}"
-            except (HttpClientError, msgspec.DecodeError) as error:
-                cause = str(error)
-        self._hubs.failed(hub)
-        fields = {"address": str(hub.address), "prefix": call.prefix, "cause": cause}
-        logger.info("hub_failed", extra=fields)
-        return None
-
-    def _client(self, hub: Relay) -> HttpClient:
-        client = self._client_by_address.get(hub.address)
-        if client is None:
-            client = HttpClient(
-                address=hub.address, connect_timeout_s=CONNECT_TIMEOUT_S
+        try:
+            body = await self._calls.post(
+                hub.address,
+                HUB_PATH,
+                msgspec.msgpack.encode(call),
+                timeout_s=call.wait_s + ANSWER_MARGIN_S,
             )
-            self._client_by_address[hub.address] = client
-        return client
+            answer = msgspec.msgpack.decode(body, type=FollowAnswer)
+        except (CallFailedError, msgspec.DecodeError) as error:
+            self._hubs.failed(hub)
+            fields = {"address": str(hub.address), "cause": str(error)}
+            logger.info("hub_failed", extra={"prefix": call.prefix, **fields})
+            return None
+        self._hubs.worked(hub)
+        return answer
--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on trio: a server for callers and a client towards targets."""
 
+from lavenderfold.http._calls import CallFailedError, PeerCalls
 from lavenderfold.http._client import (
     HttpClient,
     HttpClientError,
@@ -18,11 +19,13 @@
 
 __all__ = [
     "BodyTooLargeError",
+    "CallFailedError",
     "HttpClient",
     "HttpClientError",
     "HttpRequest",
     "HttpResponse",
     "MalformedRequestError",
+    "PeerCalls",
     "RequestNotSentError",
     "ResponseLostError",
     "ResponseWriter",
--- /dev/null
+++ b/src/lavenderfold/http/_calls.py
@@ -0,0 +1,45 @@
+"""Short calls between the fleet's own processes."""
+
+import trio
+
+from lavenderfold.http._client import HttpClient, HttpClientError
+from lavenderfold.http._messages import HttpRequest
+from lavenderfold.settings import Address
+
+
+class CallFailedError(Exception):
+    """A peer didn't answer a call with 200 in time."""
+
+
+class PeerCalls:
+    """Posts bodies to peers and keeps one HTTP client an address."""
+
+    def __init__(self, *, connect_timeout_s: float):
+        self._connect_timeout_s = connect_timeout_s
+        self._client_by_address: dict[Address, HttpClient] = {}
+
+    async def post(
+        self, address: Address, path: str, body: bytes, *, timeout_s: float
+    ) -> bytes:
+        """Return the body of the answer; raises CallFailedError."""
+        request = HttpRequest(method="POST", target=path, body=body)
+        response = None
+        try:
+            with trio.move_on_after(timeout_s):
+                response = await self._client(address).request(request)
+        except HttpClientError as error:
+            raise CallFailedError(str(error)) from error
+        if response is None:
+            raise CallFailedError(f"{address}: no answer within {timeout_s:g} s")
+        if response.status != 200:
+            raise CallFailedError(f"{address}: status {response.status}")
+        return response.body
+
+    def _client(self, address: Address) -> HttpClient:
+        client = self._client_by_address.get(address)
+        if client is None:
+            client = HttpClient(
+                address=address, connect_timeout_s=self._connect_timeout_s
+            )
+            self._client_by_address[address] = client
+        return client
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -313,3 +313,19 @@
         await fleet.start_router()
         yield fleet
         nursery.cancel_scope.cancel()
+
+
+def run_fleet(scenario, *scripts: Script, config: FleetConfig | None = None) -> None:
+    """Run a scenario, which takes the fleet, before targets with these scripts."""
+
+    async def main():
+        with trio.fail_after(20):
+            async with direct_fleet(*scripts, config=config) as fleet:
+                await scenario(fleet)
+
+    trio.run(main)
+
+
+def runs(fleet: DirectFleet) -> int:
+    """Return how many requests reached a target."""
+    return sum(len(target.seen) for target in fleet.target_by_id.values())
--- a/tests/test_direct_faults.py
+++ b/tests/test_direct_faults.py
@@ -12,28 +12,16 @@
 from lavenderfold.settings import Address
 from tests.direct_support import (
     answer_whole,
-    direct_fleet,
     fail,
     fleet_config,
     good_headers,
+    run_fleet,
+    runs,
 )
 
 HEAD = b"POST /read/x HTTP/1.1\r\nhost: host\r\nx-attempt: a\r\nx-key: secret\r\n"
 
 
-def run(scenario, *scripts, config=None) -> None:
-    async def main():
-        with trio.fail_after(20):
-            async with direct_fleet(*scripts, config=config) as fleet:
-                await scenario(fleet)
-
-    trio.run(main)
-
-
-def runs(fleet) -> int:
-    return sum(len(target.seen) for target in fleet.target_by_id.values())
-
-
 async def send_raw(fleet, data: bytes) -> bytes:
     """Send bytes to the router and return all that comes back."""
     address = fleet.address
@@ -76,7 +64,7 @@
         assert answer.count(b"HTTP/1.1 ") <= 1
         assert b"HTTP/1.1 2" not in answer or runs(fleet) == 1
 
-    run(scenario, answer_whole)
+    run_fleet(scenario, answer_whole)
 
 
 def test_slow_head_is_answered_and_runs_nowhere():
@@ -92,7 +80,7 @@
         assert answer.startswith(b"HTTP/1.1 408")
         assert runs(fleet) == 0
 
-    run(scenario, answer_whole, config=config)
+    run_fleet(scenario, answer_whole, config=config)
 
 
 def test_body_over_its_limit_is_refused():
@@ -104,7 +92,7 @@
         assert (await send_raw(fleet, data)).startswith(b"HTTP/1.1 413")
         assert runs(fleet) == 0
 
-    run(scenario, answer_whole, config=config)
+    run_fleet(scenario, answer_whole, config=config)
 
 
 @pytest.mark.parametrize("is_reset", [True, False])
@@ -128,7 +116,7 @@
         else:
             assert (answer.status, answer.body) == (200, b"part")
 
-    run(scenario, until_close)
+    run_fleet(scenario, until_close)
 
 
 def test_repeats_stay_within_the_share_of_requests():
@@ -144,7 +132,7 @@
         # Two in reserve and a tenth of 40 requests.
         assert 40 < runs(fleet) <= 40 + 2 + 4
 
-    run(scenario, fail, fail, fail)
+    run_fleet(scenario, fail, fail, fail)
 
 
 def test_reload_changes_bounds_but_not_addresses():
@@ -156,7 +144,7 @@
         assert fleet.router.options.name == options.name
         assert (await fleet.ask("/read/x")).status == 200
 
-    run(scenario, answer_whole)
+    run_fleet(scenario, answer_whole)
 
 
 def test_lowered_limit_is_kept_while_the_store_is_away():
@@ -181,7 +169,7 @@
         answer = await fleet.ask("/chat/x", attempt="c", tokens="500,500")
         assert answer.status == 402
 
-    run(scenario, answer_whole)
+    run_fleet(scenario, answer_whole)
 
 
 def test_caller_that_doesn_t_read_is_given_up_with_its_target():
@@ -206,7 +194,7 @@
             assert sum(sent) < 24 * 1024 * 1024
             assert fleet.router.active == 0
 
-    run(scenario, endless)
+    run_fleet(scenario, endless)
 
 
 def test_cut_connection_is_told_from_a_refusal():
@@ -230,7 +218,7 @@
             await client.close()
         assert answer.status == 502
 
-    run(scenario, answer_whole)
+    run_fleet(scenario, answer_whole)
 
 
 def test_idle_connection_closed_at_its_next_use_loses_only_that_answer():
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -12,29 +12,17 @@
 )
 from tests.direct_support import (
     answer_whole,
-    direct_fleet,
     event,
     fail,
     fleet_config,
     good_headers,
     reject,
+    run_fleet,
+    runs,
     stream,
 )
 
 
-def run(scenario, *scripts, config=None) -> None:
-    async def main():
-        with trio.fail_after(20):
-            async with direct_fleet(*scripts, config=config) as fleet:
-                await scenario(fleet)
-
-    trio.run(main)
-
-
-def runs(fleet) -> int:
-    return sum(len(target.seen) for target in fleet.target_by_id.values())
-
-
 async def cut_off(request, writer):
     raise RuntimeError("the target breaks off")
 
@@ -53,7 +41,7 @@
         assert (answer.status, answer.body) == (200, b"done")
         assert answer.header("x-signature") == "yes"
 
-    run(scenario, answer_whole)
+    run_fleet(scenario, answer_whole)
 
 
 @pytest.mark.parametrize(
@@ -66,7 +54,7 @@
         assert answer.status == status
         assert runs(fleet) == 0
 
-    run(scenario, answer_whole)
+    run_fleet(scenario, answer_whole)
 
 
 def test_rejected_single_run_goes_to_another_target():
@@ -81,7 +69,7 @@
         assert answer.status == 503
         assert float(answer.header("retry-after")) > 0
 
-    run(scenario, answer_whole, answer_whole)
+    run_fleet(scenario, answer_whole, answer_whole)
 
 
 @pytest.mark.parametrize("script", [close_without_answer, cut_off])
@@ -93,7 +81,7 @@
         assert answer.status in (500, 502)
         assert runs(fleet) == 1
 
-    run(scenario, script, script)
+    run_fleet(scenario, script, script)
 
 
 def test_lost_answer_never_gets_a_status_that_promises_not_run():
@@ -106,7 +94,7 @@
         assert answer.status == 502
         assert answer.header("x-signature") is None
 
-    run(scenario, answer_503)
+    run_fleet(scenario, answer_503)
 
 
 def test_idempotent_request_is_repeated_elsewhere():
@@ -118,7 +106,7 @@
         }
         assert statuses == {200}
 
-    run(scenario, answer_whole, answer_whole)
+    run_fleet(scenario, answer_whole, answer_whole)
 
 
 def test_idempotent_request_leaves_a_target_that_is_silent():
@@ -137,7 +125,7 @@
         assert answer.status == 200
         assert runs(fleet) == 2
 
-    run(scenario, answer_whole, answer_whole)
+    run_fleet(scenario, answer_whole, answer_whole)
 
 
 def test_failure_of_a_target_is_relayed_with_its_signature():
@@ -146,7 +134,7 @@
         assert (answer.status, answer.body) == (500, b"failed")
         assert answer.header("x-signature") == "yes"
 
-    run(scenario, fail)
+    run_fleet(scenario, fail)
 
 
 def test_unsigned_success_never_reaches_the_caller():
@@ -159,7 +147,7 @@
     async def scenario(fleet):
         assert (await fleet.ask("/sign/x")).status == 502
 
-    run(scenario, unsigned)
+    run_fleet(scenario, unsigned)
 
 
 def test_answer_of_another_attempt_never_reaches_the_caller():
@@ -172,7 +160,7 @@
     async def scenario(fleet):
         assert (await fleet.ask("/read/x")).status == 502
 
-    run(scenario, late, late)
+    run_fleet(scenario, late, late)
 
 
 def test_resumable_stream_continues_at_another_target():
@@ -194,7 +182,7 @@
         assert answer.body == b"".join(event(number) for number in range(1, 5))
         assert runs(fleet) == 2
 
-    run(scenario, answer_whole, answer_whole)
+    run_fleet(scenario, answer_whole, answer_whole)
 
 
 def test_cut_stream_never_looks_complete():
@@ -203,7 +191,7 @@
             await fleet.ask("/chat/x")
         assert runs(fleet) == 1
 
-    run(scenario, stream(end_at=2, cut=True), stream(end_at=2, cut=True))
+    run_fleet(scenario, stream(end_at=2, cut=True), stream(end_at=2, cut=True))
 
 
 def test_timeout_of_the_route_is_answered_in_time():
@@ -213,7 +201,7 @@
         assert answer.status == 504
         assert trio.current_time() - before < 2.5
 
-    run(scenario, hang)
+    run_fleet(scenario, hang)
 
 
 def test_target_stops_when_the_caller_leaves():
@@ -232,7 +220,7 @@
         with trio.fail_after(0.5):
             await closed.wait()
 
-    run(scenario, notice_close)
+    run_fleet(scenario, notice_close)
 
 
 def test_request_that_no_balance_covers_runs_nowhere():
@@ -241,7 +229,7 @@
         assert answer.status == 402
         assert runs(fleet) == 0
 
-    run(scenario, answer_whole)
+    run_fleet(scenario, answer_whole)
 
 
 def test_generation_without_its_size_runs_nowhere():
@@ -251,7 +239,7 @@
         assert (await fleet.ask("/chat/x", tokens="")).status == 400
         assert runs(fleet) == 0
 
-    run(scenario, stream())
+    run_fleet(scenario, stream())
 
 
 def test_metrics_count_ends_and_balances():
@@ -272,7 +260,7 @@
         assert b"lavenderfold_log_lines_left_out 0.0" in page
         assert b"lavenderfold_longest_pause_seconds_count" in page
 
-    run(scenario, stream())
+    run_fleet(scenario, stream())
 
 
 def test_used_tokens_are_prompt_and_delivered_events():
@@ -286,7 +274,7 @@
             await trio.sleep(0.05)
             page = LedgerPage.decode(fleet.store.value(page_key("ledger/", "org")))
 
-    run(scenario, stream())
+    run_fleet(scenario, stream())
 
 
 def test_draining_target_gets_no_new_request():
@@ -297,7 +285,7 @@
             await fleet.ask("/read/x", attempt=f"attempt-{number}")
         assert not fleet.target_by_id["t0"].seen
 
-    run(scenario, answer_whole, answer_whole)
+    run_fleet(scenario, answer_whole, answer_whole)
 
 
 def test_target_that_leaves_while_history_is_lost_gets_no_new_request():
@@ -311,7 +299,7 @@
         await fleet.ask("/read/x")
         assert not fleet.target_by_id["t0"].seen
 
-    run(scenario, answer_whole, answer_whole)
+    run_fleet(scenario, answer_whole, answer_whole)
 
 
 def test_older_configuration_is_never_installed():
@@ -322,7 +310,7 @@
         await trio.sleep(0.1)
         assert (await fleet.ask("/read/x")).status == 404
 
-    run(scenario, answer_whole)
+    run_fleet(scenario, answer_whole)
 
 
 def test_revoked_key_is_refused():
@@ -337,7 +325,7 @@
         await trio.sleep(0.1)
         assert (await fleet.ask("/read/x")).status == 401
 
-    run(scenario, answer_whole)
+    run_fleet(scenario, answer_whole)
 
 
 def test_requests_long_after_sigterm_are_refused_and_open_ones_end():
@@ -362,4 +350,4 @@
         assert not fleet.router.is_ready
         assert answers == {"in time": 200, "late": 503}
 
-    run(scenario, slow)
+    run_fleet(scenario, slow)
