Take an overloaded router out of rotation by the lateness of its event loop

Its processor was exhausted: lines stand on the grid of the 0.1 s quota, and its calls to witnesses, combiners and the store ran into their timeouts for 15 s, while it stayed ready.

A router now measures how late its event loop runs.

--- a/src/lavenderfold/direct/_face.py
+++ b/src/lavenderfold/direct/_face.py
@@ -55,6 +55,10 @@
             refusal = not_run(Reason.DRAINING, retry_after_s=RETRY_ELSEWHERE_S)
             await self._refuse(request, refusal, writer)
             return
+        if self._parts.pressure.is_refusing:
+            refusal = not_run(Reason.OVERLOADED, retry_after_s=RETRY_ELSEWHERE_S)
+            await self._refuse(request, refusal, writer)
+            return
         if self._parts.reachability.is_isolated:
             refusal = not_run(Reason.ISOLATED, retry_after_s=RETRY_ELSEWHERE_S)
             await self._refuse(request, refusal, writer)
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -10,7 +10,7 @@
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 
 
-ROUTER_STATES = ("ready", "draining", "isolated")
+ROUTER_STATES = ("ready", "draining", "isolated", "overloaded")
 
 
 class RouterMoment(msgspec.Struct, frozen=True, kw_only=True):
@@ -77,7 +77,7 @@
         )
         self._states = Gauge(
             "lavenderfold_router_state",
-            "Whether the router is ready, draining or isolated.",
+            "Whether the router is ready, draining, isolated or overloaded.",
             ["state"],
             registry=self._registry,
         )
--- a/src/lavenderfold/direct/_request_run.py
+++ b/src/lavenderfold/direct/_request_run.py
@@ -12,6 +12,7 @@
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._load import LoadBook
 from lavenderfold.direct._metrics import RouterMetrics
+from lavenderfold.direct._pressure import LoopPressure
 from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._refusals import (
     Refusal,
@@ -60,6 +61,7 @@
     dialect: Dialect
     directory: TargetDirectory
     metrics: RouterMetrics
+    pressure: LoopPressure
     reachability: Reachability
     timers: TimerService
     new_retry_budget: Callable[[], RetryBudget]
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -11,6 +11,7 @@
 from lavenderfold.direct._face import CallerFace
 from lavenderfold.direct._load import LoadBook
 from lavenderfold.direct._metrics import RouterMetrics, RouterMoment
+from lavenderfold.direct._pressure import LoopPressure
 from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._request_run import RunParts
 from lavenderfold.direct._requests import Dialect
@@ -89,6 +90,7 @@
         self._draining = trio.Event()
         self._metrics = RouterMetrics()
         self.reachability = Reachability(timers=timers)
+        self.pressure = LoopPressure()
         store = CountedStore(store=store, on_call=self._metrics.store_called)
         self._bank = Bank(
             store=store,
@@ -122,6 +124,7 @@
             dialect=dialect,
             directory=self._targets.directory,
             metrics=self._metrics,
+            pressure=self.pressure,
             reachability=self.reachability,
             timers=timers,
             new_retry_budget=self._new_retry_budget,
@@ -151,6 +154,7 @@
             and self._target_follower.is_listed
             and self._bank.loaded.is_set()
             and not self.reachability.is_isolated
+            and not self.pressure.is_overloaded
         )
 
     def reload(self, options: RouterOptions) -> None:
@@ -187,16 +191,21 @@
             nursery.start_soon(self._target_follower.run)
             nursery.start_soon(self._bank.run)
             nursery.start_soon(self._tidy)
+            nursery.start_soon(self.pressure.run)
             await self._start_servers(nursery)
             await self._draining.wait()
             await self._finish()
             nursery.cancel_scope.cancel()
         logger.info("router_stopped", extra=fields)
 
+    def _is_closing(self) -> bool:
+        """Whether callers shall take their next request to another router."""
+        return self._draining.is_set() or self.pressure.is_overloaded
+
     async def _start_servers(self, nursery: trio.Nursery) -> None:
         options = ServerOptions(
             limits=lambda: self._limits,
-            is_closing=self._draining.is_set,
+            is_closing=self._is_closing,
             cancels_abandoned=True,
         )
 
@@ -241,6 +250,7 @@
             "ready": self.is_ready,
             "draining": self._draining.is_set(),
             "isolated": self.reachability.is_isolated,
+            "overloaded": self.pressure.is_overloaded,
         }
         now = self._timers.now()
         options = self._options
