--- a/src/lavenderfold/escrow/_confirm.py
+++ b/src/lavenderfold/escrow/_confirm.py
@@ -13,7 +13,6 @@
 STATE_PERIOD_S = 0.5
 # After this many witnesses in a row failed, the router goes on without one.
 WITNESS_ATTEMPTS = 3
-UNWITNESSED_RETRY_S = 5.0
 
 logger = logging.getLogger(__name__)
 
--- a/src/lavenderfold/router/_lives.py
+++ b/src/lavenderfold/router/_lives.py
@@ -12,7 +12,6 @@
 from lavenderfold.router._services import Services
 
 ENDED_KEPT = 2000
-LEDGER_READ_WAIT_S = 2.0
 
 logger = logging.getLogger("lavenderfold.router")
 
