Never cut a write to the caller short while waiting for a target

A frozen router woke up after that limit; the write was cancelled and the stream went on at another target behind the lost events. The limit now ends when bytes have arrived and starts again after the write; only the request's own deadline can cut a write.

Ruled out: the splitter (no incomplete event was counted) and the second target (it sent what was asked for). The test uses a caller that pauses; it failed before.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -1,6 +1,7 @@
 """One attempt at one target, and the relay of its answer to the caller."""
 
 import enum
+import math
 
 import msgspec
 import trio
@@ -140,16 +141,17 @@
             return AttemptOutcome.INVALID
         if head.is_success and _is_event_stream(head):
             return await self._relay_events(head, response, scope)
-        return await self._relay_whole(head, response)
+        return await self._relay_whole(head, response, scope)
 
     async def _relay_whole(
-        self, head: AnswerHead, response: StreamedResponse
+        self, head: AnswerHead, response: StreamedResponse, scope: trio.CancelScope
     ) -> AttemptOutcome:
         body = bytearray()
         async for chunk in response.chunks():
             body += chunk
             if len(body) > ANSWER_BYTES_LIMIT:
                 return AttemptOutcome.INVALID
+        scope.deadline = math.inf
         answer = HttpResponse(
             status=head.status, headers=_relayed_headers(head), body=bytes(body)
         )
@@ -169,12 +171,15 @@
     ) -> AttemptOutcome:
         splitter = EventSplitter()
         async for chunk in response.chunks():
-            self._limit_wait(scope, self._pause_wait_s())
+            # The wait for a target ends here: events that are counted as relayed
+            # must be written whole, also after the process was suspended.
+            scope.deadline = math.inf
             try:
                 events = splitter.feed(chunk)
             except EventTooLongError:
                 return AttemptOutcome.INVALID
             if events is None:
+                self._limit_wait(scope, self._pause_wait_s())
                 continue
             if not self._writer.started:
                 await self._writer.start(head.status, _relayed_headers(head))
@@ -182,6 +187,8 @@
                 events.count, events.last_id, now=trio.current_time()
             )
             await self._writer.write(events.data)
+            self._limit_wait(scope, self._pause_wait_s())
+        scope.deadline = math.inf
         if splitter.has_rest:
             return AttemptOutcome.LOST
         if not self._writer.started:
--- a/tests/test_direct_faults.py
+++ b/tests/test_direct_faults.py
@@ -237,3 +237,33 @@
             await connection.send(HttpRequest(method="POST", target="/", body=b"x"))
 
     trio.run(main)
+
+
+def test_events_counted_as_relayed_are_written_whole():
+    """A write that the wait for the target cut short left a gap in the stream.
+
+    The hunt found it after a router was frozen; a caller that pauses does the same.
+    """
+    count = 200
+    events = [f"id: {n}\ndata: {'x' * 60_000}\n\n".encode() for n in range(count)]
+
+    async def large(request, writer):
+        headers = [*good_headers(request), ("content-type", "text/event-stream")]
+        await writer.start(200, headers)
+        for number in range(int(request.header("x-last") or -1) + 1, count):
+            await writer.write(events[number])
+        await writer.finish()
+
+    async def scenario(fleet):
+        client = HttpClient(address=fleet.address)
+        headers = [("x-attempt", "a"), ("x-key", "secret"), ("x-tokens", "10,900")]
+        request = HttpRequest(method="POST", target="/draft/x", headers=headers)
+        async with client.stream(request) as response:
+            # Longer than the router waits for a target's next event.
+            await trio.sleep(1.0)
+            body = b"".join([part async for part in response.chunks()])
+        await client.close()
+        assert body == b"".join(events)
+        assert runs(fleet) == 1
+
+    run_fleet(scenario, large, large)
