Hand grants back at exit also when a transfer is open

If the periodic transfer was open at that moment, which its period of 0.5 s and the linger time of 2.5 s make likely, the order repeated that transfer and nothing was handed back. It now goes on until nothing is left.

Ruled out: the bound of the test (20 s; the router exits after 2.5 s) and the load (it failed alone, too). A new test without timing failed first.

--- a/src/lavenderfold/escrow/_bank.py
+++ b/src/lavenderfold/escrow/_bank.py
@@ -178,9 +178,15 @@
             logger.info("balance", extra=msgspec.structs.asdict(state))
 
     async def return_all(self) -> None:
-        """Hand back everything that isn't reserved; for the router's exit."""
+        """Hand back everything that isn't reserved; for the router's exit.
+
+        A transfer that is still open is confirmed first. The caller bounds the
+        time with a cancel scope.
+        """
         self._is_returning = True
-        await self._sync()
+        while self._has_to_return():
+            if not await self._sync():
+                await trio.sleep(FAILURE_PAUSE_S)
 
     async def _await_grant(
         self, purse: Purse, wait_id: int, tokens: int, until: float
@@ -207,6 +213,13 @@
             with trio.move_on_after(remaining_s):
                 await synced.wait()
 
+    def _has_to_return(self) -> bool:
+        return any(
+            purse.pending is not None or purse.free > 0
+            for organisation, purse in self.wallet.purse_by_organisation.items()
+            if organisation in self._limit_by_organisation
+        )
+
     def _is_ledger_away(self) -> bool:
         """Return whether orders have failed for so long that waiting is no use."""
         if self._away_since is None:
--- a/tests/test_escrow.py
+++ b/tests/test_escrow.py
@@ -196,6 +196,24 @@
     run(scenario)
 
 
+def test_open_transfer_doesn_t_keep_a_grant_from_being_handed_back():
+    """A router that exits during a transfer repeated it and returned nothing."""
+
+    async def scenario(nursery, store):
+        bank = await started(store, nursery, "a", limit=100_000)
+        await bank.reserve("org", 100, until=until(1))
+        bank.settle("org", reserved=100, used=60)
+        store.is_down = True
+        with trio.move_on_after(0.1):
+            await bank.reserve("org", 9_000, until=until(1))
+        store.is_down = False
+        with trio.fail_after(1):
+            await bank.return_all()
+        assert balance_of(store, "org").charged == 60
+
+    run(scenario)
+
+
 def test_unreadable_page_grants_nothing():
     """A page that can't be read may hold grants, so it isn't written over."""
 
