Log lost attempts with their prompt parts, and report what they share

Callers saw streams cut and answers 502 in groups, while targets ended one after the other. No decision changes.

--- a/src/lavenderfold/ctl/__main__.py
+++ b/src/lavenderfold/ctl/__main__.py
@@ -17,6 +17,7 @@
     "budget": _reports.budget,
     "explain": _reports.explain,
     "refusals": _reports.refusals,
+    "crashes": _reports.crashes,
 }
 
 
--- a/src/lavenderfold/ctl/_log_lines.py
+++ b/src/lavenderfold/ctl/_log_lines.py
@@ -12,6 +12,7 @@
 CONTEXT_S = 10.0
 CONTEXT_EVENTS = frozenset(
     (
+        "attempt_lost",
         "config_installed",
         "drain_started",
         "grant_reclaimed",
--- a/src/lavenderfold/ctl/_options.py
+++ b/src/lavenderfold/ctl/_options.py
@@ -18,12 +18,13 @@
   budget [ORGANISATION]     show limits, spending and open grants
   explain REQUEST-ID        show each decision about a request
   refusals --logs           show why requests were refused for money
+  crashes --logs            show which prompt parts were lost at targets
 
   --store IP:PORT           the key-value service
   --routers IP:PORT,...     the routers' operator addresses, for status and explain
   --base N                  the revision that the folder was edited from
-  --logs FILE,...           routers' JSON log files or folders of them, for refusals
-                            and for explain without routers
+  --logs FILE,...           routers' JSON log files or folders of them, for refusals,
+                            crashes and explain without routers
   --token TEXT              repeats an apply whose result is unknown
 
 Exit codes: 0 good, 1 failure, 2 bad input.
--- a/src/lavenderfold/ctl/_reports.py
+++ b/src/lavenderfold/ctl/_reports.py
@@ -5,9 +5,10 @@
 
 from lavenderfold.budgets import BudgetRecord
 from lavenderfold.config import FleetConfig, Revisions, merge_files
+from lavenderfold.ctl._crashes import print_crashes
 from lavenderfold.ctl._errors import BadInputError, CommandError
 from lavenderfold.ctl._ledger import STORE_ADVICE, read_ledger, request_entries
-from lavenderfold.ctl._log_lines import explain_files, read_lines
+from lavenderfold.ctl._log_lines import LogLine, explain_files, read_lines
 from lavenderfold.ctl._options import Options
 from lavenderfold.ctl._refusals import describe_cause, print_refusals
 from lavenderfold.ctl._routers import (
@@ -94,10 +95,12 @@
 
 async def refusals(options: Options) -> None:
     """Print why requests were refused for money, from the logs of --logs."""
-    if options.arguments or not options.logs:
-        raise BadInputError("refusals: expected no argument, and --logs FILE,...")
-    lines = sorted(read_lines(options.logs), key=lambda line: line.time)
-    print_refusals(lines)
+    print_refusals(_read_logs(options))
+
+
+async def crashes(options: Options) -> None:
+    """Print which prompt parts were lost at targets, from the logs of --logs."""
+    print_crashes(_read_logs(options))
 
 
 async def explain(options: Options) -> None:
@@ -277,3 +280,12 @@
     sys.stdout.flush()
     if failures:
         raise CommandError("\n".join(failures))
+
+
+def _read_logs(options: Options) -> list[LogLine]:
+    """Return all lines of --logs by time; raises BadInputError without it."""
+    if options.arguments or not options.logs:
+        raise BadInputError(
+            f"{options.command}: expected no argument, and --logs FILE,..."
+        )
+    return sorted(read_lines(options.logs), key=lambda line: line.time)
--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -6,7 +6,11 @@
 import msgspec
 import trio
 
-from lavenderfold.direct._events import EventSplitter, EventTooLongError
+from lavenderfold.direct._events import (
+    CompleteEvents,
+    EventSplitter,
+    EventTooLongError,
+)
 from lavenderfold.direct._requests import AnswerHead, PlatformCodec, TargetCall
 from lavenderfold.http import (
     HttpClient,
@@ -94,7 +98,8 @@
 
     An error response of the target is kept in ``failure_response``, so that it can
     be relayed if no other attempt follows. ``can_fail_over`` says whether another
-    target can take over; only then is the wait for this target limited.
+    target can take over; only then is the wait for this target limited. ``events``
+    counts those that this target sent, the first of them at ``first_event_at``.
     """
 
     def __init__(
@@ -108,6 +113,8 @@
     ):
         self.failure_response: HttpResponse | None = None
         self.status: int | None = None
+        self.events = 0
+        self.first_event_at: float | None = None
         self._call = call
         self._codec = codec
         self._writer = writer
@@ -202,9 +209,7 @@
                 continue
             if not self._writer.started:
                 await self._writer.start(head.status, _relayed_headers(head))
-            self._progress.record_events(
-                events.count, events.last_id, now=trio.current_time()
-            )
+            self._record_events(events)
             await self._writer.write(events.data)
             self._set_wait_deadline(scope, self._event_wait_s())
         scope.deadline = math.inf
@@ -215,6 +220,13 @@
         await self._writer.finish()
         return AttemptOutcome.DELIVERED
 
+    def _record_events(self, events: CompleteEvents) -> None:
+        now = trio.current_time()
+        if self.first_event_at is None:
+            self.first_event_at = now
+        self.events += events.count
+        self._progress.record_events(events.count, events.last_id, now=now)
+
     def _set_wait_deadline(self, scope: trio.CancelScope, wait_s: float) -> None:
         if self._can_fail_over:
             scope.deadline = trio.current_time() + wait_s
--- a/src/lavenderfold/direct/_choice.py
+++ b/src/lavenderfold/direct/_choice.py
@@ -26,13 +26,9 @@
 
 
 def shared_prefix_id(request: CallerRequest) -> str | None:
-    """Return the id of the longest prompt prefix that other requests may share.
-
-    The last part of a prompt is specific to the request.
-    """
-    if len(request.prompt_parts) < 2:
-        return None
-    return request.prompt_parts[-2].id
+    """Return the id of the longest prompt prefix that other requests may share."""
+    part_ids = request.shared_part_ids
+    return part_ids[-1] if part_ids else None
 
 
 def _rendezvous_score(target: Target, key: str) -> int:
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -230,6 +230,8 @@
                 f"{target.id} {outcome_label}{status} {elapsed_ms}ms load={load}"
             )
         self._last_outcome = outcome
+        if outcome is AttemptOutcome.LOST:
+            self._log_lost_attempt(attempt, target, sent_at)
         if outcome in UNREACHABLE_OUTCOMES:
             self._services.reachability.record_failure()
         elif outcome is not AttemptOutcome.LOST:
@@ -240,6 +242,23 @@
             load_tracker.record_failure(target, now=self._services.timers.now())
         return outcome
 
+    def _log_lost_attempt(
+        self, attempt: Attempt, target: Target, sent_at: float
+    ) -> None:
+        now = trio.current_time()
+        first = attempt.first_event_at
+        fields = {
+            "request_id": self._request.attempt_id,
+            "target": target.id,
+            "born": target.born,
+            "sent_ms": _duration_ms(now, sent_at),
+            "events": attempt.events,
+            "answering_ms": None if first is None else _duration_ms(now, first),
+            "parts": self._request.shared_part_ids,
+            "tokens": self._request.tokens.prompt if self._request.tokens else None,
+        }
+        logger.warning("attempt_lost", extra=fields)
+
     def _may_repeat(self, outcome: AttemptOutcome) -> bool:
         """Return whether another target may be tried after this outcome."""
         if not outcome.is_certainly_not_run and not self._route.is_repeatable:
@@ -311,6 +330,7 @@
             "service": self._service_name,
             "choice": self._choice_reason or None,
             "attempts": self._attempt_log,
+            "parts": self._request.shared_part_ids or None,
             "refusal": refusal.reason if refusal else None,
             "status": refusal.status if refusal else None,
             "outcome": self._last_outcome.value if self._last_outcome else None,
--- a/src/lavenderfold/direct/_requests.py
+++ b/src/lavenderfold/direct/_requests.py
@@ -46,6 +46,11 @@
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: str | None = None
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """The ids of the parts that other requests may share: all but the last."""
+        return tuple(part.id for part in self.prompt_parts[:-1])
+
 
 class TargetCall(msgspec.Struct, frozen=True, kw_only=True):
     """A caller's request as it is sent to a target."""
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -190,6 +190,13 @@
     await writer.send(HttpResponse(status=500, headers=headers, body=b"failed"))
 
 
+async def crash(request: HttpRequest, writer: ResponseWriter) -> None:
+    """Break off after the head of a stream, before its first event."""
+    headers = [*valid_headers(request), ("content-type", "text/event-stream")]
+    await writer.start(200, headers)
+    raise RuntimeError("the target closes the connection before the first event")
+
+
 def stream(*, start_at: int = 1, end_at: int = 4, cut: bool = False) -> Script:
     """Return a script that streams events, from the one after the last event id."""
 
--- a/tests/test_decision_lines.py
+++ b/tests/test_decision_lines.py
@@ -9,6 +9,7 @@
 from lavenderfold.direct._reachability import SILENCE_S
 from tests.direct_support import (
     answer_successfully,
+    crash,
     direct_fleet,
     fail,
     make_config,
@@ -56,6 +57,11 @@
     await fleet.send_request("/sign/x")
 
 
+async def target_crash(fleet):
+    fleet.target_by_id["t0"].script = crash
+    await fleet.send_request("/sign/x", parts="common,shared,own")
+
+
 async def target_rejection(fleet):
     fleet.target_by_id["t0"].script = reject
     await fleet.send_request("/sign/x")
@@ -130,6 +136,12 @@
         (over_budget, "request", {"refusal": "budget_spent", "needed": 18000}),
         (missing_size, "request", {"refusal": "size_missing"}),
         (target_failure, "request", {"outcome": "failed"}),
+        (
+            target_crash,
+            "attempt_lost",
+            {"target": "t0", "events": 0, "parts": ("common", "shared")},
+        ),
+        (target_crash, "request", {"parts": ("common", "shared")}),
         (target_rejection, "request", {"refusal": "no_target", "outcome": "rejected"}),
         (no_target, "request", {"refusal": "no_target"}),
         (unknown_route, "request_refused", {"status": 404, "path": "/none/x"}),
