--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -102,6 +102,7 @@
     host: str
     port: int
     is_draining: bool = False
+    born: int = 0
 
 
 def _decode(item, wanted):
@@ -121,6 +122,7 @@
         domain="domain",
         slots=8,
         is_draining=record.is_draining,
+        born=record.born,
     )
 
 
@@ -215,7 +217,11 @@
 
 
 class FakeTarget:
-    """A target with a replaceable script; ``received`` holds its requests."""
+    """A target with a replaceable script; ``received`` holds its requests.
+
+    ``crash`` closes its port and connections; it is back after ``down_s`` as a new
+    incarnation, whose ``born`` is one higher.
+    """
 
     def __init__(self, *, id: str, script: Script):
         self.id = id
@@ -223,11 +229,44 @@
         self.received: list[HttpRequest] = []
         self.cancelled = 0
         self.address: Address | None = None
+        self.born = 0
+        self.crashes = 0
+        self.down_s = 0.5
+        self._crashed = trio.Event()
 
     async def handle(self, request: HttpRequest, writer: ResponseWriter) -> None:
         self.received.append(request)
         await self.script(request, writer)
 
+    def crash(self) -> None:
+        """End the current incarnation without answers to its requests."""
+        if not self._crashed.is_set():
+            self.crashes += 1
+            self._crashed.set()
+
+    async def run(
+        self,
+        on_started: Callable[["FakeTarget"], None],
+        *,
+        task_status: trio.TaskStatus[None],
+    ) -> None:
+        """Serve until cancelled; call ``on_started`` for each incarnation."""
+        while True:
+            self._crashed = trio.Event()
+            async with trio.open_nursery() as nursery:
+                self.address = await nursery.start(self._serve)
+                on_started(self)
+                task_status.started()
+                task_status = trio.TASK_STATUS_IGNORED
+                await self._crashed.wait()
+                nursery.cancel_scope.cancel()
+            await trio.sleep(self.down_s)
+            self.born += 1
+
+    async def _serve(self, *, task_status: trio.TaskStatus[Address]) -> None:
+        listen = Address(host=LOOPBACK, port=0)
+        await serve(self.handle, address=listen, task_status=task_status)
+
 
 class DirectFleet:
     """The router under test with its store and targets."""
@@ -241,14 +280,8 @@
 
     async def add_target(self, id: str, script: Script) -> FakeTarget:
         target = FakeTarget(id=id, script=script)
-        listen = Address(host=LOOPBACK, port=0)
-
-        async def start(task_status) -> None:
-            await serve(target.handle, address=listen, task_status=task_status)
-
-        target.address = await self.nursery.start(start)
+        await self.nursery.start(target.run, self.register)
         self.target_by_id[id] = target
-        self.register(target)
         return target
 
     def register(self, target: FakeTarget, *, is_draining: bool = False) -> None:
@@ -257,15 +290,17 @@
             host=target.address.host,
             port=target.address.port,
             is_draining=is_draining,
+            born=target.born,
         )
         self.store.put(f"targets/{target.id}", msgspec.json.encode(record))
 
     def configure(self, config: FleetConfig) -> None:
         self.store.put("config", msgspec.json.encode(config))
 
-    async def start_router(self) -> None:
+    async def start_router(self, name: str = "router") -> None:
+        """Start a router; ``router`` and ``address`` are then those of this one."""
         options = RouterOptions(
-            name="router",
+            name=name,
             domain="domain",
             listen=Address(host=LOOPBACK, port=0),
             ready_listen=Address(host=LOOPBACK, port=0),
@@ -299,8 +334,13 @@
             await trio.sleep(0.01)
         raise AssertionError("the router didn't reach the expected state")
 
-    async def send_request(self, path: str, **headers: str) -> HttpResponse:
-        """Send a request of the organisation and return the complete answer."""
+    async def send_request(
+        self, path: str, *, router: Address | None = None, **headers: str
+    ) -> HttpResponse:
+        """Send a request of the organisation and return the complete answer.
+
+        It goes to the newest router unless the address of another is given.
+        """
         values = {"attempt": "attempt-1", "key": "secret", "tokens": "10,20"}
         values.update(headers)
         request = HttpRequest(
@@ -309,7 +349,7 @@
             headers=[(f"x-{name}", text) for name, text in values.items() if text],
             body=b"body",
         )
-        client = HttpClient(address=self.address)
+        client = HttpClient(address=router or self.address)
         try:
             return await client.request(request)
         finally:
