Create the shared crash evidence again if its key is gone

Found by reading: a conflict without an item left the expected revision as it was, so the router would have repeated the conflicting write for ever (the new test fails without the change). A record whose time is far ahead is dropped, so that one wrong clock can't prolong a quarantine, and the time in which one crash starts the next quarantine is bounded everywhere.

--- a/src/lavenderfold/quarantine/_culprits.py
+++ b/src/lavenderfold/quarantine/_culprits.py
@@ -95,7 +95,9 @@
     explained, others = [], []
     for record in evidence.records:
         is_explained = any(map(record.names, explaining))
-        if record.at > now - (EXPLAINED_RECORD_S if is_explained else RECORD_S):
+        keep_s = EXPLAINED_RECORD_S if is_explained else RECORD_S
+        # A clock that is far ahead must not prolong a quarantine.
+        if now - keep_s < record.at < now + RECORD_S:
             (explained if is_explained else others).append(record)
     explained = explained[-MAX_RECORDS:]
     room = MAX_RECORDS - len(explained)
--- a/src/lavenderfold/quarantine/_publisher.py
+++ b/src/lavenderfold/quarantine/_publisher.py
@@ -74,6 +74,9 @@
                 self._quarantine.install(merged)
 
     async def _handle_conflict(self, error: WriteConflictError) -> None:
+        if not any(item.key == self._key for item in error.items):
+            # The key was removed, so the next write has to create it.
+            self._revision = 0
         for item in error.items:
             self.put(item)
         await trio.sleep(random.uniform(0, WRITE_SPREAD_S))
--- a/src/lavenderfold/quarantine/_quarantine.py
+++ b/src/lavenderfold/quarantine/_quarantine.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lavenderfold.quarantine._culprits import (
+    EXPLAINED_RECORD_S,
     QUARANTINE_CRASHES,
     RECORD_S,
     SUSPECT_CRASHES,
@@ -98,9 +99,7 @@
         parts = frozenset(part_ids)
         if self._quarantined_for(parts) is not None:
             return Verdict.QUARANTINED
-        # After a quarantine a request shows whether its parts still crash targets.
-        suspects = [*self._culprits, *self._current_suspects()]
-        if any(each.covers(parts) for each in suspects):
+        if any(each.covers(parts) for each in self._current_suspects()):
             return Verdict.SUSPECTED
         return Verdict.SOUND
 
@@ -181,7 +180,7 @@
         refused_from = self._refused_from_by_parts.values()
         return QuarantineSnapshot(
             crashes=len(self._view.records),
-            suspected=len(self._current_suspects()),
+            suspected=len({each.part_ids for each in self._current_suspects()}),
             quarantined=sum(at <= now for at in refused_from),
         )
 
@@ -198,8 +197,13 @@
         return None
 
     def _current_suspects(self) -> list[Culprit]:
-        unix_now = self._timers.unix_time()
-        return [each for each in self._suspects if each.last_at + RECORD_S > unix_now]
+        now = self._timers.unix_time()
+        suspects = [each for each in self._suspects if each.last_at + RECORD_S > now]
+        # After a quarantine a request shows whether its parts still crash targets.
+        suspects += [
+            each for each in self._culprits if each.last_at + EXPLAINED_RECORD_S > now
+        ]
+        return suspects
 
     def _rebuild(self, *, is_settled: bool = False) -> None:
         self._view = self.merge_pending(self.shared)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -184,6 +184,12 @@
     assert remove_stale_records(kept, now=much_later) == evidence()
 
 
+def test_clock_that_is_far_ahead_does_not_prolong_a_quarantine():
+    day_s = 86_400.0
+    records = [record(each, "bad", at=day_s + each) for each in range(3)]
+    assert remove_stale_records(evidence(*records), now=EPOCH_S) == evidence()
+
+
 class Router:
     """A quarantine with its clock, as one router has it."""
 
@@ -424,6 +430,20 @@
     run_shared(scenario)
 
 
+def test_evidence_is_created_again_after_it_was_removed():
+    """Guards against a router that repeats a conflicting write for ever."""
+
+    async def scenario(fleet):
+        fleet.routers[0].lose("bad")
+        await fleet.settle()
+        fleet.store.remove("crashes")
+        fleet.routers[0].lose("bad")
+        await fleet.settle()
+        assert len(fleet.written().records) == 2
+
+    run_shared(scenario)
+
+
 def test_older_evidence_never_replaces_newer():
     async def scenario(fleet):
         fleet.routers[0].lose("bad")
