Refuse a ledger order without a limit instead of ending the relay

An order with a transfer and no limit raised KeyError in the combiner's task and ended the relay; its router sends an order to up to three relays and then applies it itself. The order is now checked when it is decoded, and refused with 400. The test failed before with that KeyError.

--- a/src/lavenderfold/escrow/_orders.py
+++ b/src/lavenderfold/escrow/_orders.py
@@ -31,7 +31,8 @@
 class LedgerOrder(msgspec.Struct, frozen=True, kw_only=True):
     """The transfers and reclaims of one holder, applied together.
 
-    Each organisation with a transfer has a limit. Orders are idempotent.
+    Each organisation with a transfer has a limit; ValueError is raised otherwise.
+    Orders are idempotent.
     """
 
     holder: str
@@ -39,6 +40,13 @@
     transfer_by_organisation: dict[str, Transfer] = msgspec.field(default_factory=dict)
     reclaims: list[Reclaim] = msgspec.field(default_factory=list)
 
+    def __post_init__(self):
+        without_limit = (
+            self.transfer_by_organisation.keys() - self.limit_by_organisation.keys()
+        )
+        if without_limit:
+            raise ValueError(f"no limit for {sorted(without_limit)}")
+
     @property
     def is_read_only(self) -> bool:
         """Return whether it only asks for the state of balances."""
--- a/tests/test_ledger_orders.py
+++ b/tests/test_ledger_orders.py
@@ -3,6 +3,7 @@
 import random
 from functools import partial
 
+import msgspec
 import pytest
 import trio
 import trio.testing
@@ -275,3 +276,24 @@
         assert views["org-0"].grant.total == 100
 
     trio.run(main)
+
+
+def test_order_that_cannot_be_applied_is_refused_and_ends_no_combiner():
+    """Guards against an order that ends one relay after the other.
+
+    Its router sends it to the next relay whenever one doesn't answer.
+    """
+
+    async def main():
+        order = msgspec.to_builtins(new_order("broken/1"))
+        order["limit_by_organisation"] = {}
+        combiner = OrderCombiner(writer=new_writer(MemoryStore()))
+        with trio.fail_after(5):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(combiner.run)
+                answer = await combiner.answer(msgspec.json.encode(order))
+                assert answer.status == 400
+                assert await combiner.submit(new_order("sound/1"))
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
