--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -131,6 +131,8 @@
         ("deadline-ms", "-1"),
         ("token-usage", "many"),
         ("token-usage", "1,-2"),
+        ("token-usage", "1," + "9" * 5000),
+        ("prompt-prefix", "ab:" + "9" * 5000),
         ("prompt-prefix", "aa"),
         ("attempt-id", ""),
         ("host", ""),
