Count a quarantine in the metrics only while it lasts

Found by reading: lavenderfold_prompts{verdict="quarantined"} stayed at its value after the time of the quarantine had passed (the test's new assertion failed before). No decision changes: the condition under which a request is refused moved to a method that both use. A method got a clearer name.

--- a/src/lavenderfold/quarantine/_quarantine.py
+++ b/src/lavenderfold/quarantine/_quarantine.py
@@ -55,7 +55,7 @@
 
 
 class QuarantineSnapshot(msgspec.Struct, frozen=True):
-    """The number of crashes on record, and of suspected and quarantined prompts."""
+    """Crashes on record, and sets of parts that are suspected or quarantined now."""
 
     crashes: int
     suspected: int
@@ -148,7 +148,7 @@
         while len(self._answered_at_by_part) > MAX_ANSWERED_PARTS:
             self._answered_at_by_part.popitem(last=False)
         if self._suspects:
-            self._object()
+            self._clear_answered_parts()
 
     def install(self, evidence: CrashEvidence, *, is_first: bool = False) -> None:
         """Replace the shared evidence by a newer state of it.
@@ -176,26 +176,29 @@
 
     def snapshot(self) -> QuarantineSnapshot:
         """Return the numbers that the metrics show."""
-        now = self._timers.now()
-        refused_from = self._refused_from_by_parts.values()
+        suspects = {each.part_ids for each in self._current_suspects()}
+        quarantined = {
+            each.part_ids for each in filter(self._is_refused, self._culprits)
+        }
         return QuarantineSnapshot(
             crashes=len(self._view.records),
-            suspected=len({each.part_ids for each in self._current_suspects()}),
-            quarantined=sum(at <= now for at in refused_from),
+            suspected=len(suspects - quarantined),
+            quarantined=len(quarantined),
         )
 
     def _quarantined_for(self, part_ids: frozenset[str]) -> Culprit | None:
-        now = self._timers.now()
-        unix_now = self._timers.unix_time()
         for culprit in self._culprits:
-            if (
-                culprit.covers(part_ids)
-                and culprit.quarantine_ends_at > unix_now
-                and self._refused_from_by_parts[culprit.part_ids] <= now
-            ):
+            if culprit.covers(part_ids) and self._is_refused(culprit):
                 return culprit
         return None
 
+    def _is_refused(self, culprit: Culprit) -> bool:
+        refused_from = self._refused_from_by_parts[culprit.part_ids]
+        return (
+            refused_from <= self._timers.now()
+            and culprit.quarantine_ends_at > self._timers.unix_time()
+        )
+
     def _current_suspects(self) -> list[Culprit]:
         now = self._timers.unix_time()
         suspects = [each for each in self._suspects if each.last_at + RECORD_S > now]
@@ -213,7 +216,7 @@
             for record in self._view.records
         }
         self._judge(is_settled=is_settled)
-        self._object()
+        self._clear_answered_parts()
 
     def _judge(self, *, is_settled: bool = False) -> None:
         self._suspects = find_culprits(self._view, crashes=SUSPECT_CRASHES)
@@ -230,7 +233,7 @@
         }
         self._log_changes(known.keys(), self._refused_from_by_parts.keys())
 
-    def _object(self) -> None:
+    def _clear_answered_parts(self) -> None:
         """Remove suspected parts that this router saw answered after a crash."""
         answered = frozenset(
             part_id
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -298,9 +298,12 @@
         router.lose("bad")
     router.wait(QUARANTINE_BASE_S)
     assert router.verdict("bad") is Verdict.SUSPECTED
+    assert router.quarantine.snapshot().suspected == 1
+    assert router.quarantine.snapshot().quarantined == 0
     router.lose("bad")
     router.wait(OBJECTION_S)
     assert router.verdict("bad") is Verdict.QUARANTINED
+    assert router.quarantine.snapshot().quarantined == 1
     assert router.quarantine.remaining_s(("bad",)) > 2 * QUARANTINE_BASE_S - 1
     for _ in range(9):
         router.lose("bad")
