Judge crashes at the same moment, held requests and first guesses right

The age of the request is passed instead. - A set of parts that a router guessed from its own losses stayed first even when the evidence of all routers showed another one (found by the state machine: ten deadly requests sent after the fifth crash; the trace is the new unit test). Only sets that are refused already stay first, and of two equal sets the rarer one is blamed. - A request that was held until the decision was let through if it woke up a nanosecond early (the new unit test fails without the change).

--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -283,7 +283,9 @@
         """Record the prompt if the target has crashed, which it may have caused."""
         quarantine = self._services.quarantine
         lost_at = self._services.timers.unix_time()
-        earlier_crashes = quarantine.earlier_crashes(sent_at=sent_at)
+        earlier_crashes = quarantine.earlier_crashes(
+            age_s=trio.current_time() - sent_at
+        )
         if not await has_crashed(target):
             return
         lost = LostPrompt(
--- a/src/lavenderfold/quarantine/_culprits.py
+++ b/src/lavenderfold/quarantine/_culprits.py
@@ -31,13 +31,14 @@
 class Culprit(msgspec.Struct, frozen=True, kw_only=True):
     """Parts that explain ``crashes``, the last one at ``last_at`` (Unix time).
 
-    Requests that have all of ``part_ids`` are affected. As long as nothing tells the
-    parts apart, the culprit may be any one of them, and a request that lacks one of
-    them may be sound.
+    Requests that have all of ``part_ids`` are affected, ``prompts`` of them are on
+    record. As long as nothing tells the parts apart, the culprit may be any one of
+    them, and a request that lacks one of them may be sound.
     """
 
     part_ids: frozenset[str]
     crashes: int
+    prompts: int
     last_at: float
 
     @property
@@ -124,6 +125,7 @@
     return Culprit(
         part_ids=frozenset.intersection(*prompts),
         crashes=len(explained),
+        prompts=len(prompts),
         last_at=max(crash.at for crash in explained),
     )
 
@@ -136,11 +138,17 @@
     each crash, too.
     """
 
-    def rank(culprit: Culprit) -> tuple[bool, int, int, list[str]]:
+    def rank(culprit: Culprit) -> tuple[bool, int, int, int, list[str]]:
         parts = culprit.part_ids
         is_known = any(parts <= each or each <= parts for each in known)
-        # The ids make the order the same at all routers.
-        return is_known, culprit.crashes, len(parts), sorted(parts)
+        # Of equal sets the rarer one, then any, but the same at all routers.
+        return (
+            is_known,
+            culprit.crashes,
+            len(parts),
+            -culprit.prompts,
+            sorted(parts),
+        )
 
     best = max(candidates, key=rank)
     while supersets := [each for each in candidates if each.part_ids > best.part_ids]:
--- a/src/lavenderfold/quarantine/_quarantine.py
+++ b/src/lavenderfold/quarantine/_quarantine.py
@@ -34,6 +34,8 @@
 # How long other routers have to report that a part was answered, before requests
 # are refused because of it.
 OBJECTION_S = 0.3
+# A request that was held until a decision may wake up this much too early.
+EARLY_WAKE_S = 0.005
 # Parts of which this router remembers when an answer to them began.
 MAX_ANSWERED_PARTS = 8192
 # Lost prompts that are kept while the store can't be written.
@@ -120,13 +122,13 @@
             return 0.0
         return max(0.0, culprit.quarantine_ends_at - self._timers.unix_time())
 
-    def earlier_crashes(self, *, sent_at: float) -> frozenset[CrashKey]:
+    def earlier_crashes(self, *, age_s: float) -> frozenset[CrashKey]:
         """Return the crashes that are no part of what happens at this moment.
 
-        ``sent_at`` is when the request that has just been lost was sent; crashes that
-        were known then can't have the same cause unless it is in the request.
+        ``age_s`` is how long ago the request was sent that has just been lost. A crash
+        that was known then can't have the same cause unless it is in the request.
         """
-        until = max(sent_at, self._timers.now() - SAME_MOMENT_S)
+        until = self._timers.now() - min(age_s, SAME_MOMENT_S)
         return frozenset(
             key for key, at in self._learned_at_by_crash.items() if at <= until
         )
@@ -195,7 +197,7 @@
     def _is_refused(self, culprit: Culprit) -> bool:
         refused_from = self._refused_from_by_parts[culprit.part_ids]
         return (
-            refused_from <= self._timers.now()
+            refused_from <= self._timers.now() + EARLY_WAKE_S
             and culprit.quarantine_ends_at > self._timers.unix_time()
         )
 
@@ -220,15 +222,17 @@
 
     def _judge(self, *, is_settled: bool = False) -> None:
         self._suspects = find_culprits(self._view, crashes=SUSPECT_CRASHES)
+        now = self._timers.now()
         known = self._refused_from_by_parts
+        # Sets that are refused already go first. Others may change with the evidence
+        # of routers that saw more of the same crashes.
+        settled = [part_ids for part_ids, at in known.items() if at <= now]
         self._culprits = find_culprits(
-            self._view, crashes=QUARANTINE_CRASHES, known=known.keys()
+            self._view, crashes=QUARANTINE_CRASHES, known=settled
         )
         delay_s = 0.0 if is_settled else OBJECTION_S
         self._refused_from_by_parts = {
-            each.part_ids: min(
-                _refused_from(known, each.part_ids), self._timers.now() + delay_s
-            )
+            each.part_ids: min(_refused_from(known, each.part_ids), now + delay_s)
             for each in self._culprits
         }
         self._log_changes(known.keys(), self._refused_from_by_parts.keys())
--- a/tests/test_crashing_prompt.py
+++ b/tests/test_crashing_prompt.py
@@ -1,10 +1,18 @@
 """Direct routers while one prompt part crashes each target that begins to answer it."""
 
+from functools import partial
+
 import pytest
 import trio
 
 from lavenderfold.http import HttpRequest, ResponseWriter
-from tests.direct_support import FakeTarget, make_config, run_scenario, stream
+from tests.direct_support import (
+    FakeTarget,
+    make_config,
+    run_scenario,
+    stream,
+    valid_headers,
+)
 
 TARGETS = 6
 CRASHES = 5
@@ -131,3 +139,41 @@
         assert sender.crashes <= CRASHES
 
     run_scenario(scenario, *[stream()] * TARGETS, config=make_config(limit=1_000_000))
+
+
+def test_prompt_that_was_lost_with_several_targets_at_once_is_still_served():
+    """Guards against blaming a popular prompt when a failure domain loses power."""
+
+    async def wait_for_crash(request: HttpRequest, writer: ResponseWriter) -> None:
+        headers = [*valid_headers(request), ("content-type", "text/event-stream")]
+        await writer.start(200, headers)
+        await trio.sleep_forever()
+
+    async def scenario(fleet):
+        targets = list(fleet.target_by_id.values())
+        for target in targets:
+            target.script = wait_for_crash
+        async with trio.open_nursery() as nursery:
+            for number in range(4 * TARGETS):
+                send = partial(
+                    fleet.send_request,
+                    "/chat/x",
+                    attempt=f"popular-{number}",
+                    parts=f"popular,own-{number}",
+                )
+                nursery.start_soon(send)
+            await fleet.wait_until(
+                lambda: sum(len(each.received) for each in targets) == 4 * TARGETS
+            )
+            assert sum(bool(target.received) for target in targets) >= 4
+            for target in targets:
+                target.script = stream()
+                target.crash()
+                # Connections don't break at exactly the same time.
+                await trio.sleep(PAUSE_S)
+        await trio.sleep(1.0)
+        for number in range(3):
+            answer = await fleet.send_request("/chat/x", parts=f"popular,{number}")
+            assert answer.status == 200
+
+    run_scenario(scenario, *[stream()] * TARGETS, config=make_config(limit=1_000_000))
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -204,7 +204,7 @@
     def lose(self, *prompts: str) -> None:
         """Observe a crash, after all that was observed before."""
         self.wait(SAME_MOMENT_S + 0.01)
-        earlier = self.quarantine.earlier_crashes(sent_at=self.timers.now() - 0.1)
+        earlier = self.quarantine.earlier_crashes(age_s=0.1)
         self.crashes += 1
         for prompt in prompts:
             self.quarantine.record_loss(
@@ -240,6 +240,31 @@
     assert router.verdict("") is Verdict.SOUND
 
 
+def test_held_request_is_refused_when_its_wait_ends():
+    """Guards against letting it pass because its wait ended a moment early."""
+    router = Router()
+    router.wait(0.1)
+    for _ in range(3):
+        router.lose("bad")
+    wait_s = router.quarantine.decision_wait_s(("bad",))
+    router.wait(wait_s - 1e-9)
+    assert router.verdict("bad") is Verdict.QUARANTINED
+
+
+def test_first_guess_yields_to_what_other_routers_saw_of_the_same_crashes():
+    """Guards against blaming a bystander that this router happened to lose itself."""
+    router = Router()
+    for _ in range(3):
+        router.lose("popular rare")
+    deadly = [record(each, f"popular rare{each} bad") for each in range(1, 4)]
+    router.quarantine.drop_pending(router.quarantine.pending)
+    bystanders = [record(4, "popular rare"), record(5, "popular rare")]
+    router.quarantine.install(evidence(*deadly, *bystanders))
+    router.wait(OBJECTION_S)
+    assert router.verdict("popular x bad") is Verdict.QUARANTINED
+    assert router.verdict("popular rare") is not Verdict.QUARANTINED
+
+
 def test_part_that_was_answered_between_crashes_is_sound():
     """Guards against refusing a popular prompt while targets crash for other causes."""
     router = Router()
--- a/tests/test_quarantine_machine.py
+++ b/tests/test_quarantine_machine.py
@@ -55,7 +55,7 @@
         self.crashes += 1
         for router, prompt, is_begun in losses:
             quarantine = self.routers[router]
-            earlier = quarantine.earlier_crashes(sent_at=self.timers.now() - 0.1)
+            earlier = quarantine.earlier_crashes(age_s=0.1)
             quarantine.record_loss(
                 LostPrompt(
                     crash=CrashKey(f"t{self.crashes}", 1),
