Limit only the reads of a target's answer by the wait for it

Cause: one cancel scope limited the wait and enclosed the write to the caller. If an event and the end of the wait are both due when the process goes on, trio returns the event and cancels the scope; the event was counted as relayed, its write cancelled, and the stream went on after it. Lifting the deadline before the write, the earlier mend, comes too late then.

Fix: a scope of its own around each read.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -1,5 +1,6 @@
 """Sending a request to one target and relaying its answer to the caller."""
 
+import contextlib
 import enum
 import math
 from collections.abc import Callable
@@ -156,22 +157,22 @@
         # The target may close an idle connection while the request is being sent,
         # which leaves unknown whether it ran. Requests that must not run twice are
         # therefore sent on a new connection.
-        needs_fresh_connection = not self._call.route.is_repeatable
+        exchange = client.stream(request, is_fresh=not self._call.route.is_repeatable)
+        first_deadline = trio.current_time() + self._head_wait_s()
         try:
-            with trio.CancelScope() as scope:
-                self._set_wait_deadline(scope, self._head_wait_s())
-                async with client.stream(
-                    request, is_fresh=needs_fresh_connection
-                ) as response:
-                    return await self._handle_response(response, scope)
+            async with contextlib.AsyncExitStack() as stack:
+                with self._wait_until(first_deadline) as wait:
+                    response = await stack.enter_async_context(exchange)
+                if wait.cancelled_caught:
+                    return AttemptOutcome.SILENT
+                return await self._handle_response(response, first_deadline)
         except RequestNotSentError:
             return AttemptOutcome.NOT_CONNECTED
         except ResponseLostError:
             return AttemptOutcome.LOST
-        return AttemptOutcome.SILENT
 
     async def _handle_response(
-        self, response: StreamedResponse, scope: trio.CancelScope
+        self, response: StreamedResponse, first_deadline: float
     ) -> AttemptOutcome:
         head = self._codec.read_answer(response.status, response.headers)
         self.status = head.status
@@ -184,18 +185,20 @@
         if not head.is_signed or head.is_encoded:
             return AttemptOutcome.INVALID
         if head.is_success and _is_event_stream(head):
-            return await self._relay_events(head, response, scope)
-        return await self._relay_buffered(head, response, scope)
+            return await self._relay_events(head, response, first_deadline)
+        return await self._relay_buffered(head, response, first_deadline)
 
     async def _relay_buffered(
-        self, head: AnswerHead, response: StreamedResponse, scope: trio.CancelScope
+        self, head: AnswerHead, response: StreamedResponse, deadline: float
     ) -> AttemptOutcome:
         body = bytearray()
-        async for chunk in response.chunks():
-            body += chunk
-            if len(body) > ANSWER_BYTES_LIMIT:
-                return AttemptOutcome.INVALID
-        scope.deadline = math.inf
+        with self._wait_until(deadline) as wait:
+            async for chunk in response.chunks():
+                body += chunk
+                if len(body) > ANSWER_BYTES_LIMIT:
+                    return AttemptOutcome.INVALID
+        if wait.cancelled_caught:
+            return AttemptOutcome.SILENT
         answer = HttpResponse(
             status=head.status, headers=_relayed_headers(head), body=bytes(body)
         )
@@ -211,27 +214,28 @@
         return AttemptOutcome.FAILED
 
     async def _relay_events(
-        self, head: AnswerHead, response: StreamedResponse, scope: trio.CancelScope
+        self, head: AnswerHead, response: StreamedResponse, first_deadline: float
     ) -> AttemptOutcome:
         splitter = EventSplitter()
-        async for chunk in response.chunks():
-            # Lifts the deadline while writing to the caller: events that are counted
-            # as relayed must be written completely. The deadline may have passed
-            # already if the process was suspended.
-            scope.deadline = math.inf
+        chunks = response.chunks()
+        deadline = first_deadline
+        while True:
+            # Only the read is limited, not the write to the caller: events that are
+            # counted as relayed must be written completely. A wait that has passed
+            # while the process was suspended doesn't cancel what follows the read.
+            with self._wait_until(deadline) as wait:
+                chunk = await anext(chunks, None)
+            if wait.cancelled_caught:
+                return AttemptOutcome.SILENT
+            if chunk is None:
+                break
             try:
                 events = splitter.feed(chunk)
             except EventTooLongError:
                 return AttemptOutcome.INVALID
-            if events is None:
-                self._set_wait_deadline(scope, self._event_wait_s())
-                continue
-            if not self._writer.started:
-                await self._writer.start(head.status, _relayed_headers(head))
-            self._record_events(events)
-            await self._writer.write(events.data)
-            self._set_wait_deadline(scope, self._event_wait_s())
-        scope.deadline = math.inf
+            if events is not None:
+                await self._write_events(head, events)
+            deadline = trio.current_time() + self._event_wait_s()
         if splitter.has_partial_event:
             return AttemptOutcome.LOST
         if not self._writer.started:
@@ -239,6 +243,12 @@
         await self._writer.finish()
         return AttemptOutcome.DELIVERED
 
+    async def _write_events(self, head: AnswerHead, events: CompleteEvents) -> None:
+        if not self._writer.started:
+            await self._writer.start(head.status, _relayed_headers(head))
+        self._record_events(events)
+        await self._writer.write(events.data)
+
     def _record_events(self, events: CompleteEvents) -> None:
         now = trio.current_time()
         if self.first_event_at is None:
@@ -253,9 +263,9 @@
             self._is_answering = True
             self._on_answering()
 
-    def _set_wait_deadline(self, scope: trio.CancelScope, wait_s: float) -> None:
-        if self._can_fail_over:
-            scope.deadline = trio.current_time() + wait_s
+    def _wait_until(self, deadline: float) -> trio.CancelScope:
+        """Return a scope that limits a wait if another target can take over."""
+        return trio.CancelScope(deadline=deadline if self._can_fail_over else math.inf)
 
     def _head_wait_s(self) -> float:
         return max(
