Move the log lines of a request out of its execution

RequestLog collects the attempts and writes the lines and metrics; no line, field, metric or decision changes (test_decision_lines.py walks them).

--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -1,6 +1,5 @@
 """Execution of one request: budget reservation, attempts, answer, settlement."""
 
-import logging
 from collections.abc import Callable
 
 import msgspec
@@ -20,6 +19,7 @@
     not_run,
     refusal_response,
 )
+from lavenderfold.direct._request_log import RequestLog, RequestResult
 from lavenderfold.direct._requests import CallerRequest, PlatformCodec, TargetCall
 from lavenderfold.escrow import BalanceManager, Funding
 from lavenderfold.fleet import (
@@ -57,8 +57,6 @@
 BALANCE_REASONS = (Reason.BUDGET_SPENT.value, Reason.BUDGET_UNAVAILABLE.value)
 SIZE_MISSING = Refusal(status=400, reason="size_missing", outcome="not_run")
 
-logger = logging.getLogger("lavenderfold.requests")
-
 
 class RouterServices(msgspec.Struct, kw_only=True):
     """Services that all requests of one router share.
@@ -112,7 +110,7 @@
         self._funded_at: float | None = None
         self._sent_attempts = 0
         self._last_outcome: AttemptOutcome | None = None
-        self._attempt_log: list[str] = []
+        self._log = RequestLog(request=request, metrics=services.metrics)
         self._choice_reason = ""
 
     async def run(self) -> None:
@@ -130,7 +128,7 @@
                 await self._refuse(refusal)
         finally:
             self._settle()
-            self._log_result(refusal)
+            self._write_result(refusal)
 
     async def _reserve_budget(self) -> Refusal | None:
         tokens = self._request.tokens
@@ -249,22 +247,18 @@
         load_tracker = self._services.load_tracker
         load_tracker.record_start(target)
         sent_at = trio.current_time()
-        outcome_label = "left"
+        outcome = None
         try:
             outcome = await attempt.run(self._services.clients.client(target))
-            outcome_label = outcome.value
         finally:
             load_tracker.record_end(target)
-            self._services.metrics.record_attempt(outcome_label)
-            elapsed_ms = round((trio.current_time() - sent_at) * 1000)
-            status = f" {attempt.status}" if attempt.status else ""
             load = load_tracker.state(target).outstanding
-            self._attempt_log.append(
-                f"{target.id} {outcome_label}{status} {elapsed_ms}ms load={load}"
+            self._log.record_attempt(
+                attempt, target, outcome, sent_at=sent_at, load=load
             )
         self._last_outcome = outcome
         if outcome is AttemptOutcome.LOST:
-            self._log_lost_attempt(attempt, target, sent_at)
+            self._log.write_lost_attempt(attempt, target, sent_at=sent_at)
             if attempt.is_before_answer and self._request.shared_part_ids:
                 await self._record_crash(attempt, target, sent_at)
         if outcome in UNREACHABLE_OUTCOMES:
@@ -297,24 +291,6 @@
         )
         quarantine.record_loss(lost)
 
-    def _log_lost_attempt(
-        self, attempt: Attempt, target: Target, sent_at: float
-    ) -> None:
-        now = trio.current_time()
-        first = attempt.first_event_at
-        fields = {
-            "request_id": self._request.attempt_id,
-            "target": target.id,
-            "born": target.born,
-            "status": attempt.status,
-            "sent_ms": _duration_ms(now, sent_at),
-            "events": attempt.events,
-            "answering_ms": None if first is None else _duration_ms(now, first),
-            "parts": self._request.shared_part_ids,
-            "tokens": self._request.tokens.prompt if self._request.tokens else None,
-        }
-        logger.warning("attempt_lost", extra=fields)
-
     def _may_repeat(self, outcome: AttemptOutcome) -> bool:
         """Return whether another target may be tried after this outcome."""
         if not outcome.is_certainly_not_run and not self._route.is_repeatable:
@@ -382,52 +358,28 @@
             self._services.retry_budget_by_service[self._service_name] = retry_budget
         return retry_budget
 
-    def _log_result(self, refusal: Refusal | None) -> None:
-        now = trio.current_time()
-        first = self._progress.first_byte_at
-        fields = {
-            "request_id": self._request.attempt_id,
-            "route": self._route.name,
-            "organisation": self._organisation.name if self._organisation else None,
-            "config_version": self._table.version,
-            "service": self._service_name,
-            "choice": self._choice_reason or None,
-            "attempts": self._attempt_log,
-            "parts": self._request.shared_part_ids or None,
-            "refusal": refusal.reason if refusal else None,
-            "status": refusal.status if refusal else None,
-            "outcome": self._last_outcome.value if self._last_outcome else None,
-            "reserved": self._reserved_tokens or None,
-            "events": self._progress.events,
-            "funded_ms": _duration_ms(self._funded_at, self._started_at),
-            "first_ms": _duration_ms(first, self._started_at),
-            "pause_ms": round(self._progress.longest_pause_s * 1000),
-            "total_ms": _duration_ms(now, self._started_at),
-            "left_ms": _duration_ms(self._caller_deadline, now),
-        }
+    def _write_result(self, refusal: Refusal | None) -> None:
+        balance = None
         if refusal is not None and refusal.reason in BALANCE_REASONS:
-            state = self._services.balance_manager.local_balance_state(
+            balance = self._services.balance_manager.local_balance_state(
                 self._organisation.name
             )
-            fields["balance"] = msgspec.structs.asdict(state)
-            fields["needed"] = self._request.tokens.worst_case
-        is_delivered = self._last_outcome is AttemptOutcome.DELIVERED
-        outcome_label = refusal.reason if refusal else "left"
-        if self._last_outcome is not None and refusal is None:
-            outcome_label = self._last_outcome.value
-        self._services.metrics.record_request(
-            outcome_label,
-            first_s=None if first is None else first - self._started_at,
-            pause_s=self._progress.longest_pause_s,
-            total_s=now - self._started_at,
-        )
-        logger.log(
-            logging.INFO if is_delivered else logging.WARNING, "request", extra=fields
+        result = RequestResult(
+            route=self._route.name,
+            organisation=self._organisation.name if self._organisation else None,
+            config_version=self._table.version,
+            service=self._service_name,
+            choice=self._choice_reason,
+            refusal=refusal,
+            outcome=self._last_outcome,
+            reserved_tokens=self._reserved_tokens,
+            progress=self._progress,
+            started_at=self._started_at,
+            funded_at=self._funded_at,
+            caller_deadline=self._caller_deadline,
+            balance=balance,
         )
-
-
-def _duration_ms(end: float | None, start: float) -> int | None:
-    return None if end is None else round((end - start) * 1000)
+        self._log.write_result(result)
 
 
 def pick_service(route: Route, attempt_id: str) -> str:
--- /dev/null
+++ b/src/lavenderfold/direct/_request_log.py
@@ -0,0 +1,135 @@
+"""Log lines and metrics that tell how a request and its attempts ended."""
+
+import logging
+
+import msgspec
+import trio
+
+from lavenderfold.direct._attempt import Attempt, AttemptOutcome, RelayProgress
+from lavenderfold.direct._metrics import RouterMetrics
+from lavenderfold.direct._refusals import Refusal
+from lavenderfold.direct._requests import CallerRequest
+from lavenderfold.escrow import LocalBalanceState
+from lavenderfold.fleet import Target
+
+LEFT = "left"
+
+logger = logging.getLogger("lavenderfold.requests")
+
+
+class RequestResult(msgspec.Struct, frozen=True, kw_only=True):
+    """How a request ended. Times are those of the trio clock, in seconds.
+
+    ``balance`` is what the router knew if the request was refused for money.
+    """
+
+    route: str
+    organisation: str | None
+    config_version: int
+    service: str
+    choice: str
+    refusal: Refusal | None
+    outcome: AttemptOutcome | None
+    reserved_tokens: int
+    progress: RelayProgress
+    started_at: float
+    funded_at: float | None
+    caller_deadline: float
+    balance: LocalBalanceState | None = None
+
+    @property
+    def end(self) -> str:
+        """The end of the request as the metrics name it."""
+        if self.refusal is not None:
+            return self.refusal.reason
+        return LEFT if self.outcome is None else self.outcome.value
+
+
+class RequestLog:
+    """Collects the attempts of one request and writes its lines."""
+
+    def __init__(self, *, request: CallerRequest, metrics: RouterMetrics):
+        self._request = request
+        self._metrics = metrics
+        self._attempts: list[str] = []
+
+    def record_attempt(
+        self,
+        attempt: Attempt,
+        target: Target,
+        outcome: AttemptOutcome | None,
+        *,
+        sent_at: float,
+        load: int,
+    ) -> None:
+        """Record the end of an attempt.
+
+        ``outcome`` is None if the caller or the deadline ended it. ``load`` is the
+        number of other requests of this router at the target.
+        """
+        label = LEFT if outcome is None else outcome.value
+        self._metrics.record_attempt(label)
+        elapsed_ms = _duration_ms(trio.current_time(), sent_at)
+        status = f" {attempt.status}" if attempt.status else ""
+        self._attempts.append(f"{target.id} {label}{status} {elapsed_ms}ms load={load}")
+
+    def write_lost_attempt(
+        self, attempt: Attempt, target: Target, *, sent_at: float
+    ) -> None:
+        """Log an attempt that its target broke off."""
+        now = trio.current_time()
+        first = attempt.first_event_at
+        fields = {
+            "request_id": self._request.attempt_id,
+            "target": target.id,
+            "born": target.born,
+            "status": attempt.status,
+            "sent_ms": _duration_ms(now, sent_at),
+            "events": attempt.events,
+            "answering_ms": None if first is None else _duration_ms(now, first),
+            "parts": self._request.shared_part_ids,
+            "tokens": self._request.tokens.prompt if self._request.tokens else None,
+        }
+        logger.warning("attempt_lost", extra=fields)
+
+    def write_result(self, result: RequestResult) -> None:
+        """Log and count the end of the request."""
+        now = trio.current_time()
+        refusal, progress = result.refusal, result.progress
+        first = progress.first_byte_at
+        fields = {
+            "request_id": self._request.attempt_id,
+            "route": result.route,
+            "organisation": result.organisation,
+            "config_version": result.config_version,
+            "service": result.service,
+            "choice": result.choice or None,
+            "attempts": self._attempts,
+            "parts": self._request.shared_part_ids or None,
+            "refusal": refusal.reason if refusal else None,
+            "status": refusal.status if refusal else None,
+            "outcome": result.outcome.value if result.outcome else None,
+            "reserved": result.reserved_tokens or None,
+            "events": progress.events,
+            "funded_ms": _duration_ms(result.funded_at, result.started_at),
+            "first_ms": _duration_ms(first, result.started_at),
+            "pause_ms": round(progress.longest_pause_s * 1000),
+            "total_ms": _duration_ms(now, result.started_at),
+            "left_ms": _duration_ms(result.caller_deadline, now),
+        }
+        if result.balance is not None:
+            fields["balance"] = msgspec.structs.asdict(result.balance)
+            fields["needed"] = self._request.tokens.worst_case
+        self._metrics.record_request(
+            result.end,
+            first_s=None if first is None else first - result.started_at,
+            pause_s=progress.longest_pause_s,
+            total_s=now - result.started_at,
+        )
+        is_delivered = result.outcome is AttemptOutcome.DELIVERED
+        level = logging.INFO if is_delivered else logging.WARNING
+        logger.log(level, "request", extra=fields)
+
+
+def _duration_ms(end: float | None, start: float) -> int | None:
+    return None if end is None else round((end - start) * 1000)
