--- a/tests/test_crash_report.py
+++ b/tests/test_crash_report.py
@@ -1,10 +1,9 @@
 """Tests of ``lavenderfoldctl crashes``, which shows what crashes have in common."""
 
-import msgspec
-
 from lavenderfold.ctl.__main__ import main
 from lavenderfold.ctl._crashes import PartRecord, part_records
 from lavenderfold.ctl._log_lines import LogLine
+from tests.log_support import write_log
 
 
 def lost(target: str, *parts: str, events: int = 0) -> LogLine:
@@ -39,14 +38,7 @@
 
 
 def test_command_prints_unanswered_parts_first(tmp_path, capsys):
-    texts = [
-        msgspec.json.encode(
-            {"time": each.time, "process": each.process, "event": each.event}
-            | each.fields
-        ).decode()
-        for each in LINES
-    ]
-    (tmp_path / "edge-1").write_text("\n".join(texts))
+    write_log(tmp_path / "edge-1", LINES)
     assert main(["lavenderfoldctl", "crashes", f"--logs={tmp_path}"]) == 0
     rows = capsys.readouterr().out.splitlines()[2:]
     assert [row.split() for row in rows] == [
--- a/tests/test_refusal_report.py
+++ b/tests/test_refusal_report.py
@@ -1,11 +1,11 @@
 """Tests of ``lavenderfoldctl refusals``, which says why requests were refused."""
 
-import msgspec
 import pytest
 
 from lavenderfold.ctl.__main__ import main
 from lavenderfold.ctl._log_lines import LogLine
 from lavenderfold.ctl._refusals import BalanceTruth, Cause, balance_truths, cause_of
+from tests.log_support import write_log
 
 OWN = {"granted": 300, "spent": 100, "reserved": 100}
 
@@ -59,17 +59,6 @@
     assert truth == BalanceTruth(limit=900, spent=52, held=38, written_off=50)
 
 
-def write_log(path, lines: list[LogLine]) -> None:
-    texts = [
-        msgspec.json.encode(
-            {"time": each.time, "process": each.process, "event": each.event}
-            | each.fields
-        ).decode()
-        for each in lines
-    ]
-    path.write_text("\n".join(texts))
-
-
 def test_command_reads_a_folder_of_logs(tmp_path, capsys):
     write_log(tmp_path / "edge-1", [balance("edge-1", 1.0, spent=1, granted=2)])
     write_log(tmp_path / "edge-2", [refusal(needed=600, rest=500)])
