Log what the caller got and why no other target was tried

The request line now has answer and not_repeated; two counters give answers by state and ended connections by reason. No decision changes.

--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -5,7 +5,7 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 from lavenderfold.escrow import LocalBalanceState
-from lavenderfold.http import HttpRequest, HttpResponse, ResponseWriter
+from lavenderfold.http import CloseReason, HttpRequest, HttpResponse, ResponseWriter
 from lavenderfold.quarantine import QuarantineSnapshot
 from lavenderfold.shared import StoreCall
 
@@ -37,6 +37,18 @@
             ["end"],
             registry=self._registry,
         )
+        self._answers = Counter(
+            "lavenderfold_answers",
+            "Requests by how much of an answer was written: whole, cut or none.",
+            ["state"],
+            registry=self._registry,
+        )
+        self._closed_connections = Counter(
+            "lavenderfold_closed_connections",
+            "Callers' connections that ended, by the reason.",
+            ["reason"],
+            registry=self._registry,
+        )
         self._attempts = Counter(
             "lavenderfold_attempts",
             "Attempts at targets by outcome.",
@@ -118,11 +130,21 @@
     def record_store_call(self, call: StoreCall) -> None:
         self._store_calls.labels(call.kind, call.purpose, call.result).inc()
 
+    def record_closed_connection(self, reason: CloseReason) -> None:
+        self._closed_connections.labels(reason.value).inc()
+
     def record_request(
-        self, end: str, *, first_s: float | None, pause_s: float, total_s: float
+        self,
+        end: str,
+        *,
+        answer: str,
+        first_s: float | None,
+        pause_s: float,
+        total_s: float,
     ) -> None:
         """Record a request; ``first_s`` is None if nothing was relayed."""
         self._requests.labels(end).inc()
+        self._answers.labels(answer).inc()
         self._request_time.observe(total_s)
         if first_s is not None:
             self._first_byte_time.observe(first_s)
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -19,7 +19,11 @@
     not_run,
     refusal_response,
 )
-from lavenderfold.direct._request_log import RequestLog, RequestResult
+from lavenderfold.direct._request_log import (
+    RequestLog,
+    RequestResult,
+    answer_state,
+)
 from lavenderfold.direct._requests import CallerRequest, PlatformCodec, TargetCall
 from lavenderfold.escrow import BalanceManager, Funding
 from lavenderfold.fleet import (
@@ -112,6 +116,7 @@
         self._last_outcome: AttemptOutcome | None = None
         self._log = RequestLog(request=request, metrics=services.metrics)
         self._choice_reason = ""
+        self._not_repeated: str | None = None
 
     async def run(self) -> None:
         """Answer the request and settle its reservation.
@@ -294,10 +299,12 @@
     def _may_repeat(self, outcome: AttemptOutcome) -> bool:
         """Return whether another target may be tried after this outcome."""
         if not outcome.is_certainly_not_run and not self._route.is_repeatable:
+            self._not_repeated = "not_repeatable"
             return False
         if outcome is AttemptOutcome.NOT_CONNECTED:
             return True
         if self._sent_attempts >= self._route.attempt_limit:
+            self._not_repeated = "attempt_limit"
             return False
         part_ids = self._request.shared_part_ids
         if (
@@ -305,8 +312,12 @@
             and self._services.quarantine.verdict(part_ids) is not Verdict.SOUND
         ):
             # It may crash the next target as well.
+            self._not_repeated = "prompt_suspected"
+            return False
+        if not self._retry_budget.try_acquire():
+            self._not_repeated = "retry_budget"
             return False
-        return self._retry_budget.try_acquire()
+        return True
 
     async def _give_up(
         self, attempt: Attempt, outcome: AttemptOutcome
@@ -322,6 +333,7 @@
         return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
 
     def _refuse_without_target(self) -> Refusal:
+        self._not_repeated = "no_target"
         if self._progress.may_have_run:
             return may_have_run(Reason.TARGET_FAILED)
         return not_run(Reason.NO_TARGET, retry_after_s=DEFAULT_RETRY_AFTER_S)
@@ -372,6 +384,8 @@
             choice=self._choice_reason,
             refusal=refusal,
             outcome=self._last_outcome,
+            answer=answer_state(self._writer),
+            not_repeated=self._not_repeated,
             reserved_tokens=self._reserved_tokens,
             progress=self._progress,
             started_at=self._started_at,
--- a/src/lavenderfold/direct/_request_log.py
+++ b/src/lavenderfold/direct/_request_log.py
@@ -1,5 +1,6 @@
 """Log lines and metrics that tell how a request and its attempts ended."""
 
+import enum
 import logging
 
 import msgspec
@@ -11,16 +12,34 @@
 from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.escrow import LocalBalanceState
 from lavenderfold.fleet import Target
+from lavenderfold.http import ResponseWriter
 
 LEFT = "left"
 
 logger = logging.getLogger("lavenderfold.requests")
 
 
+class AnswerState(enum.Enum):
+    """How much of an answer, also of a refusal, was written to the caller."""
+
+    WHOLE = "whole"
+    CUT = "cut"
+    NONE = "none"
+
+
+def answer_state(writer: ResponseWriter) -> AnswerState:
+    """Return how much of an answer was written with ``writer``."""
+    if writer.finished:
+        return AnswerState.WHOLE
+    return AnswerState.CUT if writer.started else AnswerState.NONE
+
+
 class RequestResult(msgspec.Struct, frozen=True, kw_only=True):
     """How a request ended. Times are those of the trio clock, in seconds.
 
-    ``balance`` is what the router knew if the request was refused for money.
+    ``answer`` says how much of an answer the caller got. ``not_repeated`` is why no
+    other target was tried after a failed attempt. ``balance`` is what the router knew
+    if the request was refused for money.
     """
 
     route: str
@@ -30,6 +49,8 @@
     choice: str
     refusal: Refusal | None
     outcome: AttemptOutcome | None
+    answer: AnswerState
+    not_repeated: str | None
     reserved_tokens: int
     progress: RelayProgress
     started_at: float
@@ -109,6 +130,8 @@
             "refusal": refusal.reason if refusal else None,
             "status": refusal.status if refusal else None,
             "outcome": result.outcome.value if result.outcome else None,
+            "answer": result.answer.value,
+            "not_repeated": result.not_repeated,
             "reserved": result.reserved_tokens or None,
             "events": progress.events,
             "funded_ms": _duration_ms(result.funded_at, result.started_at),
@@ -122,6 +145,7 @@
             fields["needed"] = self._request.tokens.worst_case
         self._metrics.record_request(
             result.end,
+            answer=result.answer.value,
             first_s=None if first is None else first - result.started_at,
             pause_s=progress.longest_pause_s,
             total_s=now - result.started_at,
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -236,6 +236,7 @@
             limits=lambda: self._limits,
             is_closing=self._is_closing,
             cancels_on_disconnect=True,
+            on_closed=self._metrics.record_closed_connection,
         )
 
         async def serve_callers(task_status) -> None:
--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -16,11 +16,18 @@
     json_response,
 )
 from lavenderfold.http._peer_client import CallFailedError, PeerClient
-from lavenderfold.http._server import ResponseWriter, ServerLimits, ServerOptions, serve
+from lavenderfold.http._server import (
+    CloseReason,
+    ResponseWriter,
+    ServerLimits,
+    ServerOptions,
+    serve,
+)
 
 __all__ = [
     "BodyTooLargeError",
     "CallFailedError",
+    "CloseReason",
     "HttpClient",
     "HttpClientError",
     "HttpRequest",
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -1,5 +1,6 @@
 """HTTP server with one trio task per connection; h11 implements the protocol."""
 
+import enum
 import logging
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -35,18 +36,38 @@
     read_timeout_s: float = REQUEST_READ_TIMEOUT_S
 
 
+class CloseReason(enum.Enum):
+    """Why the connection of a caller ended.
+
+    IDLE: no request came within the idle timeout.
+    LEFT: the caller closed it.
+    ANSWERED: it was closed after a whole answer.
+    CUT: it was closed without a whole answer to a request.
+    """
+
+    IDLE = "idle"
+    LEFT = "left"
+    ANSWERED = "answered"
+    CUT = "cut"
+
+
+def _ignore_close(reason: CloseReason) -> None:
+    """Ignore the end of a connection."""
+
+
 class ServerOptions(msgspec.Struct, kw_only=True):
     """Options of a server.
 
     ``limits`` is called for each request and returns the limits in force.
     ``is_closing`` returns whether responses should close their connections. With
     ``cancels_on_disconnect`` a handler is cancelled when its caller closes the
-    connection.
+    connection. ``on_closed`` is called with the reason when a connection ends.
     """
 
     limits: Callable[[], ServerLimits] = ServerLimits
     is_closing: Callable[[], bool] = bool
     cancels_on_disconnect: bool = False
+    on_closed: Callable[[CloseReason], None] = _ignore_close
 
 
 class ResponseWriter:
@@ -127,17 +148,21 @@
             h11.SERVER, max_incomplete_event_size=2 * self._limits.header_bytes
         )
         self._is_caller_disconnected = False
+        self._close_reason = CloseReason.LEFT
 
     async def run(self) -> None:
-        async with self._stream:
-            try:
+        try:
+            async with self._stream:
                 while await self._serve_one():
                     self._connection.start_next_cycle()
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self._close_reason = CloseReason.LEFT
+        finally:
+            self._options.on_closed(self._close_reason)
 
     async def _serve_one(self) -> bool:
         """Serve one request and return whether the connection can be used again."""
+        self._close_reason = CloseReason.LEFT
         self._limits = self._options.limits()
         writer = ResponseWriter(
             connection=self._connection,
@@ -148,15 +173,21 @@
             request = await self._read_request()
         except (h11.RemoteProtocolError, MalformedRequestError) as error:
             await self._send_error(writer, error)
+            self._close_reason = CloseReason.ANSWERED
             return False
         if request is None:
             return False
+        self._close_reason = CloseReason.CUT
         if self._options.cancels_on_disconnect:
             await self._handle_until_disconnect(request, writer)
         else:
             await self._handle(request, writer)
-        if not writer.finished or self._is_caller_disconnected:
+        if self._is_caller_disconnected:
+            self._close_reason = CloseReason.LEFT
+            return False
+        if not writer.finished:
             return False
+        self._close_reason = CloseReason.ANSWERED
         states = (self._connection.our_state, self._connection.their_state)
         return states == (h11.DONE, h11.DONE)
 
@@ -224,6 +255,7 @@
         with trio.move_on_after(self._limits.idle_timeout_s):
             data = await self._stream.receive_some(RECEIVE_BYTES)
         if data is None:
+            self._close_reason = CloseReason.IDLE
             return None
         self._connection.receive_data(data)
         with trio.move_on_after(self._limits.read_timeout_s):
--- a/tests/test_decision_lines.py
+++ b/tests/test_decision_lines.py
@@ -1,12 +1,14 @@
 """Each decision of a direct router is logged with the facts behind it."""
 
 import logging
+from contextlib import suppress
 
 import msgspec
 import pytest
 import trio
 
 from lavenderfold.direct._reachability import SILENCE_S
+from lavenderfold.http import ResponseLostError
 from tests.direct_support import (
     answer_successfully,
     crash,
@@ -62,6 +64,12 @@
     await fleet.send_request("/sign/x", parts="common,shared,own")
 
 
+async def cut_stream(fleet):
+    fleet.target_by_id["t0"].script = stream(cut=True)
+    with suppress(ResponseLostError):
+        await fleet.send_request("/chat/x")
+
+
 async def deadly_prompt(fleet):
     target = fleet.target_by_id["t0"]
     target.down_s = 0.1
@@ -147,9 +155,11 @@
     ("decision", "event", "fields"),
     [
         (delivered, "request", {"outcome": "delivered", "reserved": 30}),
+        (delivered, "request", {"answer": "whole", "not_repeated": None}),
+        (cut_stream, "request", {"answer": "cut", "not_repeated": "not_repeatable"}),
         (over_budget, "request", {"refusal": "budget_spent", "needed": 18000}),
         (missing_size, "request", {"refusal": "size_missing"}),
-        (target_failure, "request", {"outcome": "failed"}),
+        (target_failure, "request", {"outcome": "failed", "answer": "whole"}),
         (
             target_crash,
             "attempt_lost",
@@ -164,6 +174,7 @@
             {"refusal": "prompt_quarantined", "status": 503, "parts": ("bad",)},
         ),
         (target_rejection, "request", {"refusal": "no_target", "outcome": "rejected"}),
+        (target_rejection, "request", {"not_repeated": "no_target"}),
         (no_target, "request", {"refusal": "no_target"}),
         (unknown_route, "request_refused", {"status": 404, "path": "/none/x"}),
         (unknown_key, "request_refused", {"refusal": "unknown_key"}),
