--- /dev/null
+++ b/tests/test_silent_targets.py
@@ -0,0 +1,140 @@
+"""Targets that fall silent for about a second and go on: no answer is given up.
+
+The load pattern: one target pauses while it runs many requests of a router, which has
+fewer retries in reserve than the target has requests.
+"""
+
+import msgspec
+import pytest
+import trio
+
+from lavenderfold.fleet import RepeatPolicy
+from tests.direct_support import (
+    HttpResponse,
+    count_target_requests,
+    event,
+    make_config,
+    make_route,
+    run_scenario,
+    stream,
+    valid_headers,
+)
+
+# Longer than a router waits for a target if another one can take over.
+SILENCE_S = 1.3
+REQUESTS = 8
+WHOLE_STREAM = b"".join(event(number) for number in range(1, 5))
+# Long enough for the silence of one target and the whole answer of another.
+PATIENT_CONFIG = make_config(
+    routes=(
+        make_route("read", RepeatPolicy.IDEMPOTENT, timeout_s=6.0),
+        make_route("draft", RepeatPolicy.STREAM, is_resumable=True, timeout_s=6.0),
+    )
+)
+
+
+async def pause_in_stream(request, writer):
+    """Send a stream with a silence before its third event."""
+    first = int(request.header("x-last") or 0) + 1
+    headers = [*valid_headers(request), ("content-type", "text/event-stream")]
+    await writer.start(200, headers)
+    for number in range(first, 5):
+        if number == 3:
+            await trio.sleep(SILENCE_S)
+        await writer.write(event(number))
+    await writer.finish()
+
+
+async def pause_before_stream(request, writer):
+    await trio.sleep(SILENCE_S)
+    await stream()(request, writer)
+
+
+async def pause_before_answer(request, writer):
+    await trio.sleep(SILENCE_S)
+    headers = valid_headers(request)
+    await writer.send(HttpResponse(status=200, headers=headers, body=b"done"))
+
+
+async def send_many(fleet, path: str) -> list[HttpResponse]:
+    """Send requests at the same time and return their answers."""
+    answers = []
+
+    async def send(number):
+        request_id = f"attempt-{number}"
+        answers.append(await fleet.send_request(path, attempt=request_id, patience="6"))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(REQUESTS):
+            nursery.start_soon(send, number)
+    return answers
+
+
+def allow_no_retries(fleet) -> None:
+    """Leave the router one retry in reserve, as one of many in a large fleet."""
+    options = msgspec.structs.replace(
+        fleet.router.options, retry_share=0.0, fleet_retry_reserve=0.0
+    )
+    fleet.router.reload(options)
+
+
+@pytest.mark.parametrize("script", [pause_in_stream, pause_before_stream])
+def test_streams_of_a_silent_target_go_on_without_retries_left(script):
+    """Guards against streams that are cut although their target would have gone on."""
+
+    async def scenario(fleet):
+        allow_no_retries(fleet)
+        answers = await send_many(fleet, "/draft/x")
+        assert [each.body for each in answers] == [WHOLE_STREAM] * REQUESTS
+        assert count_target_requests(fleet) <= REQUESTS + 1
+
+    run_scenario(scenario, script, script, config=PATIENT_CONFIG)
+
+
+def test_requests_at_a_silent_target_are_answered_without_retries_left():
+    """Guards against 502 for requests that their target was about to answer."""
+
+    async def scenario(fleet):
+        allow_no_retries(fleet)
+        answers = await send_many(fleet, "/read/x")
+        assert [each.status for each in answers] == [200] * REQUESTS
+
+    run_scenario(
+        scenario, pause_before_answer, pause_before_answer, config=PATIENT_CONFIG
+    )
+
+
+def test_stream_of_a_silent_target_goes_on_if_the_other_target_left():
+    """Guards against a stream that is cut for a target that isn't usable any more."""
+
+    async def scenario(fleet):
+        answers = []
+
+        async def send():
+            answers.append(await fleet.send_request("/draft/x", patience="6"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await fleet.wait_until(lambda: count_target_requests(fleet) == 1)
+            for target in fleet.target_by_id.values():
+                if not target.received:
+                    fleet.register(target, is_draining=True)
+        assert answers[0].body == WHOLE_STREAM
+
+    run_scenario(scenario, pause_in_stream, pause_in_stream, config=PATIENT_CONFIG)
+
+
+def test_silent_target_is_replaced_while_retries_are_left():
+    """Guards against callers that wait for a target which never answers."""
+
+    async def never(request, writer):
+        await trio.sleep(30)
+
+    async def scenario(fleet):
+        for number in range(2):
+            answer = await fleet.send_request(
+                "/draft/x", attempt=f"attempt-{number}", patience="6"
+            )
+            assert answer.body == WHOLE_STREAM
+
+    run_scenario(scenario, never, stream(), config=PATIENT_CONFIG)
