Keep idle connections by the limits in force, not by those from before

After a change that raised the timeout, connections were closed by the old one while callers used them; after any change the next request on each kept connection was checked by the old limits.

The wait now goes on if the timeout has been raised meanwhile, and lasts IDLE_GRACE_S longer, since callers and routers learn of a change at different moments. Limits are read again when a request arrives.

--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -23,6 +23,11 @@
 BODY_BYTES_LIMIT = 4 * 1024 * 1024
 IDLE_TIMEOUT_S = 75.0
 REQUEST_READ_TIMEOUT_S = 20.0
+# Callers may learn of a lowered idle timeout this much later than the server, and of
+# a raised one that much sooner.
+IDLE_GRACE_S = 3.0
+# Bounds what h11 buffers for a head, if the limit in force is lower.
+HEAD_BUFFER_BYTES = 65536
 
 logger = logging.getLogger(__name__)
 
@@ -143,9 +148,10 @@
         self._options = options
         self._limits = options.limits()
         # _check_head enforces the limit in force for each request. h11's own limit is
-        # fixed for the life of the connection, so it is set to twice the first one.
+        # fixed for the life of the connection, so it is higher than the first one.
+        buffer_bytes = max(HEAD_BUFFER_BYTES, 2 * self._limits.header_bytes)
         self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=2 * self._limits.header_bytes
+            h11.SERVER, max_incomplete_event_size=buffer_bytes
         )
         self._is_caller_disconnected = False
         self._close_reason = CloseReason.LEFT
@@ -163,7 +169,6 @@
     async def _serve_one(self) -> bool:
         """Serve one request and return whether the connection can be used again."""
         self._close_reason = CloseReason.LEFT
-        self._limits = self._options.limits()
         writer = ResponseWriter(
             connection=self._connection,
             stream=self._stream,
@@ -250,10 +255,10 @@
         """Return the next request head, or None if the idle timeout expired first."""
         event = self._connection.next_event()
         if event is not h11.NEED_DATA:
+            self._limits = self._options.limits()
             return event
-        data = None
-        with trio.move_on_after(self._limits.idle_timeout_s):
-            data = await self._stream.receive_some(RECEIVE_BYTES)
+        data = await self._receive_after_idling()
+        self._limits = self._options.limits()
         if data is None:
             self._close_reason = CloseReason.IDLE
             return None
@@ -262,6 +267,22 @@
             return await self._next_event()
         raise MalformedRequestError("the head took too long", status=408)
 
+    async def _receive_after_idling(self) -> bytes | None:
+        """Return the first bytes of the next request, or None if none came in time.
+
+        The longest idle timeout that was in force meanwhile counts, as callers rely
+        on the one that they know.
+        """
+        idle_since = trio.current_time()
+        timeout_s = self._options.limits().idle_timeout_s
+        while True:
+            with trio.move_on_at(idle_since + timeout_s + IDLE_GRACE_S):
+                return await self._stream.receive_some(RECEIVE_BYTES)
+            latest_timeout_s = self._options.limits().idle_timeout_s
+            if latest_timeout_s <= timeout_s:
+                return None
+            timeout_s = latest_timeout_s
+
     async def _read_body(self, head: h11.Request) -> HttpRequest:
         if any(name == b"expect" for name, _ in head.headers):
             interim = h11.InformationalResponse(status_code=100, headers=[])
