Write an answer that is ready when the timeout of its request passes

The scope of the timeout enclosed the write: it was cancelled before its first byte, the writer counted as started, and so no refusal followed.

Attempts now end their waits for the target at the timeout themselves, with the outcome timed_out; writes have WRITE_GRACE_S more. A write that is cancelled before its first byte doesn't count as started any more, so that a refusal can follow.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -48,6 +48,7 @@
     MISDIRECTED: the request reached another target than the chosen one.
     LOST: the connection broke, or the stream ended within an event.
     SILENT: the target didn't answer in time, and another one can take over.
+    TIMED_OUT: the timeout of the request passed before the answer was complete.
     INVALID: the answer isn't a valid answer to this attempt.
     FAILED: the target's answer is an error response, or can't continue a stream.
     """
@@ -58,6 +59,7 @@
     MISDIRECTED = "misdirected"
     LOST = "lost"
     SILENT = "silent"
+    TIMED_OUT = "timed_out"
     INVALID = "invalid"
     FAILED = "failed"
 
@@ -100,8 +102,10 @@
     """Sends a call to a target and relays a valid answer to the caller.
 
     An error response of the target is kept in ``failure_response``, so that it can
-    be relayed if no other attempt follows. ``can_fail_over`` says whether another
-    target can take over; only then is the wait for this target limited.
+    be relayed if no other attempt follows. Until ``deadline``, on the trio clock, the
+    attempt waits for its target; what has arrived by then is relayed.
+    ``can_fail_over`` says whether another target can take over; only then is the wait
+    for this target limited further.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
     answer. ``events`` counts those that this target sent, the first of them at
     ``first_event_at``.
@@ -114,6 +118,7 @@
         codec: PlatformCodec,
         writer: ResponseWriter,
         progress: RelayProgress,
+        deadline: float,
         can_fail_over: bool,
         on_answering: Callable[[], None],
     ):
@@ -125,6 +130,7 @@
         self._codec = codec
         self._writer = writer
         self._progress = progress
+        self._deadline = deadline
         self._can_fail_over = can_fail_over
         self._on_answering = on_answering
         self._is_answering = False
@@ -164,7 +170,7 @@
                 with self._wait_until(first_deadline) as wait:
                     response = await stack.enter_async_context(exchange)
                 if wait.cancelled_caught:
-                    return AttemptOutcome.SILENT
+                    return self._unanswered()
                 return await self._handle_response(response, first_deadline)
         except RequestNotSentError:
             return AttemptOutcome.NOT_CONNECTED
@@ -198,7 +204,7 @@
                 if len(body) > ANSWER_BYTES_LIMIT:
                     return AttemptOutcome.INVALID
         if wait.cancelled_caught:
-            return AttemptOutcome.SILENT
+            return self._unanswered()
         answer = HttpResponse(
             status=head.status, headers=_relayed_headers(head), body=bytes(body)
         )
@@ -226,7 +232,7 @@
             with self._wait_until(deadline) as wait:
                 chunk = await anext(chunks, None)
             if wait.cancelled_caught:
-                return AttemptOutcome.SILENT
+                return self._unanswered()
             if chunk is None:
                 break
             try:
@@ -264,8 +270,15 @@
             self._on_answering()
 
     def _wait_until(self, deadline: float) -> trio.CancelScope:
-        """Return a scope that limits a wait if another target can take over."""
-        return trio.CancelScope(deadline=deadline if self._can_fail_over else math.inf)
+        """Return a scope for a wait that ends early if another target can take over."""
+        limit = deadline if self._can_fail_over else math.inf
+        return trio.CancelScope(deadline=min(limit, self._deadline))
+
+    def _unanswered(self) -> AttemptOutcome:
+        """Return the outcome after a wait that was cancelled."""
+        if trio.current_time() >= self._deadline:
+            return AttemptOutcome.TIMED_OUT
+        return AttemptOutcome.SILENT
 
     def _head_wait_s(self) -> float:
         return max(
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -52,6 +52,8 @@
 MAX_CONNECTION_FAILURES = 3
 DEFAULT_RETRY_AFTER_S = 0.25
 BUDGET_RETRY_AFTER_S = 0.3
+# An answer that is ready at the deadline of its request is written for so long.
+WRITE_GRACE_S = 0.25
 # Lower bound of the remaining time that a target is told; with less than this it
 # can't answer any more.
 MIN_REMAINING_S = 0.005
@@ -160,8 +162,12 @@
         return None
 
     async def _attempt_until_deadline(self) -> Refusal | None:
-        with trio.move_on_at(self._deadline):
+        # Attempts end their waits at the deadline; only writes may take longer.
+        with trio.move_on_at(self._deadline + WRITE_GRACE_S):
             return await self._attempt_targets()
+        return self._refuse_at_deadline()
+
+    def _refuse_at_deadline(self) -> Refusal:
         if self._progress.may_have_run or self._sent_attempts:
             return may_have_run(Reason.DEADLINE_PASSED)
         return not_run(Reason.OVERLOADED, retry_after_s=DEFAULT_RETRY_AFTER_S)
@@ -172,6 +178,8 @@
         while True:
             # Other routers may have seen the prompt crash a target meanwhile.
             await self._wait_for_decision()
+            if trio.current_time() >= self._deadline:
+                return self._refuse_at_deadline()
             refusal = self._refuse_quarantined()
             if refusal is not None:
                 return refusal
@@ -182,6 +190,8 @@
             outcome = await self._run_attempt(attempt, target)
             if outcome is AttemptOutcome.DELIVERED:
                 return None
+            if outcome is AttemptOutcome.TIMED_OUT:
+                return self._refuse_at_deadline()
             avoid.add(target.id)
             failed_connections += outcome is AttemptOutcome.NOT_CONNECTED
             self._sent_attempts += outcome is not AttemptOutcome.NOT_CONNECTED
@@ -241,6 +251,7 @@
             codec=self._services.codec,
             writer=self._writer,
             progress=self._progress,
+            deadline=self._deadline,
             can_fail_over=can_fail_over,
             on_answering=self._record_answer,
         )
@@ -266,6 +277,8 @@
             self._log.write_lost_attempt(attempt, target, sent_at=sent_at)
             if attempt.is_before_answer and self._request.shared_part_ids:
                 await self._record_crash(attempt, target, sent_at)
+        if outcome is AttemptOutcome.TIMED_OUT:
+            return outcome
         if outcome in UNREACHABLE_OUTCOMES:
             self._services.reachability.record_failure()
         elif outcome is not AttemptOutcome.LOST:
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -129,6 +129,9 @@
         return [("connection", "close")] if self._is_closing() else []
 
     async def _send_events(self, *events: h11.Event) -> None:
+        # A write that is cancelled before its first byte leaves the response as it
+        # was, so that another one can be sent.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self.started = True
         data = b"".join(self._connection.send(event) or b"" for event in events)
         await self._stream.send_all(data)
