Give up a silent target only once another one has been secured

Cause: the wait for a target ended when another one could take over in principle. Whether it may (retry budget, suspicion against the prompt, a usable target) was asked afterwards; a router of a small fleet has 1.75 retries in reserve, a pausing target may run tens of its streams.

TargetWait asks first and reserves the retry; without one the wait goes on, and it is asked again. Targets that failed lately aren't reason enough to leave a silent one. A check that comes late lets the reads go first. The silence is recorded for ejection and isolation when it is noticed, as before.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import enum
-import math
 from collections.abc import Callable
 
 import msgspec
@@ -14,6 +13,7 @@
     EventTooLongError,
 )
 from lavenderfold.direct._requests import AnswerHead, PlatformCodec, TargetCall
+from lavenderfold.direct._target_wait import TargetWait
 from lavenderfold.http import (
     HttpClient,
     HttpResponse,
@@ -26,8 +26,8 @@
 
 EVENT_STREAM_TYPE = "text/event-stream"
 ANSWER_BYTES_LIMIT = 16 * 1024 * 1024
-# How long to wait for the head or the next event of an answer before failing over
-# to another target, as a multiple of the route's latency objective or pause limit,
+# How long to wait for the head or the next event of an answer before another target
+# may take over, as a multiple of the route's latency objective or pause limit,
 # but at least the minimum.
 HEAD_WAIT_FACTOR = 2.5
 HEAD_WAIT_MIN_S = 0.6
@@ -47,7 +47,7 @@
 
     MISDIRECTED: the request reached another target than the chosen one.
     LOST: the connection broke, or the stream ended within an event.
-    SILENT: the target didn't answer in time, and another one can take over.
+    SILENT: the target didn't answer in time, and another one takes over.
     TIMED_OUT: the timeout of the request passed before the answer was complete.
     INVALID: the answer isn't a valid answer to this attempt.
     FAILED: the target's answer is an error response, or can't continue a stream.
@@ -102,10 +102,8 @@
     """Sends a call to a target and relays a valid answer to the caller.
 
     An error response of the target is kept in ``failure_response``, so that it can
-    be relayed if no other attempt follows. Until ``deadline``, on the trio clock, the
-    attempt waits for its target; what has arrived by then is relayed.
-    ``can_fail_over`` says whether another target can take over; only then is the wait
-    for this target limited further.
+    be relayed if no other attempt follows. ``target_wait`` limits the waits for the
+    target; what has arrived when they end is relayed.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
     answer. ``events`` counts those that this target sent, the first of them at
     ``first_event_at``.
@@ -118,8 +116,7 @@
         codec: PlatformCodec,
         writer: ResponseWriter,
         progress: RelayProgress,
-        deadline: float,
-        can_fail_over: bool,
+        target_wait: TargetWait,
         on_answering: Callable[[], None],
     ):
         self.failure_response: HttpResponse | None = None
@@ -130,8 +127,7 @@
         self._codec = codec
         self._writer = writer
         self._progress = progress
-        self._deadline = deadline
-        self._can_fail_over = can_fail_over
+        self._target_wait = target_wait
         self._on_answering = on_answering
         self._is_answering = False
 
@@ -151,7 +147,10 @@
         # Set before sending, so that it holds as well if the caller disconnects and
         # the attempt is cancelled before its outcome is known.
         self._progress.may_have_run = True
-        outcome = await self._send(client)
+        try:
+            outcome = await self._send(client)
+        finally:
+            self._target_wait.close()
         if outcome is AttemptOutcome.DELIVERED:
             self._record_answering()
         if outcome.is_certainly_not_run:
@@ -167,7 +166,7 @@
         first_deadline = trio.current_time() + self._head_wait_s()
         try:
             async with contextlib.AsyncExitStack() as stack:
-                with self._wait_until(first_deadline) as wait:
+                with self._target_wait.until_silent(first_deadline) as wait:
                     response = await stack.enter_async_context(exchange)
                 if wait.cancelled_caught:
                     return self._unanswered()
@@ -198,7 +197,7 @@
         self, head: AnswerHead, response: StreamedResponse, deadline: float
     ) -> AttemptOutcome:
         body = bytearray()
-        with self._wait_until(deadline) as wait:
+        with self._target_wait.until_silent(deadline) as wait:
             async for chunk in response.chunks():
                 body += chunk
                 if len(body) > ANSWER_BYTES_LIMIT:
@@ -229,7 +228,7 @@
             # Only the read is limited, not the write to the caller: events that are
             # counted as relayed must be written completely. A wait that has passed
             # while the process was suspended doesn't cancel what follows the read.
-            with self._wait_until(deadline) as wait:
+            with self._target_wait.until_silent(deadline) as wait:
                 chunk = await anext(chunks, None)
             if wait.cancelled_caught:
                 return self._unanswered()
@@ -269,16 +268,11 @@
             self._is_answering = True
             self._on_answering()
 
-    def _wait_until(self, deadline: float) -> trio.CancelScope:
-        """Return a scope for a wait that ends early if another target can take over."""
-        limit = deadline if self._can_fail_over else math.inf
-        return trio.CancelScope(deadline=min(limit, self._deadline))
-
     def _unanswered(self) -> AttemptOutcome:
         """Return the outcome after a wait that was cancelled."""
-        if trio.current_time() >= self._deadline:
-            return AttemptOutcome.TIMED_OUT
-        return AttemptOutcome.SILENT
+        if self._target_wait.is_taken_over:
+            return AttemptOutcome.SILENT
+        return AttemptOutcome.TIMED_OUT
 
     def _head_wait_s(self) -> float:
         return max(
--- a/src/lavenderfold/direct/_choice.py
+++ b/src/lavenderfold/direct/_choice.py
@@ -1,9 +1,11 @@
-"""TargetChoice of the target for one attempt.
+"""Choice of the target for one attempt.
 
 Requests that share a prompt prefix go to the same target, its home, by rendezvous
 hashing with bounded loads. Others go to the target with the least load.
 """
 
+from collections.abc import Set
+
 import msgspec
 import xxhash
 
@@ -19,10 +21,14 @@
 
 
 class TargetChoice(msgspec.Struct, frozen=True):
-    """A chosen target, and the reason of the choice as logged."""
+    """A chosen target, and the reason of the choice as logged.
+
+    ``is_last_resort`` means that all targets have failed lately.
+    """
 
     target: Target
     reason: str
+    is_last_resort: bool = False
 
 
 def shared_prefix_id(request: CallerRequest) -> str | None:
@@ -56,7 +62,7 @@
     load_tracker: LoadTracker,
     request: CallerRequest,
     *,
-    avoid: frozenset[str],
+    avoid: Set[str],
     failure_domain: str,
     now: float,
 ) -> TargetChoice | None:
@@ -73,7 +79,7 @@
     if prefix_id is not None:
         home = _home_target(pool, load_tracker, prefix_id)
         if home is not None:
-            return TargetChoice(home, "prefix")
+            return TargetChoice(home, "prefix", not healthy)
     chosen = min(
         pool,
         key=lambda each: (
@@ -82,4 +88,5 @@
             _rendezvous_score(each, request.attempt_id),
         ),
     )
-    return TargetChoice(chosen, "least_outstanding" if healthy else "all_set_aside")
+    reason = "least_outstanding" if healthy else "all_set_aside"
+    return TargetChoice(chosen, reason, not healthy)
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -1,13 +1,14 @@
 """Execution of one request: budget reservation, attempts, answer, settlement."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
+from functools import partial
 
 import msgspec
 import trio
 import xxhash
 
 from lavenderfold.direct._attempt import Attempt, AttemptOutcome, RelayProgress
-from lavenderfold.direct._choice import choose_target
+from lavenderfold.direct._choice import TargetChoice, choose_target
 from lavenderfold.direct._connections import TargetClients, has_crashed
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
 from lavenderfold.direct._load import LoadTracker
@@ -25,6 +26,7 @@
     answer_state,
 )
 from lavenderfold.direct._requests import CallerRequest, PlatformCodec, TargetCall
+from lavenderfold.direct._target_wait import TargetWait
 from lavenderfold.escrow import BalanceManager, Funding
 from lavenderfold.fleet import (
     Organisation,
@@ -58,8 +60,8 @@
 # can't answer any more.
 MIN_REMAINING_S = 0.005
 
-# Outcomes after which the router itself may be cut off from the network.
-UNREACHABLE_OUTCOMES = (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.SILENT)
+# Silence is recorded when it is noticed, and a timeout is no fault of the target.
+RECORDED_OUTCOMES = (AttemptOutcome.SILENT, AttemptOutcome.TIMED_OUT)
 BALANCE_REASONS = (Reason.BUDGET_SPENT.value, Reason.BUDGET_UNAVAILABLE.value)
 SIZE_MISSING = Refusal(status=400, reason="size_missing", outcome="not_run")
 
@@ -119,6 +121,10 @@
         self._log = RequestLog(request=request, metrics=services.metrics)
         self._choice_reason = ""
         self._not_repeated: str | None = None
+        # The ids of targets that an attempt failed at, and of those that fell silent.
+        self._avoid: set[str] = set()
+        self._silent_ids: set[str] = set()
+        self._has_reserved_retry = False
 
     async def run(self) -> None:
         """Answer the request and settle its reservation.
@@ -134,6 +140,8 @@
             if refusal is not None:
                 await self._refuse(refusal)
         finally:
+            if self._has_reserved_retry:
+                self._retry_budget.release()
             self._settle()
             self._write_result(refusal)
 
@@ -173,7 +181,6 @@
         return not_run(Reason.OVERLOADED, retry_after_s=DEFAULT_RETRY_AFTER_S)
 
     async def _attempt_targets(self) -> Refusal | None:
-        avoid: set[str] = set()
         failed_connections = 0
         while True:
             # Other routers may have seen the prompt crash a target meanwhile.
@@ -183,16 +190,18 @@
             refusal = self._refuse_quarantined()
             if refusal is not None:
                 return refusal
-            target = self._choose(frozenset(avoid))
-            if target is None:
+            choice = self._choose(self._avoid)
+            if choice is None:
                 return self._refuse_without_target()
+            target = choice.target
+            self._choice_reason = choice.reason
             attempt = self._new_attempt(target)
             outcome = await self._run_attempt(attempt, target)
             if outcome is AttemptOutcome.DELIVERED:
                 return None
             if outcome is AttemptOutcome.TIMED_OUT:
                 return self._refuse_at_deadline()
-            avoid.add(target.id)
+            self._avoid.add(target.id)
             failed_connections += outcome is AttemptOutcome.NOT_CONNECTED
             self._sent_attempts += outcome is not AttemptOutcome.NOT_CONNECTED
             if failed_connections >= MAX_CONNECTION_FAILURES or not self._may_repeat(
@@ -217,8 +226,8 @@
             Reason.PROMPT_QUARANTINED, retry_after_s=quarantine.remaining_s(part_ids)
         )
 
-    def _choose(self, avoid: frozenset[str]) -> Target | None:
-        choice = choose_target(
+    def _choose(self, avoid: Set[str]) -> TargetChoice | None:
+        return choose_target(
             self._services.directory.usable(self._service_name),
             self._services.load_tracker,
             self._request,
@@ -226,10 +235,6 @@
             failure_domain=self._services.domain,
             now=self._services.timers.now(),
         )
-        if choice is None:
-            return None
-        self._choice_reason = choice.reason
-        return choice.target
 
     def _new_attempt(self, target: Target) -> Attempt:
         now = trio.current_time()
@@ -241,21 +246,50 @@
             remaining_s=max(MIN_REMAINING_S, self._deadline - now),
             last_event_id=self._progress.last_event_id or self._request.last_event_id,
         )
-        can_fail_over = (
-            self._route.is_repeatable
-            and self._sent_attempts + 1 < self._route.attempt_limit
-            and len(self._services.directory.usable(self._service_name)) > 1
-        )
         return Attempt(
             call=call,
             codec=self._services.codec,
             writer=self._writer,
             progress=self._progress,
-            deadline=self._deadline,
-            can_fail_over=can_fail_over,
+            target_wait=self._new_target_wait(target),
             on_answering=self._record_answer,
         )
 
+    def _new_target_wait(self, target: Target) -> TargetWait:
+        can_repeat = (
+            self._route.is_repeatable
+            and self._sent_attempts + 1 < self._route.attempt_limit
+        )
+        return TargetWait(
+            timers=self._services.timers,
+            deadline=self._deadline,
+            try_take_over=partial(self._try_take_over, target) if can_repeat else None,
+        )
+
+    def _try_take_over(self, silent: Target) -> bool:
+        """Reserve an attempt at another target than a silent one, if there is one.
+
+        The silent target may go on, so it is given up only if the request can certainly
+        be sent to another target, and one that hasn't failed lately.
+        """
+        if silent.id not in self._silent_ids:
+            self._silent_ids.add(silent.id)
+            self._record_silence(silent)
+        if self._has_reserved_retry:
+            return True
+        if not self._is_prompt_sound:
+            return False
+        choice = self._choose(self._avoid | {silent.id})
+        if choice is None or choice.is_last_resort:
+            return False
+        self._has_reserved_retry = self._retry_budget.try_acquire()
+        return self._has_reserved_retry
+
+    def _record_silence(self, target: Target) -> None:
+        services = self._services
+        services.reachability.record_failure()
+        services.load_tracker.record_failure(target, now=services.timers.now())
+
     def _record_answer(self) -> None:
         self._services.quarantine.record_answer(self._request.shared_part_ids)
 
@@ -277,9 +311,9 @@
             self._log.write_lost_attempt(attempt, target, sent_at=sent_at)
             if attempt.is_before_answer and self._request.shared_part_ids:
                 await self._record_crash(attempt, target, sent_at)
-        if outcome is AttemptOutcome.TIMED_OUT:
+        if outcome in RECORDED_OUTCOMES:
             return outcome
-        if outcome in UNREACHABLE_OUTCOMES:
+        if outcome is AttemptOutcome.NOT_CONNECTED:
             self._services.reachability.record_failure()
         elif outcome is not AttemptOutcome.LOST:
             self._services.reachability.record_answer()
@@ -319,19 +353,22 @@
         if self._sent_attempts >= self._route.attempt_limit:
             self._not_repeated = "attempt_limit"
             return False
-        part_ids = self._request.shared_part_ids
-        if (
-            not outcome.is_certainly_not_run
-            and self._services.quarantine.verdict(part_ids) is not Verdict.SOUND
-        ):
+        if not outcome.is_certainly_not_run and not self._is_prompt_sound:
             # It may crash the next target as well.
             self._not_repeated = "prompt_suspected"
             return False
-        if not self._retry_budget.try_acquire():
+        if self._has_reserved_retry:
+            self._has_reserved_retry = False
+        elif not self._retry_budget.try_acquire():
             self._not_repeated = "retry_budget"
             return False
         return True
 
+    @property
+    def _is_prompt_sound(self) -> bool:
+        part_ids = self._request.shared_part_ids
+        return self._services.quarantine.verdict(part_ids) is Verdict.SOUND
+
     async def _give_up(
         self, attempt: Attempt, outcome: AttemptOutcome
     ) -> Refusal | None:
--- /dev/null
+++ b/src/lavenderfold/direct/_target_wait.py
@@ -0,0 +1,94 @@
+"""Limits the wait for a silent target to what another target can make up for."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import trio
+
+from lavenderfold.timers import Subscription, TimerService
+
+# After this time it is asked again whether another target can take over.
+RECHECK_S = 0.2
+# If a check comes later than this, the event loop was late rather than the target,
+# and what has arrived meanwhile is read first.
+LATE_CHECK_S = 0.1
+
+
+class TargetWait:
+    """The waits of one attempt for its target, up to ``deadline`` on the trio clock.
+
+    A silent target may go on, so its attempt is given up only for another one:
+    ``try_take_over`` is called when the target has been silent for the limit of a wait,
+    and the wait ends if it returns True. Without ``try_take_over`` only the deadline
+    ends a wait.
+    """
+
+    __slots__ = (
+        "is_taken_over",
+        "_timers",
+        "_deadline",
+        "_try_take_over",
+        "_scope",
+        "_silent_at",
+        "_subscription",
+    )
+
+    def __init__(
+        self,
+        *,
+        timers: TimerService,
+        deadline: float,
+        try_take_over: Callable[[], bool] | None,
+    ):
+        self.is_taken_over = False
+        self._timers = timers
+        self._deadline = deadline
+        self._try_take_over = try_take_over
+        self._scope: trio.CancelScope | None = None
+        self._silent_at = deadline
+        self._subscription: Subscription | None = None
+
+    @contextmanager
+    def until_silent(self, silent_at: float) -> Iterator[trio.CancelScope]:
+        """Enclose a wait for the target, which is silent from ``silent_at`` on.
+
+        If the wait was cancelled, ``is_taken_over`` says for which of both reasons.
+        """
+        self.is_taken_over = False
+        self._silent_at = silent_at
+        self._scope = trio.CancelScope(deadline=self._deadline)
+        self._schedule_check()
+        try:
+            with self._scope as scope:
+                yield scope
+        finally:
+            self._scope = None
+
+    def close(self) -> None:
+        """Stop checking."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+            self._subscription = None
+
+    def _schedule_check(self) -> None:
+        # Each event moves ``_silent_at``. A check that is scheduled already looks at it
+        # when it is due, which is cheaper than a new one for each event.
+        if self._try_take_over is None or self._subscription is not None:
+            return
+        delay_s = max(0.0, self._silent_at - trio.current_time())
+        self._subscription = self._timers.once(delay_s, self._check)
+
+    def _check(self, _: float) -> None:
+        self._subscription = None
+        if self._scope is None:
+            return
+        now = trio.current_time()
+        if now - self._silent_at > LATE_CHECK_S:
+            self._silent_at = now + LATE_CHECK_S
+        elif now >= self._silent_at:
+            if self._try_take_over():
+                self.is_taken_over = True
+                self._scope.cancel()
+                return
+            self._silent_at = now + RECHECK_S
+        self._schedule_check()
--- a/src/lavenderfold/routing/_retry.py
+++ b/src/lavenderfold/routing/_retry.py
@@ -40,6 +40,10 @@
         self._available -= 1.0
         return True
 
+    def release(self) -> None:
+        """Return a retry that was acquired and isn't needed any more."""
+        self._available = min(self._reserve, self._available + 1.0)
+
 
 def router_reserve(fleet_reserve: float, router_count: int) -> float:
     """Return one router's part of the retries that all routers have in reserve."""
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -9,6 +9,7 @@
 import trio
 
 from lavenderfold.fleet import RepeatPolicy
+from lavenderfold.routing import RetryBudget
 from tests.direct_support import (
     HttpResponse,
     count_target_requests,
@@ -138,3 +139,13 @@
             assert answer.body == WHOLE_STREAM
 
     run_scenario(scenario, never, stream(), config=PATIENT_CONFIG)
+
+
+def test_retry_reserved_for_a_target_that_goes_on_is_returned():
+    """Guards against a retry budget that is used up by targets that pause."""
+    retry_budget = RetryBudget(share=0.0, reserve=1.0)
+    assert retry_budget.try_acquire()
+    retry_budget.release()
+    retry_budget.release()
+    assert retry_budget.try_acquire()
+    assert not retry_budget.try_acquire()
