Bound each write to a caller from its own begin, and waits by late checks

No scope over a whole request can tell a late answer from a late router.

Each write now has its own limit, which doesn't begin before the write does. The deadline of a wait is a check of TargetWait like the one for silence: one that comes late lets what has arrived be read first, over several reads.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import enum
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 import trio
@@ -33,6 +33,8 @@
 HEAD_WAIT_MIN_S = 0.6
 EVENT_WAIT_FACTOR = 3.0
 EVENT_WAIT_MIN_S = 0.6
+# Time for a write to the caller that isn't complete at the deadline of the request.
+WRITE_GRACE_S = 0.2
 # With one of these statuses a router guarantees that the request didn't run, so a
 # target's own answer with such a status isn't relayed.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -48,7 +50,7 @@
     MISDIRECTED: the request reached another target than the chosen one.
     LOST: the connection broke, or the stream ended within an event.
     SILENT: the target didn't answer in time, and another one takes over.
-    TIMED_OUT: the timeout of the request passed before the answer was complete.
+    TIMED_OUT: the deadline of the request passed before the answer was complete.
     INVALID: the answer isn't a valid answer to this attempt.
     FAILED: the target's answer is an error response, or can't continue a stream.
     """
@@ -103,7 +105,8 @@
 
     An error response of the target is kept in ``failure_response``, so that it can
     be relayed if no other attempt follows. ``target_wait`` limits the waits for the
-    target; what has arrived when they end is relayed.
+    target; what has arrived by then is written also after ``deadline``, on the trio
+    clock, if the caller reads it.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
     answer. ``events`` counts those that this target sent, the first of them at
     ``first_event_at``.
@@ -116,6 +119,7 @@
         codec: PlatformCodec,
         writer: ResponseWriter,
         progress: RelayProgress,
+        deadline: float,
         target_wait: TargetWait,
         on_answering: Callable[[], None],
     ):
@@ -127,6 +131,7 @@
         self._codec = codec
         self._writer = writer
         self._progress = progress
+        self._deadline = deadline
         self._target_wait = target_wait
         self._on_answering = on_answering
         self._is_answering = False
@@ -157,6 +162,10 @@
             self._progress.may_have_run = may_have_run_before
         return outcome
 
+    async def relay_failure(self) -> None:
+        """Write the error response of the target to the caller."""
+        await self._write(self._writer.send(self.failure_response))
+
     async def _send(self, client: HttpClient) -> AttemptOutcome:
         request = self._codec.write_call(self._call)
         # The target may close an idle connection while the request is being sent,
@@ -212,8 +221,9 @@
             return AttemptOutcome.FAILED
         if head.is_success:
             self._progress.first_byte_at = trio.current_time()
-            await self._writer.send(answer)
-            return AttemptOutcome.DELIVERED
+            if await self._write(self._writer.send(answer)):
+                return AttemptOutcome.DELIVERED
+            return AttemptOutcome.TIMED_OUT
         if head.status not in NOT_RUN_STATUSES:
             self.failure_response = answer
         return AttemptOutcome.FAILED
@@ -238,21 +248,38 @@
                 events = splitter.feed(chunk)
             except EventTooLongError:
                 return AttemptOutcome.INVALID
-            if events is not None:
-                await self._write_events(head, events)
+            if events is not None and not await self._write_events(head, events):
+                return AttemptOutcome.TIMED_OUT
             deadline = trio.current_time() + self._event_wait_s()
         if splitter.has_partial_event:
             return AttemptOutcome.LOST
-        if not self._writer.started:
-            await self._writer.start(head.status, _relayed_headers(head))
-        await self._writer.finish()
-        return AttemptOutcome.DELIVERED
-
-    async def _write_events(self, head: AnswerHead, events: CompleteEvents) -> None:
-        if not self._writer.started:
-            await self._writer.start(head.status, _relayed_headers(head))
+        if await self._start(head) and await self._write(self._writer.finish()):
+            return AttemptOutcome.DELIVERED
+        return AttemptOutcome.TIMED_OUT
+
+    async def _write_events(self, head: AnswerHead, events: CompleteEvents) -> bool:
+        if not await self._start(head):
+            return False
         self._record_events(events)
-        await self._writer.write(events.data)
+        return await self._write(self._writer.write(events.data))
+
+    async def _start(self, head: AnswerHead) -> bool:
+        if self._writer.started:
+            return True
+        return await self._write(
+            self._writer.start(head.status, _relayed_headers(head))
+        )
+
+    async def _write(self, write: Awaitable[None]) -> bool:
+        """Write to the caller; return False if the caller reads too slowly.
+
+        The time that a write has isn't over before it begins, so that an answer that
+        is ready late, after a suspension, is delivered as well.
+        """
+        begun_at = max(trio.current_time(), self._deadline)
+        with trio.move_on_at(begun_at + WRITE_GRACE_S) as scope:
+            await write
+        return not scope.cancelled_caught
 
     def _record_events(self, events: CompleteEvents) -> None:
         now = trio.current_time()
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -43,8 +43,6 @@
 # ran, but each failed connection takes time. Give up after this many.
 MAX_CONNECTION_FAILURES = 3
 DEFAULT_RETRY_AFTER_S = 0.25
-# An answer that is ready at the deadline of its request is written for so long.
-WRITE_GRACE_S = 0.2
 # Lower bound of the remaining time that a target is told; with less than this it
 # can't answer any more.
 MIN_REMAINING_S = 0.005
@@ -105,7 +103,7 @@
         try:
             refusal = self._refuse_quarantined() or await self._reservation.reserve()
             if refusal is None:
-                refusal = await self._attempt_until_deadline()
+                refusal = await self._attempt_targets()
             if refusal is not None:
                 await self._refuse(refusal)
         finally:
@@ -116,12 +114,6 @@
             )
             self._write_result(refusal)
 
-    async def _attempt_until_deadline(self) -> Refusal | None:
-        # Attempts end their waits at the deadline; only writes may take longer.
-        with trio.move_on_at(self._deadline + WRITE_GRACE_S):
-            return await self._attempt_targets()
-        return self._refuse_at_deadline()
-
     def _refuse_at_deadline(self) -> Refusal:
         if self._progress.may_have_run or self._sent_attempts:
             return may_have_run(Reason.DEADLINE_PASSED)
@@ -198,6 +190,7 @@
             codec=self._services.codec,
             writer=self._writer,
             progress=self._progress,
+            deadline=self._deadline,
             target_wait=self._new_target_wait(target),
             on_answering=self._record_answer,
         )
@@ -320,7 +313,7 @@
         self, attempt: Attempt, outcome: AttemptOutcome
     ) -> Refusal | None:
         if attempt.failure_response is not None and not self._writer.started:
-            await self._writer.send(attempt.failure_response)
+            await attempt.relay_failure()
             return None
         if self._progress.may_have_run:
             return may_have_run(Reason.TARGET_FAILED)
--- a/src/lavenderfold/direct/_target_wait.py
+++ b/src/lavenderfold/direct/_target_wait.py
@@ -9,9 +9,10 @@
 
 # After this time it is asked again whether another target can take over.
 RECHECK_S = 0.2
-# If a check comes later than this, the event loop was late rather than the target,
-# and what has arrived meanwhile is read first.
-LATE_CHECK_S = 0.1
+# A check that comes this much too late shows that the event loop was late rather than
+# the target, so what has arrived meanwhile is read first, for the time of the grace.
+LATE_CHECK_S = 0.02
+LATE_GRACE_S = 0.1
 
 
 class TargetWait:
@@ -29,7 +30,7 @@
         "_deadline",
         "_try_take_over",
         "_scope",
-        "_silent_at",
+        "_due_at",
         "_subscription",
     )
 
@@ -45,19 +46,22 @@
         self._deadline = deadline
         self._try_take_over = try_take_over
         self._scope: trio.CancelScope | None = None
-        self._silent_at = deadline
+        self._due_at = deadline
         self._subscription: Subscription | None = None
 
     @contextmanager
     def until_silent(self, silent_at: float) -> Iterator[trio.CancelScope]:
         """Enclose a wait for the target, which is silent from ``silent_at`` on.
 
-        If the wait was cancelled, ``is_taken_over`` says for which of both reasons.
+        If the wait was cancelled, ``is_taken_over`` says whether another target takes
+        over; otherwise the deadline has passed.
         """
         self.is_taken_over = False
-        self._silent_at = silent_at
-        self._scope = trio.CancelScope(deadline=self._deadline)
+        self._due_at = self._deadline
+        if self._try_take_over is not None:
+            self._due_at = min(silent_at, self._deadline)
         self._schedule_check()
+        self._scope = trio.CancelScope()
         try:
             with self._scope as scope:
                 yield scope
@@ -71,24 +75,29 @@
             self._subscription = None
 
     def _schedule_check(self) -> None:
-        # Each event moves ``_silent_at``. A check that is scheduled already looks at it
-        # when it is due, which is cheaper than a new one for each event.
-        if self._try_take_over is None or self._subscription is not None:
-            return
-        delay_s = max(0.0, self._silent_at - trio.current_time())
-        self._subscription = self._timers.once(delay_s, self._check)
+        # Each event moves ``_due_at``. A check that is scheduled already looks at it
+        # when it comes, which is cheaper than a new one for each event.
+        if self._subscription is None:
+            delay_s = max(0.0, self._due_at - trio.current_time())
+            self._subscription = self._timers.once(delay_s, self._check)
 
     def _check(self, _: float) -> None:
         self._subscription = None
         if self._scope is None:
             return
         now = trio.current_time()
-        if now - self._silent_at > LATE_CHECK_S:
-            self._silent_at = now + LATE_CHECK_S
-        elif now >= self._silent_at:
-            if self._try_take_over():
-                self.is_taken_over = True
-                self._scope.cancel()
-                return
-            self._silent_at = now + RECHECK_S
+        late_s = now - self._due_at
+        if late_s >= 0 and self._is_over(now, late_s):
+            self._scope.cancel()
+            return
         self._schedule_check()
+
+    def _is_over(self, now: float, late_s: float) -> bool:
+        if late_s > LATE_CHECK_S:
+            self._due_at = now + LATE_GRACE_S
+            return False
+        if now >= self._deadline:
+            return True
+        self.is_taken_over = self._try_take_over()
+        self._due_at = min(now + RECHECK_S, self._deadline)
+        return self.is_taken_over
