Put a late check of a wait off only once

On an event loop with turns of 60 ms and more each check was late and was put off again, so that neither another target nor the timeout ended the wait; a stream with events less than 0.1 s apart ran on beyond its timeout; and a check scheduled for the head of an answer wasn't brought forward for the shorter limit of the next event.

A check counts as late by the time that it was scheduled for, the next one acts, and a shorter limit replaces the scheduled check.

--- a/src/lavenderfold/direct/_target_wait.py
+++ b/src/lavenderfold/direct/_target_wait.py
@@ -1,5 +1,6 @@
 """Limits the wait for a silent target to what another target can make up for."""
 
+import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -31,6 +32,8 @@
         "_try_take_over",
         "_scope",
         "_due_at",
+        "_check_at",
+        "_has_grace",
         "_subscription",
     )
 
@@ -47,6 +50,8 @@
         self._try_take_over = try_take_over
         self._scope: trio.CancelScope | None = None
         self._due_at = deadline
+        self._check_at = math.inf
+        self._has_grace = False
         self._subscription: Subscription | None = None
 
     @contextmanager
@@ -73,29 +78,39 @@
         if self._subscription is not None:
             self._subscription.cancel()
             self._subscription = None
+        self._check_at = math.inf
 
     def _schedule_check(self) -> None:
-        # Each event moves ``_due_at``. A check that is scheduled already looks at it
-        # when it comes, which is cheaper than a new one for each event.
-        if self._subscription is None:
-            delay_s = max(0.0, self._due_at - trio.current_time())
-            self._subscription = self._timers.once(delay_s, self._check)
+        # Each event moves ``_due_at``. A check that is scheduled for an earlier time
+        # looks at it then, which is cheaper than a new one for each event.
+        if self._check_at > self._due_at:
+            self._check_in(self._due_at - trio.current_time())
+
+    def _check_in(self, delay_s: float) -> None:
+        self.close()
+        delay_s = max(0.0, delay_s)
+        self._check_at = trio.current_time() + delay_s
+        self._subscription = self._timers.once(delay_s, self._check)
 
     def _check(self, _: float) -> None:
+        now = trio.current_time()
+        late_s = now - self._check_at
         self._subscription = None
+        self._check_at = math.inf
         if self._scope is None:
             return
-        now = trio.current_time()
-        late_s = now - self._due_at
-        if late_s >= 0 and self._is_over(now, late_s):
+        if late_s > LATE_CHECK_S and not self._has_grace:
+            # Only once in a row, or a slow event loop would put each check off.
+            self._has_grace = True
+            self._check_in(LATE_GRACE_S)
+            return
+        self._has_grace = False
+        if now >= self._due_at and self._is_over(now):
             self._scope.cancel()
             return
         self._schedule_check()
 
-    def _is_over(self, now: float, late_s: float) -> bool:
-        if late_s > LATE_CHECK_S:
-            self._due_at = now + LATE_GRACE_S
-            return False
+    def _is_over(self, now: float) -> bool:
         if now >= self._deadline:
             return True
         self.is_taken_over = self._try_take_over()
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -3,8 +3,10 @@
 import time
 
 import pytest
+import trio
 
 from lavenderfold.fleet import RepeatPolicy
+from lavenderfold.http import ResponseLostError
 from tests.direct_support import (
     event,
     make_config,
@@ -25,9 +27,9 @@
 )
 
 
-def suspend() -> None:
+def suspend(duration_s: float = SUSPENSION_S) -> None:
     """Stop the event loop, and with it the router."""
-    time.sleep(SUSPENSION_S)
+    time.sleep(duration_s)
 
 
 def answer_and_suspend(body: bytes, content_type: str = "text/plain"):
@@ -77,3 +79,38 @@
 
     script = answer_and_suspend(body, "text/event-stream")
     run_scenario(scenario, script, config=CONFIG)
+
+
+@pytest.mark.parametrize("late_s", [0.0, 0.06])
+def test_stream_ends_at_the_timeout_if_its_events_are_close_together(late_s):
+    """Guards against a stream that goes on for as long as its target sends events.
+
+    The event loop is ``late_s`` late at the timeout, which is reset to the past by
+    each read and then counts as a late check again.
+    """
+
+    async def tokens(request, writer):
+        headers = [*valid_headers(request), ("content-type", "text/event-stream")]
+        await writer.start(200, headers)
+        for number in range(1, 80):
+            await writer.write(event(number))
+            await trio.sleep(0.05)
+
+    async def scenario(fleet):
+        started_at = trio.current_time()
+
+        async def delay_event_loop():
+            await trio.sleep_until(started_at + TIMEOUT_S - 0.02)
+            suspend(0.02 + late_s)
+
+        async with trio.open_nursery() as nursery:
+            if late_s:
+                nursery.start_soon(delay_event_loop)
+            with pytest.raises(ResponseLostError):
+                await fleet.send_request("/draft/x", patience="3")
+        assert trio.current_time() - started_at < TIMEOUT_S + 0.6
+
+    route = make_route(
+        "draft", RepeatPolicy.STREAM, is_resumable=True, timeout_s=TIMEOUT_S
+    )
+    run_scenario(scenario, tokens, config=make_config(routes=(route,)))
