Keep the longest of the idle timeouts that were in force lately

A head that had begun with the previous request was closed as idle instead of refused with 408.

CallerLimitHistory keeps replaced timeouts for IDLE_GRACE_S. A begun head is waited for by the timeout of heads.

--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -8,6 +8,7 @@
 import trio
 
 from lavenderfold.direct._caller_api import CallerApi
+from lavenderfold.direct._caller_limits import CallerLimitHistory
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
 from lavenderfold.direct._load import LoadTracker
@@ -22,7 +23,6 @@
     HttpRequest,
     HttpResponse,
     ResponseWriter,
-    ServerLimits,
     ServerOptions,
     serve,
 )
@@ -151,7 +151,7 @@
             domain=options.domain,
         )
         self._caller_api = CallerApi(services=self._services, config=self._config)
-        self._limits = ServerLimits()
+        self._limits = CallerLimitHistory()
         self.listen_address: Address | None = None
         self.metrics_address: Address | None = None
 
@@ -233,7 +233,7 @@
 
     async def _start_servers(self, nursery: trio.Nursery) -> None:
         options = ServerOptions(
-            limits=lambda: self._limits,
+            limits=lambda: self._limits.in_force(self._timers.now()),
             is_closing=self._is_closing,
             cancels_on_disconnect=True,
             on_closed=self._metrics.record_closed_connection,
@@ -335,13 +335,7 @@
 
     def _apply_config(self, table: RouteTable) -> None:
         self._metrics.set_config_version(table.version)
-        limits = table.config.limits
-        self._limits = ServerLimits(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
-            idle_timeout_s=limits.idle_timeout_s,
-            read_timeout_s=limits.header_timeout_s,
-        )
+        self._limits.set(table.config.limits, now=self._timers.now())
         limit_by_organisation = {
             each.name: each.limit_tokens
             for each in table.config.organisations
--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -17,6 +17,7 @@
 )
 from lavenderfold.http._peer_client import CallFailedError, PeerClient
 from lavenderfold.http._server import (
+    IDLE_GRACE_S,
     CloseReason,
     ResponseWriter,
     ServerLimits,
@@ -32,6 +33,7 @@
     "HttpClientError",
     "HttpRequest",
     "HttpResponse",
+    "IDLE_GRACE_S",
     "MalformedRequestError",
     "PeerClient",
     "RequestNotSentError",
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -260,18 +260,17 @@
         if event is not h11.NEED_DATA:
             self._limits = self._options.limits()
             return event
-        data = await self._receive_after_idling()
-        self._limits = self._options.limits()
-        if data is None:
+        is_begun = bool(self._connection.trailing_data[0])
+        if not is_begun and not await self._receive_after_idling():
             self._close_reason = CloseReason.IDLE
             return None
-        self._connection.receive_data(data)
+        self._limits = self._options.limits()
         with trio.move_on_after(self._limits.read_timeout_s):
             return await self._next_event()
         raise MalformedRequestError("the head took too long", status=408)
 
-    async def _receive_after_idling(self) -> bytes | None:
-        """Return the first bytes of the next request, or None if none came in time.
+    async def _receive_after_idling(self) -> bool:
+        """Receive the first bytes of the next request; return False if none came.
 
         The longest idle timeout that was in force meanwhile counts, as callers rely
         on the one that they know.
@@ -280,10 +279,12 @@
         timeout_s = self._options.limits().idle_timeout_s
         while True:
             with trio.move_on_at(idle_since + timeout_s + IDLE_GRACE_S):
-                return await self._stream.receive_some(RECEIVE_BYTES)
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                self._connection.receive_data(data)
+                return True
             latest_timeout_s = self._options.limits().idle_timeout_s
             if latest_timeout_s <= timeout_s:
-                return None
+                return False
             timeout_s = latest_timeout_s
 
     async def _read_body(self, head: h11.Request) -> HttpRequest:
