--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -215,14 +215,11 @@
         if silent.id not in self._silent_ids:
             self._silent_ids.add(silent.id)
             self._record_silence(silent)
-        if self._has_reserved_retry:
-            return True
-        if not self._is_prompt_sound:
-            return False
         choice = self._choose(self._avoid | {silent.id})
-        if choice is None or choice.is_last_resort:
+        if choice is None or choice.is_last_resort or not self._is_prompt_sound:
             return False
-        self._has_reserved_retry = self._retry_budget.try_acquire()
+        if not self._has_reserved_retry:
+            self._has_reserved_retry = self._retry_budget.try_acquire()
         return self._has_reserved_retry
 
     def _record_silence(self, target: Target) -> None:
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 
+from lavenderfold.direct import _request_execution
 from lavenderfold.fleet import RepeatPolicy
 from lavenderfold.routing import RetryBudget
 from tests.direct_support import (
@@ -16,6 +17,7 @@
     event,
     make_config,
     make_route,
+    reject,
     run_scenario,
     stream,
     valid_headers,
@@ -149,3 +151,109 @@
     retry_budget.release()
     assert retry_budget.try_acquire()
     assert not retry_budget.try_acquire()
+
+
+def pause_then(other):
+    """Return a script for two targets: the first pauses in its stream.
+
+    The target that takes over runs ``other``.
+    """
+
+    async def script(request, writer):
+        if request.header("x-last") is not None or script.begun:
+            await other(request, writer)
+            return
+        script.begun = True
+        headers = [*valid_headers(request), ("content-type", "text/event-stream")]
+        await writer.start(200, headers)
+        for number in range(1, 5):
+            if number == 3:
+                await trio.sleep(1.0)
+            await writer.write(event(number))
+        await writer.finish()
+
+    script.begun = False
+    return script
+
+
+def test_stream_goes_on_if_the_target_that_takes_over_refuses_it():
+    """Guards against a stream that is cut for a target that doesn't take it.
+
+    Its first target would have gone on 0.4 s later. A refusal that is certainly not
+    run uses up the last attempt.
+    """
+
+    async def scenario(fleet):
+        answer = await fleet.send_request("/draft/x", patience="6")
+        assert answer.body == WHOLE_STREAM
+
+    script = pause_then(reject)
+    run_scenario(scenario, script, script, config=PATIENT_CONFIG)
+
+
+def test_request_is_answered_if_the_target_that_takes_over_refuses_it():
+    """Guards against 502 for a request that its silent target was about to answer."""
+    begun = []
+
+    async def script(request, writer):
+        if begun:
+            await reject(request, writer)
+            return
+        begun.append(request)
+        await trio.sleep(1.0)
+        headers = valid_headers(request)
+        await writer.send(HttpResponse(status=200, headers=headers, body=b"done"))
+
+    async def scenario(fleet):
+        answer = await fleet.send_request("/read/x", patience="6")
+        assert (answer.status, answer.body) == (200, b"done")
+
+    route = make_route("read", RepeatPolicy.IDEMPOTENT, timeout_s=6.0)
+    run_scenario(scenario, script, script, config=make_config(routes=(route,)))
+
+
+def test_reserved_retry_is_used_only_if_another_target_is_usable():
+    """Guards against a retry that was reserved once and is acted on much later.
+
+    The first take-over found an event that arrived in the same turn; the other target
+    has left before the second silence.
+    """
+    outcomes = []
+    original = _request_execution.RequestExecution._try_take_over
+
+    def race(self, silent):
+        # As in a turn in which the event has arrived as well: the retry is reserved,
+        # and the wait isn't cancelled any more.
+        if not outcomes:
+            outcomes.append(original(self, silent))
+            return False
+        return original(self, silent)
+
+    async def script(request, writer):
+        headers = [*valid_headers(request), ("content-type", "text/event-stream")]
+        await writer.start(200, headers)
+        for number in range(1, 5):
+            if number in (2, 4):
+                await trio.sleep(0.9)
+            await writer.write(event(number))
+        await writer.finish()
+
+    async def scenario(fleet):
+        answers = []
+
+        async def send():
+            answers.append(await fleet.send_request("/draft/x", patience="6"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await fleet.wait_until(lambda: bool(outcomes))
+            for target in fleet.target_by_id.values():
+                if not target.received:
+                    fleet.register(target, is_draining=True)
+        assert outcomes == [True]
+        assert answers[0].body == WHOLE_STREAM
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(_request_execution.RequestExecution, "_try_take_over", race)
+        config = PATIENT_CONFIG
+        run_scenario(scenario, script, script, config=config)
