--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -149,9 +149,6 @@
     async def run(self, client: HttpClient) -> AttemptOutcome:
         """Run the attempt until it ends or is cancelled; return its outcome."""
         may_have_run_before = self._progress.may_have_run
-        # Set before sending, so that it holds as well if the caller disconnects and
-        # the attempt is cancelled before its outcome is known.
-        self._progress.may_have_run = True
         try:
             outcome = await self._send(client)
         finally:
@@ -162,6 +159,11 @@
             self._progress.may_have_run = may_have_run_before
         return outcome
 
+    def _record_sending(self) -> None:
+        # Set before the first byte is sent, so that it holds as well if the caller
+        # disconnects and the attempt is cancelled before its outcome is known.
+        self._progress.may_have_run = True
+
     async def relay_failure(self) -> None:
         """Write the error response of the target to the caller."""
         await self._write(self._writer.send(self.failure_response))
@@ -171,7 +173,11 @@
         # The target may close an idle connection while the request is being sent,
         # which leaves unknown whether it ran. Requests that must not run twice are
         # therefore sent on a new connection.
-        exchange = client.stream(request, is_fresh=not self._call.route.is_repeatable)
+        exchange = client.stream(
+            request,
+            is_fresh=not self._call.route.is_repeatable,
+            on_sending=self._record_sending,
+        )
         first_deadline = trio.current_time() + self._head_wait_s()
         try:
             async with contextlib.AsyncExitStack() as stack:
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -117,7 +117,7 @@
     def _refuse_at_deadline(self) -> Refusal:
         if self._progress.may_have_run or self._sent_attempts:
             return may_have_run(Reason.DEADLINE_PASSED)
-        return not_run(Reason.OVERLOADED, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        return not_run(Reason.CONNECTION_FAILED, retry_after_s=DEFAULT_RETRY_AFTER_S)
 
     async def _attempt_targets(self) -> Refusal | None:
         failed_connections = 0
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -6,7 +6,7 @@
 
 import socket
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 
 import h11
@@ -203,14 +203,21 @@
 
     @asynccontextmanager
     async def stream(
-        self, request: HttpRequest, *, is_fresh: bool = False
+        self,
+        request: HttpRequest,
+        *,
+        is_fresh: bool = False,
+        on_sending: Callable[[], None] | None = None,
     ) -> AsyncIterator[StreamedResponse]:
         """Send a request and yield its response before its body is complete.
 
         With ``is_fresh`` a new connection is opened. The peer may drop an idle
         connection without notice, and a request lost with it may have been run.
+        ``on_sending`` is called right before the first byte is sent.
         """
         connection = await (self._connect() if is_fresh else self._acquire())
+        if on_sending is not None:
+            on_sending()
         try:
             head = await connection.exchange(request)
             yield StreamedResponse(head=head, connection=connection)
