Decode what targets say of their leaving and of pauses

Callers saw requests sent to targets that had said in their answers that they leave, or want nothing for a while: the platform codec dropped both headers.

AnswerHead has is_leaving and pause_s now. A pause that can't be read is NaN, so that it can be counted; only digits with a decimal point are read, because float() accepts signs, underscores and infinity.

--- a/src/lavenderfold/direct/_requests.py
+++ b/src/lavenderfold/direct/_requests.py
@@ -67,7 +67,9 @@
     """Status and headers of a target's answer.
 
     ``is_signed`` answers come from the application of a target. ``is_not_run``
-    means that the target certainly didn't run the request.
+    means that the target certainly didn't run the request. ``is_leaving`` targets
+    are about to exit. ``pause_s`` is how long the target wants no request from this
+    router, None if it doesn't say, and NaN if that can't be read.
     """
 
     status: int
@@ -77,11 +79,18 @@
     is_misdirected: bool
     is_encoded: bool
     headers: list[tuple[str, str]]
+    is_leaving: bool = False
+    pause_s: float | None = None
 
     @property
     def is_success(self) -> bool:
         return 200 <= self.status < 300
 
+    @property
+    def asks_pause(self) -> bool:
+        """Whether the target asks for a pause with a valid value."""
+        return self.pause_s is not None and self.pause_s > 0
+
 
 class PlatformCodec(msgspec.Struct, frozen=True, kw_only=True):
     """Functions that encode and decode a platform's requests and answers.
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,7 @@
 the store's client.
 """
 
+import math
 from functools import partial
 
 import msgspec
@@ -157,6 +158,42 @@
     assert read_answer(503, [("not-executed", "1")]).is_not_run
 
 
+@pytest.mark.parametrize("status", [200, 404, 421, 500, 503])
+def test_leaving_is_read_from_any_answer(status):
+    """Guards against a leaving that only successes or refusals can tell."""
+    headers = [("attempt-id", "a1"), ("server-leaving", "1")]
+    assert read_answer(status, headers).is_leaving
+    assert not read_answer(status, [("server-leaving", "0")]).is_leaving
+    assert not read_answer(status, [("attempt-id", "a1")]).is_leaving
+
+
+@pytest.mark.parametrize(("text", "pause_s"), [("2", 2.0), ("0.25", 0.25), ("0", 0.0)])
+def test_pause_is_read_from_an_answer_with_status_503(text, pause_s):
+    """Guards against pauses read from answers that turn nothing away."""
+    answer = read_answer(503, [("retry-after", text)])
+    assert answer.pause_s == pause_s
+    assert answer.asks_pause == (pause_s > 0)
+    assert read_answer(200, [("retry-after", text)]).pause_s is None
+    assert read_answer(503, [("attempt-id", "a1")]).pause_s is None
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "soon", "-1", "inf", "nan", "1_0", "1,5", "Fri, 04 Dec 2026 10:00:00 GMT"],
+)
+def test_invalid_pause_is_no_pause(text):
+    """Guards against an error, or a pause without end, from an invalid value."""
+    answer = read_answer(503, [("retry-after", text), ("not-executed", "1")])
+    assert math.isnan(answer.pause_s)
+    assert not answer.asks_pause
+    assert answer.is_not_run
+
+
+def test_pause_of_too_many_digits_is_read():
+    """Guards against an error from a number that a float can't hold."""
+    assert read_answer(503, [("retry-after", "9" * 5000)]).asks_pause
+
+
 def test_config_is_decoded_and_unknown_fields_are_ignored():
     route = make_call().route
     assert route.repeat_policy is RepeatPolicy.STREAM
