Send nothing to targets that leave or pause, as their answers say

Callers got refusals and lost answers from targets that had said that they leave or want nothing for a while: only the directory took a target out, and a 503 ejected its target like a failure or had no effect at all.

The load tracker keeps both beside load and ejection, by incarnation. The head of every answer is passed to it before the answer is checked, so that errors, refusals and answers to other attempts count too; a 421 doesn't, because it comes from another target at a reused address. The choice leaves out targets that aren't available before it looks at ejections, so that the fallback to ejected ones can't choose them, and failover is judged by the same list. A leaving incarnation stays marked for 600 s after its entry was last in the directory, since a listing after an outage may bring the entry back. Of two pauses the later end counts, and neither a success nor a lost connection changes it. A pause is no failure: no ejection, no crash evidence. Values that can't be read are ignored, those over 60 s count as 60 s; both are counted.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -103,8 +103,9 @@
     be relayed if no other attempt follows. ``can_fail_over`` says whether another
     target can take over; only then is the wait for this target limited.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
-    answer. ``events`` counts those that this target sent, the first of them at
-    ``first_event_at``.
+    answer, ``on_head`` when the head of any answer was read. ``is_turned_away`` says
+    whether the target asked for a pause. ``events`` counts those that this target
+    sent, the first of them at ``first_event_at``.
     """
 
     def __init__(
@@ -116,9 +117,11 @@
         progress: RelayProgress,
         can_fail_over: bool,
         on_answering: Callable[[], None],
+        on_head: Callable[[AnswerHead], None],
     ):
         self.failure_response: HttpResponse | None = None
         self.status: int | None = None
+        self.is_turned_away = False
         self.events = 0
         self.first_event_at: float | None = None
         self._call = call
@@ -127,6 +130,7 @@
         self._progress = progress
         self._can_fail_over = can_fail_over
         self._on_answering = on_answering
+        self._on_head = on_head
         self._is_answering = False
 
     @property
@@ -176,6 +180,8 @@
     ) -> AttemptOutcome:
         head = self._codec.read_answer(response.status, response.headers)
         self.status = head.status
+        self.is_turned_away = head.asks_pause
+        self._on_head(head)
         if head.attempt_id != self._call.request.attempt_id:
             return AttemptOutcome.INVALID
         if head.is_not_run:
--- a/src/lavenderfold/direct/_choice.py
+++ b/src/lavenderfold/direct/_choice.py
@@ -1,4 +1,4 @@
-"""TargetChoice of the target for one attempt.
+"""Choice of the target for one attempt.
 
 Requests that share a prompt prefix go to the same target, its home, by rendezvous
 hashing with bounded loads. Others go to the target with the least load.
@@ -62,9 +62,11 @@
 ) -> TargetChoice | None:
     """Return the target for the next attempt, or None if there is none.
 
-    Targets that were ejected after failures are used only if no other is left.
+    Targets that were ejected after failures are used only if no other is left, those
+    that leave or pause never.
     """
-    usable = [each for each in candidates if each.id not in avoid]
+    available = load_tracker.available(candidates, now=now)
+    usable = [each for each in available if each.id not in avoid]
     if not usable:
         return None
     healthy = [each for each in usable if not load_tracker.is_ejected(each, now=now)]
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -16,13 +16,17 @@
 
 
 class RouterSnapshot(msgspec.Struct, frozen=True, kw_only=True):
-    """State of a router at the time its metrics are read. Ages are in seconds."""
+    """State of a router at the time its metrics are read. Ages are in seconds.
+
+    ``targets_by_notice`` counts the listed targets that leave or pause.
+    """
 
     active: int
     balances: list[LocalBalanceState]
     log_lines_left_out: int
     quarantine: QuarantineSnapshot
     states: frozenset[str]
+    targets_by_notice: dict[str, int]
     watch_age_by_prefix: dict[str, float]
 
 
@@ -43,6 +47,18 @@
             ["outcome"],
             registry=self._registry,
         )
+        self._targets = Gauge(
+            "lavenderfold_targets",
+            "Listed targets that get no request: leaving or pausing, as they said.",
+            ["state"],
+            registry=self._registry,
+        )
+        self._target_pauses = Counter(
+            "lavenderfold_target_pauses",
+            "Pauses in targets' answers by their value: valid, too_long or invalid.",
+            ["value"],
+            registry=self._registry,
+        )
         self._first_byte_time = Histogram(
             "lavenderfold_first_byte_seconds",
             "Time to the first byte of an answer.",
@@ -115,6 +131,10 @@
     def record_attempt(self, outcome: str) -> None:
         self._attempts.labels(outcome).inc()
 
+    def record_pause(self, value: str) -> None:
+        """Count a pause in a target's answer by the kind of its value."""
+        self._target_pauses.labels(value).inc()
+
     def record_store_call(self, call: StoreCall) -> None:
         self._store_calls.labels(call.kind, call.purpose, call.result).inc()
 
@@ -144,6 +164,8 @@
             self._watch_age.labels(prefix).set(age_s)
         for name in ROUTER_STATES:
             self._states.labels(name).set(name in snapshot.states)
+        for state, count in snapshot.targets_by_notice.items():
+            self._targets.labels(state).set(count)
         quarantine = snapshot.quarantine
         self._prompts.labels("suspected").set(quarantine.suspected)
         self._prompts.labels("quarantined").set(quarantine.quarantined)
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -1,6 +1,7 @@
 """Execution of one request: budget reservation, attempts, answer, settlement."""
 
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 import trio
@@ -12,6 +13,7 @@
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
 from lavenderfold.direct._load import LoadTracker
 from lavenderfold.direct._metrics import RouterMetrics
+from lavenderfold.direct._notices import TargetNotices
 from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._refusals import (
     Refusal,
@@ -70,6 +72,7 @@
     codec: PlatformCodec
     directory: TargetDirectory
     metrics: RouterMetrics
+    notices: TargetNotices
     quarantine: PromptQuarantine
     event_loop_monitor: EventLoopMonitor
     reachability: Reachability
@@ -202,9 +205,16 @@
             Reason.PROMPT_QUARANTINED, retry_after_s=quarantine.remaining_s(part_ids)
         )
 
+    def _targets(self) -> list[Target]:
+        return self._services.directory.usable(self._service_name)
+
+    def _available_count(self) -> int:
+        now = self._services.timers.now()
+        return len(self._services.load_tracker.available(self._targets(), now=now))
+
     def _choose(self, avoid: frozenset[str]) -> Target | None:
         choice = choose_target(
-            self._services.directory.usable(self._service_name),
+            self._targets(),
             self._services.load_tracker,
             self._request,
             avoid=avoid,
@@ -229,7 +239,7 @@
         can_fail_over = (
             self._route.is_repeatable
             and self._sent_attempts + 1 < self._route.attempt_limit
-            and len(self._services.directory.usable(self._service_name)) > 1
+            and self._available_count() > 1
         )
         return Attempt(
             call=call,
@@ -238,6 +248,11 @@
             progress=self._progress,
             can_fail_over=can_fail_over,
             on_answering=self._record_answer,
+            on_head=partial(
+                self._services.notices.record,
+                target,
+                request_id=self._request.attempt_id,
+            ),
         )
 
     def _record_answer(self) -> None:
@@ -259,7 +274,7 @@
         self._last_outcome = outcome
         if outcome is AttemptOutcome.LOST:
             self._log.write_lost_attempt(attempt, target, sent_at=sent_at)
-            if attempt.is_before_answer and self._request.shared_part_ids:
+            if self._may_have_crashed(attempt):
                 await self._record_crash(attempt, target, sent_at)
         if outcome in UNREACHABLE_OUTCOMES:
             self._services.reachability.record_failure()
@@ -267,10 +282,15 @@
             self._services.reachability.record_answer()
         if outcome is AttemptOutcome.DELIVERED:
             load_tracker.record_success(target)
-        elif outcome is not AttemptOutcome.REJECTED:
+        elif outcome is not AttemptOutcome.REJECTED and not attempt.is_turned_away:
             load_tracker.record_failure(target, now=self._services.timers.now())
         return outcome
 
+    def _may_have_crashed(self, attempt: Attempt) -> bool:
+        """Whether the prompt of a lost attempt may have crashed its target."""
+        is_suspect = attempt.is_before_answer and not attempt.is_turned_away
+        return is_suspect and bool(self._request.shared_part_ids)
+
     async def _record_crash(
         self, attempt: Attempt, target: Target, sent_at: float
     ) -> None:
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -12,6 +12,7 @@
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
 from lavenderfold.direct._load import LoadTracker
 from lavenderfold.direct._metrics import RouterMetrics, RouterSnapshot
+from lavenderfold.direct._notices import TargetNotices
 from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._request_execution import RouterServices
 from lavenderfold.direct._requests import PlatformCodec
@@ -136,9 +137,13 @@
             wait_s=options.watch_wait_s,
             on_answer=self.reachability.record_answer,
         )
+        load_tracker = LoadTracker()
         self._services = RouterServices(
             balance_manager=self._balance_manager,
-            load_tracker=LoadTracker(),
+            load_tracker=load_tracker,
+            notices=TargetNotices(
+                load_tracker=load_tracker, metrics=self._metrics, timers=timers
+            ),
             clients=TargetClients(),
             codec=codec,
             directory=self._targets.directory,
@@ -289,6 +294,9 @@
             log_lines_left_out=self._log_lines_left_out(),
             quarantine=self._quarantine.snapshot(),
             states=frozenset(name for name, holds in is_true_by_state.items() if holds),
+            targets_by_notice=self._services.load_tracker.count_by_notice(
+                self._targets.directory.targets(), now=now
+            ),
             watch_age_by_prefix={
                 options.config_prefix: now - self._config_follower.answered_at,
                 options.targets_prefix: now - self._target_follower.answered_at,
@@ -307,9 +315,10 @@
         while True:
             await trio.sleep(CLEANUP_PERIOD_S)
             self._update_retry_limits()
-            targets = self._known_targets()
-            self._services.load_tracker.keep_only(targets)
-            await self._services.clients.keep_only(targets)
+            self._services.load_tracker.keep_only(
+                self._targets.directory.targets(), now=self._timers.now()
+            )
+            await self._services.clients.keep_only(self._known_targets())
 
     @property
     def _retry_reserve(self) -> float:
--- a/src/lavenderfold/fleet/_directory.py
+++ b/src/lavenderfold/fleet/_directory.py
@@ -93,6 +93,11 @@
     def keys(self) -> list[str]:
         return list(self._entry_by_key)
 
+    def targets(self) -> list[Target]:
+        """Return all targets, including those that drain."""
+        entries = self._entry_by_key.values()
+        return [entry.target for entry in entries if entry.target is not None]
+
     def usable(self, service: str) -> list[Target]:
         """Return the targets of a service that may receive new requests."""
         return self._targets_by_service.get(service, [])
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -39,6 +39,7 @@
 from lavenderfold.shared import CountedStore, StoreCallCounter
 from lavenderfold.timers import TimerService
 from standins.memory_store import MemoryStore
+from tests.notice_support import LeavingWriter, read_pause, turn_away
 
 LOOPBACK = "127.0.0.1"
 EVENT_TOKENS = 2
@@ -85,6 +86,8 @@
         is_not_run="x-not-run" in by_name,
         is_misdirected=status == 421,
         is_encoded="content-encoding" in by_name,
+        is_leaving=by_name.get("x-leaving") == "1",
+        pause_s=read_pause(status, by_name.get("x-pause")),
         headers=headers,
     )
 
@@ -219,8 +222,9 @@
 class FakeTarget:
     """A target with a replaceable script; ``received`` holds its requests.
 
-    ``crash`` closes its port and connections; it is back after ``down_s`` as a new
-    incarnation, whose ``born`` is one higher.
+    While ``is_leaving`` is set, all its answers say so; while ``pause_s`` is set, each
+    request is turned away with it. ``crash`` closes its port and connections; it is
+    back after ``down_s`` as a new incarnation, whose ``born`` is one higher.
     """
 
     def __init__(self, *, id: str, script: Script):
@@ -228,6 +232,8 @@
         self.script = script
         self.received: list[HttpRequest] = []
         self.cancelled = 0
+        self.is_leaving = False
+        self.pause_s: float | None = None
         self.address: Address | None = None
         self.born = 0
         self.crashes = 0
@@ -236,7 +242,10 @@
 
     async def handle(self, request: HttpRequest, writer: ResponseWriter) -> None:
         self.received.append(request)
-        await self.script(request, writer)
+        script = self.script if self.pause_s is None else turn_away(self.pause_s)
+        await script(
+            request, LeavingWriter(writer=writer, is_leaving=lambda: self.is_leaving)
+        )
 
     def crash(self) -> None:
         """End the current incarnation without answers to its requests."""
@@ -262,6 +271,8 @@
                 nursery.cancel_scope.cancel()
             await trio.sleep(self.down_s)
             self.born += 1
+            self.is_leaving = False
+            self.pause_s = None
 
     async def _serve(self, *, task_status: trio.TaskStatus[Address]) -> None:
         listen = Address(host=LOOPBACK, port=0)
--- /dev/null
+++ b/tests/test_pausing_targets.py
@@ -0,0 +1,219 @@
+"""Direct routers whose targets turn requests away and want none for a while."""
+
+import pytest
+import trio
+
+from lavenderfold.direct import _load
+from lavenderfold.http import ResponseLostError
+from tests.direct_support import (
+    answer_successfully,
+    fail,
+    reject,
+    run_scenario,
+    stream,
+    valid_headers,
+)
+from tests.notice_support import count_arrivals, reach, read_metrics, turn_away
+
+PAUSE_S = 0.8
+
+
+async def start_pause(fleet, id: str = "t0", pause_s: float = PAUSE_S) -> None:
+    """Let a target turn one request away; it would answer later ones."""
+    target = fleet.target_by_id[id]
+    target.pause_s = pause_s
+    await reach(fleet, id)
+    target.pause_s = None
+
+
+@pytest.mark.parametrize("is_not_run", [True, False])
+def test_target_that_pauses_is_used_again_when_the_pause_is_over(is_not_run):
+    """Guards against a target that counts as failed because it has turned away."""
+
+    async def scenario(fleet):
+        target = fleet.target_by_id["t0"]
+        target.script = turn_away(PAUSE_S, is_not_run=is_not_run)
+        await reach(fleet, "t0")
+        paused_at = trio.current_time()
+        target.script = answer_successfully
+        while trio.current_time() < paused_at + PAUSE_S - 0.2:
+            assert await count_arrivals(fleet, "t0") == 0
+        await trio.sleep_until(paused_at + PAUSE_S + 0.02)
+        assert await count_arrivals(fleet, "t0") > 0
+
+    run_scenario(scenario, answer_successfully, answer_successfully)
+
+
+@pytest.mark.parametrize("is_not_run", [True, False])
+def test_repeated_pauses_don_t_eject_a_target(is_not_run):
+    """Guards against ejections that grow while a target only asks for pauses."""
+
+    async def scenario(fleet):
+        target = fleet.target_by_id["t0"]
+        target.script = turn_away(0.1, is_not_run=is_not_run)
+        for _ in range(4):
+            await reach(fleet, "t0")
+            await trio.sleep(0.12)
+        target.script = answer_successfully
+        assert await count_arrivals(fleet, "t0") > 0
+
+    run_scenario(scenario, answer_successfully, answer_successfully)
+
+
+def test_success_of_an_earlier_request_doesn_t_end_the_pause():
+    """Guards against a success that lifts a pause as it lifts an ejection."""
+
+    async def scenario(fleet):
+        target = fleet.target_by_id["t0"]
+        is_running, may_answer = trio.Event(), trio.Event()
+        statuses = []
+
+        async def answer_late(request, writer):
+            is_running.set()
+            await may_answer.wait()
+            await answer_successfully(request, writer)
+
+        async def send_slow():
+            answer = await fleet.send_request("/sign/x", attempt="slow")
+            statuses.append(answer.status)
+
+        target.script = answer_late
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_slow)
+            await is_running.wait()
+            await start_pause(fleet)
+            target.script = answer_successfully
+            may_answer.set()
+        assert statuses == [200]
+        assert await count_arrivals(fleet, "t0") == 0
+
+    run_scenario(scenario, answer_successfully)
+
+
+@pytest.mark.parametrize("pauses", [(PAUSE_S, 0.05), (0.05, PAUSE_S)])
+def test_later_end_of_two_pauses_counts(pauses):
+    """Guards against a shorter second pause that cuts the first one."""
+
+    async def scenario(fleet):
+        target = fleet.target_by_id["t0"]
+        may_answer = trio.Event()
+
+        async def turn_away_together(request, writer):
+            if len(target.received) == len(pauses):
+                may_answer.set()
+            await may_answer.wait()
+            number = int(request.header("x-attempt"))
+            await trio.sleep(0.05 * number)
+            await turn_away(pauses[number])(request, writer)
+
+        target.script = turn_away_together
+        async with trio.open_nursery() as nursery:
+            for number in range(len(pauses)):
+                nursery.start_soon(send, fleet, str(number))
+        await trio.sleep(0.1)
+        assert await count_arrivals(fleet, "t0") == 0
+
+    async def send(fleet, attempt):
+        await fleet.send_request("/sign/x", attempt=attempt)
+
+    run_scenario(scenario, answer_successfully)
+
+
+@pytest.mark.parametrize("script", [reject, fail])
+def test_failed_request_doesn_t_go_to_a_pausing_target(script):
+    """Guards against failover that looks only at the targets it has tried."""
+
+    async def scenario(fleet):
+        await start_pause(fleet, "t0", 5.0)
+        fleet.target_by_id["t1"].script = script
+        assert await count_arrivals(fleet, "t0") == 0
+
+    run_scenario(scenario, answer_successfully, answer_successfully)
+
+
+def test_stream_isn_t_resumed_at_a_pausing_target():
+    """Guards against resumption that looks only at the targets it has tried."""
+
+    async def scenario(fleet):
+        await start_pause(fleet, "t0", 5.0)
+        before = len(fleet.target_by_id["t0"].received)
+        fleet.target_by_id["t1"].script = stream(end_at=2, cut=True)
+        with pytest.raises(ResponseLostError):
+            await fleet.send_request("/draft/x")
+        assert len(fleet.target_by_id["t0"].received) == before
+
+    run_scenario(scenario, stream(), stream())
+
+
+@pytest.mark.parametrize(
+    ("pause", "value"),
+    [
+        ("soon", "invalid"),
+        ("nan", "invalid"),
+        ("-1", "invalid"),
+        ("inf", "too_long"),
+        ("1e9", "too_long"),
+        ("0.31", "too_long"),
+    ],
+)
+def test_bad_pause_is_counted_and_takes_no_target_out_for_good(
+    pause, value, monkeypatch
+):
+    """Guards against errors and endless pauses from values that are no pause."""
+    limit_s = 0.3
+    monkeypatch.setattr(_load, "PAUSE_LIMIT_S", limit_s)
+
+    async def scenario(fleet):
+        target = fleet.target_by_id["t0"]
+        target.pause_s = pause
+        assert (await fleet.send_request("/sign/x")).status == 503
+        target.pause_s = None
+        await trio.sleep(limit_s + 0.02)
+        assert (await fleet.send_request("/sign/x", attempt="b")).status == 200
+        counted = f'lavenderfold_target_pauses_total{{value="{value}"}} 1.0'
+        assert counted in await read_metrics(fleet)
+
+    run_scenario(scenario, answer_successfully)
+
+
+def test_pause_is_explained_once_a_second(caplog):
+    """Guards against a target that gets nothing for no visible reason."""
+    caplog.set_level("INFO")
+
+    async def scenario(fleet):
+        fleet.target_by_id["t0"].pause_s = 0.05
+        for number in range(6):
+            await fleet.send_request("/sign/x", attempt=f"attempt-{number}")
+            await trio.sleep(0.06)
+        await fleet.send_request("/sign/x", attempt="last")
+        page = await read_metrics(fleet)
+        assert 'lavenderfold_targets{state="pausing"} 1.0' in page
+        assert 'lavenderfold_target_pauses_total{value="valid"} 7.0' in page
+
+    run_scenario(scenario, answer_successfully)
+    lines = [each for each in caplog.records if each.message == "target_pausing"]
+    assert [(each.target, each.born) for each in lines] == [("t0", 0)]
+    assert lines[0].request_id == "attempt-0"
+    assert lines[0].pause_ms == 50
+
+
+def test_crash_isn_t_recorded_for_a_target_that_turned_away(caplog):
+    """Guards against evidence of a crash from a refusal whose connection broke."""
+    caplog.set_level("INFO")
+
+    async def scenario(fleet):
+        target = fleet.target_by_id["t0"]
+
+        async def crash_after_head(request, writer):
+            headers = [*valid_headers(request), ("x-pause", "0.2")]
+            await writer.start(503, headers)
+            await trio.sleep(0.05)
+            target.crash()
+            await trio.sleep_forever()
+
+        target.script = crash_after_head
+        await fleet.send_request("/draft/x", parts="shared,own")
+        await trio.sleep(0.3)
+
+    run_scenario(scenario, stream())
+    assert not [each for each in caplog.records if each.message == "crash_observed"]
