Refuse or hold requests while all targets pause

Callers were refused with a fixed Retry-After of 250 ms, or as overloaded, however soon or late a target would take requests again.

If all targets that don't leave pause, a request is refused at once as not run with targets_paused, and Retry-After is when the first pause ends, if that is within a third of the time that the caller has left; otherwise 250 ms, because another router may have a target earlier. A request waits instead if the pause ends within half of its latency objective, and a stream that continues at another target if it ends within half of the limit on pauses between events. Then it chooses anew, so a target that leaves meanwhile isn't used.

--- a/src/lavenderfold/direct/_load.py
+++ b/src/lavenderfold/direct/_load.py
@@ -138,6 +138,19 @@
         """Return the targets that neither leave nor pause."""
         return [each for each in targets if self.state(each).is_available(now)]
 
+    def pause_left_s(self, targets: list[Target], *, now: float) -> float | None:
+        """Return how long it takes until the first of the targets is available again.
+
+        Returns None if one is available already, or if all leave.
+        """
+        states = [self.state(each) for each in targets]
+        if any(state.is_available(now) for state in states):
+            return None
+        times_left = (
+            state.paused_until - now for state in states if not state.is_leaving
+        )
+        return min(times_left, default=None)
+
     def count_by_notice(self, targets: list[Target], *, now: float) -> dict[str, int]:
         """Return how many of the targets leave and how many others pause."""
         states = [self.state(each) for each in targets]
--- a/src/lavenderfold/direct/_refusals.py
+++ b/src/lavenderfold/direct/_refusals.py
@@ -5,6 +5,8 @@
 from lavenderfold.http import HttpResponse, json_response
 from lavenderfold.outcomes import Reason
 
+DEFAULT_RETRY_AFTER_S = 0.25
+
 STATUS_BY_REASON = {
     Reason.BUDGET_SPENT: 402,
     Reason.BUDGET_UNAVAILABLE: 503,
@@ -18,6 +20,7 @@
     Reason.OVERLOADED: 503,
     Reason.PROMPT_QUARANTINED: 503,
     Reason.TARGET_FAILED: 502,
+    Reason.TARGETS_PAUSED: 503,
 }
 
 
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -1,6 +1,6 @@
 """Execution of one request: budget reservation, attempts, answer, settlement."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from functools import partial
 
 import msgspec
@@ -14,8 +14,10 @@
 from lavenderfold.direct._load import LoadTracker
 from lavenderfold.direct._metrics import RouterMetrics
 from lavenderfold.direct._notices import TargetNotices
+from lavenderfold.direct._pauses import pause_retry_after_s, pause_wait_limit
 from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._refusals import (
+    DEFAULT_RETRY_AFTER_S,
     Refusal,
     may_have_run,
     not_run,
@@ -48,7 +50,6 @@
 # A target that can't be connected to doesn't count as an attempt, because nothing
 # ran, but each failed connection takes time. Give up after this many.
 MAX_CONNECTION_FAILURES = 3
-DEFAULT_RETRY_AFTER_S = 0.25
 BUDGET_RETRY_AFTER_S = 0.3
 # Lower bound of the remaining time that a target is told; with less than this it
 # can't answer any more.
@@ -175,6 +176,8 @@
                 return refusal
             target = self._choose(frozenset(avoid))
             if target is None:
+                if await self._wait_for_pause_end(avoid):
+                    continue
                 return self._refuse_without_target()
             attempt = self._new_attempt(target)
             outcome = await self._run_attempt(attempt, target)
@@ -188,6 +191,27 @@
             ):
                 return await self._give_up(attempt, outcome)
 
+    def _pause_left_s(self, avoid: Set[str] = frozenset()) -> float | None:
+        """Return how long all targets but those to avoid pause, None if they don't."""
+        targets = [each for each in self._targets() if each.id not in avoid]
+        return self._services.load_tracker.pause_left_s(
+            targets, now=self._services.timers.now()
+        )
+
+    async def _wait_for_pause_end(self, avoid: set[str]) -> bool:
+        """Wait until a pause is over; return False if that isn't surely in time."""
+        pause_left_s = self._pause_left_s(avoid)
+        limit = pause_wait_limit(
+            self._route,
+            self._progress,
+            started_at=self._started_at,
+            deadline=self._deadline,
+        )
+        if pause_left_s is None or trio.current_time() + pause_left_s > limit:
+            return False
+        await trio.sleep(pause_left_s)
+        return True
+
     async def _wait_for_decision(self) -> None:
         quarantine = self._services.quarantine
         wait_s = quarantine.decision_wait_s(self._request.shared_part_ids)
@@ -339,12 +363,23 @@
         reason = Reason.OVERLOADED
         if outcome is AttemptOutcome.NOT_CONNECTED:
             reason = Reason.CONNECTION_FAILED
-        return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        return self._refuse_not_run(reason)
 
     def _refuse_without_target(self) -> Refusal:
         if self._progress.may_have_run:
             return may_have_run(Reason.TARGET_FAILED)
-        return not_run(Reason.NO_TARGET, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        return self._refuse_not_run(Reason.NO_TARGET)
+
+    def _refuse_not_run(self, reason: Reason) -> Refusal:
+        """Refuse; the reason is another one if all targets that are left pause."""
+        pause_left_s = self._pause_left_s()
+        if pause_left_s is None:
+            return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        caller_left_s = self._caller_deadline - trio.current_time()
+        return not_run(
+            Reason.TARGETS_PAUSED,
+            retry_after_s=pause_retry_after_s(pause_left_s, caller_left_s),
+        )
 
     async def _refuse(self, refusal: Refusal) -> None:
         if self._writer.started:
--- a/src/lavenderfold/outcomes.py
+++ b/src/lavenderfold/outcomes.py
@@ -29,6 +29,7 @@
     PROMPT_QUARANTINED = "prompt_quarantined"
     REQUEST_TOO_OLD = "request_too_old"
     TARGET_FAILED = "target_failed"
+    TARGETS_PAUSED = "targets_paused"
 
 
 class NotRun(msgspec.Struct, frozen=True, tag="not_run"):
--- a/tests/test_pausing_targets.py
+++ b/tests/test_pausing_targets.py
@@ -1,13 +1,18 @@
 """Direct routers whose targets turn requests away and want none for a while."""
 
+import msgspec
 import pytest
 import trio
 
 from lavenderfold.direct import _load
+from lavenderfold.fleet import RepeatPolicy
 from lavenderfold.http import ResponseLostError
 from tests.direct_support import (
     answer_successfully,
+    event,
     fail,
+    make_config,
+    make_route,
     reject,
     run_scenario,
     stream,
@@ -16,6 +21,16 @@
 from tests.notice_support import count_arrivals, reach, read_metrics, turn_away
 
 PAUSE_S = 0.8
+# The latency objective of the route that may wait for the end of a pause.
+PATIENT_OBJECTIVE_S = 1.5
+
+
+def error_type(answer) -> str:
+    return msgspec.json.decode(answer.body)["error"]["type"]
+
+
+def retry_after_s(answer) -> float:
+    return float(answer.header("retry-after"))
 
 
 async def start_pause(fleet, id: str = "t0", pause_s: float = PAUSE_S) -> None:
@@ -119,6 +134,100 @@
     run_scenario(scenario, answer_successfully)
 
 
+def test_request_is_refused_at_once_if_all_targets_pause():
+    """Guards against refusals that come late or don't tell when to return."""
+
+    async def scenario(fleet):
+        await start_pause(fleet, "t0", 0.9)
+        await start_pause(fleet, "t1", 0.6)
+        before = trio.current_time()
+        answer = await fleet.send_request("/sign/x")
+        assert trio.current_time() - before < 0.1
+        assert (answer.status, error_type(answer)) == (503, "targets_paused")
+        assert 0.3 < retry_after_s(answer) <= 0.6
+        await trio.sleep(retry_after_s(answer))
+        assert (await fleet.send_request("/sign/x")).status == 200
+
+    run_scenario(scenario, answer_successfully, answer_successfully)
+
+
+def test_request_that_is_turned_away_learns_when_the_pause_ends():
+    """Guards against callers that come back while the only target pauses."""
+
+    async def scenario(fleet):
+        fleet.target_by_id["t0"].pause_s = 0.6
+        answer = await fleet.send_request("/sign/x")
+        assert answer.status == 503
+        assert 0.5 < retry_after_s(answer) <= 0.6
+
+    run_scenario(scenario, answer_successfully)
+
+
+def test_caller_isn_t_told_to_wait_longer_than_it_can():
+    """Guards against callers that don't ask another router before their deadline."""
+
+    async def scenario(fleet):
+        await start_pause(fleet, "t0", 20.0)
+        answer = await fleet.send_request("/sign/x", patience="1.5")
+        assert answer.status == 503
+        assert retry_after_s(answer) < 0.5
+
+    run_scenario(scenario, answer_successfully)
+
+
+def patient_config():
+    route = make_route(
+        "patient", RepeatPolicy.SINGLE_RUN, latency_objective_s=PATIENT_OBJECTIVE_S
+    )
+    return make_config(routes=(*make_config().routes, route))
+
+
+def test_request_waits_for_a_pause_that_ends_well_within_its_objective():
+    """Guards against refusals of requests that would still be answered in time."""
+
+    async def scenario(fleet):
+        await start_pause(fleet, "t0", 0.4)
+        before = trio.current_time()
+        answer = await fleet.send_request("/patient/x")
+        assert answer.status == 200
+        assert 0.2 < trio.current_time() - before < PATIENT_OBJECTIVE_S
+
+    run_scenario(scenario, answer_successfully, config=patient_config())
+
+
+def test_waiting_request_is_refused_if_its_target_leaves_meanwhile():
+    """Guards against held requests that go to a target which has said it leaves."""
+
+    async def scenario(fleet):
+        target = fleet.target_by_id["t0"]
+        may_answer = trio.Event()
+        answers = []
+
+        async def answer_late(request, writer):
+            await may_answer.wait()
+            await answer_successfully(request, writer)
+
+        async def send(path):
+            answers.append(await fleet.send_request(path, attempt=path))
+
+        target.script = answer_late
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, "/sign/x")
+            await fleet.wait_until(lambda: len(target.received) == 1)
+            await start_pause(fleet, "t0", 0.4)
+            nursery.start_soon(send, "/patient/x")
+            await trio.sleep(0.1)
+            target.is_leaving = True
+            arrivals_before = len(target.received)
+            target.script = turn_away(0.01)
+            may_answer.set()
+        assert len(target.received) == arrivals_before
+        assert [each.status for each in answers] == [200, 503]
+        assert error_type(answers[1]) == "no_target"
+
+    run_scenario(scenario, answer_successfully, config=patient_config())
+
+
 @pytest.mark.parametrize("script", [reject, fail])
 def test_failed_request_doesn_t_go_to_a_pausing_target(script):
     """Guards against failover that looks only at the targets it has tried."""
@@ -145,6 +254,22 @@
     run_scenario(scenario, stream(), stream())
 
 
+def test_stream_is_resumed_after_a_pause_within_its_pause_limit():
+    """Guards against a stream that is cut although a target is soon free again."""
+    route = make_route(
+        "novel", RepeatPolicy.STREAM, is_resumable=True, pause_limit_s=1.0
+    )
+    config = make_config(routes=(*make_config().routes, route))
+
+    async def scenario(fleet):
+        await start_pause(fleet, "t0", 0.4)
+        fleet.target_by_id["t1"].script = stream(end_at=2, cut=True)
+        answer = await fleet.send_request("/novel/x")
+        assert answer.body == b"".join(event(number) for number in range(1, 5))
+
+    run_scenario(scenario, stream(), stream(), config=config)
+
+
 @pytest.mark.parametrize(
     ("pause", "value"),
     [
