--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -173,13 +173,13 @@
     run_scenario(scenario, answer_successfully, answer_successfully)
 
 
-def put_successor(fleet, target) -> None:
-    """Replace the entry of a target by another one at the same address."""
+def put_successor(fleet, target, id: str = "successor") -> None:
+    """Replace the entry of a target by that of another one at the same address."""
     fleet.store.remove(f"targets/{target.id}")
     record = TargetRecord(
         service="service", host=target.address.host, port=target.address.port, born=7
     )
-    fleet.store.put("targets/successor", msgspec.json.encode(record))
+    fleet.store.put(f"targets/{id}", msgspec.json.encode(record))
 
 
 def test_other_target_at_the_same_address_is_used_at_once():
@@ -224,6 +224,33 @@
     run_scenario(scenario, answer_successfully, answer_successfully)
 
 
+@pytest.mark.parametrize("successor", ["successor", "t0"])
+def test_late_answer_of_the_old_incarnation_doesn_t_mark_the_new_one(successor):
+    """Guards against a long answer that takes out what has the address by then."""
+
+    async def scenario(fleet):
+        target = fleet.target_by_id["t0"]
+        may_answer = trio.Event()
+
+        async def answer_late(request, writer):
+            await may_answer.wait()
+            await answer_successfully(request, writer)
+
+        target.script = answer_late
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.send_request, "/sign/x")
+            await fleet.wait_until(lambda: target.received)
+            put_successor(fleet, target, successor)
+            await trio.sleep(0.1)
+            target.is_leaving = True
+            may_answer.set()
+        target.script = answer_successfully
+        target.is_leaving = False
+        assert await count_arrivals(fleet, "t0") == 10
+
+    run_scenario(scenario, answer_successfully)
+
+
 def test_request_is_refused_as_not_run_if_all_targets_leave():
     """Guards against the fallback to targets that were set aside."""
 
--- a/tests/test_pausing_targets.py
+++ b/tests/test_pausing_targets.py
@@ -59,6 +59,37 @@
     run_scenario(scenario, answer_successfully, answer_successfully)
 
 
+def test_no_request_arrives_in_the_pause_though_many_callers_send():
+    """Guards against requests, held or repeated, that come in spite of the pause."""
+    target_pause_s, margin_s = 1.0, 0.1
+
+    async def scenario(fleet):
+        target = fleet.target_by_id["t0"]
+        arrivals = []
+        answered_at = []
+
+        async def turn_away_and_note(request, writer):
+            arrivals.append(trio.current_time())
+            await turn_away(target_pause_s)(request, writer)
+            answered_at.append(trio.current_time())
+
+        async def send_often(caller):
+            for number in range(20):
+                attempt = f"attempt-{caller}-{number}"
+                path = "/read/x" if number % 2 else "/sign/x"
+                await fleet.send_request(path, attempt=attempt)
+                await trio.sleep(0.05)
+
+        target.script = turn_away_and_note
+        async with trio.open_nursery() as nursery:
+            for caller in range(10):
+                nursery.start_soon(send_often, caller)
+        begin, end = answered_at[0] + margin_s, answered_at[0] + target_pause_s
+        assert not [each for each in arrivals if begin < each < end]
+
+    run_scenario(scenario, answer_successfully, answer_successfully)
+
+
 @pytest.mark.parametrize("is_not_run", [True, False])
 def test_repeated_pauses_don_t_eject_a_target(is_not_run):
     """Guards against ejections that grow while a target only asks for pauses."""
