Show notices of targets among what explains a request

explain didn't show why a request was refused as targets_paused or had no target: the line is in the answer to another request, and wasn't among the events that count as context.

Both new cases in test_explain_logs.py failed before.

--- a/src/lavenderfold/ctl/_log_lines.py
+++ b/src/lavenderfold/ctl/_log_lines.py
@@ -27,6 +27,8 @@
         "store_regained",
         "target_changed",
         "target_lapsed",
+        "target_leaving",
+        "target_pausing",
         "target_removed",
         "witness_chosen",
         "witness_lost",
--- a/tests/test_explain_logs.py
+++ b/tests/test_explain_logs.py
@@ -52,3 +52,15 @@
     (tmp_path / "log").write_text(LOG_TEXT)
     path = tmp_path / name
     assert main(["lavenderfoldctl", "explain", "unknown", f"--logs={path}"]) == code
+
+
+@pytest.mark.parametrize("event", ["target_leaving", "target_pausing"])
+def test_notice_of_a_target_explains_a_later_request(event):
+    """Guards against a refusal whose cause is a notice in another request's answer."""
+    texts = (
+        prefixed_log_line("6.3", 99.0, "edge-1", event, target="t", request_id="other"),
+        prefixed_log_line("6.9", 100.5, "edge-1", "request", request_id="d9d7"),
+    )
+    lines = [parse_line(text) for text in texts]
+    explained = explain_lines(lines, "d9d7")
+    assert [each.event for each in explained] == [event, "request"]
