--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -9,7 +9,9 @@
 from lavenderfold.direct._attempt import Attempt, AttemptOutcome, RelayProgress
 from lavenderfold.direct._choice import TargetChoice, choose_target
 from lavenderfold.direct._connections import has_crashed
+from lavenderfold.direct._pauses import pause_retry_after_s, pause_wait_limit
 from lavenderfold.direct._refusals import (
+    DEFAULT_RETRY_AFTER_S,
     Refusal,
     may_have_run,
     not_run,
@@ -42,7 +44,6 @@
 # A target that can't be connected to doesn't count as an attempt, because nothing
 # ran, but each failed connection takes time. Give up after this many.
 MAX_CONNECTION_FAILURES = 3
-DEFAULT_RETRY_AFTER_S = 0.25
 # Lower bound of the remaining time that a target is told; with less than this it
 # can't answer any more.
 MIN_REMAINING_S = 0.005
@@ -131,6 +132,8 @@
                 return refusal
             choice = self._choose(self._avoid)
             if choice is None:
+                if await self._wait_for_pause_end():
+                    continue
                 return self._refuse_without_target()
             target = choice.target
             self._choice_reason = choice.reason
@@ -148,6 +151,27 @@
             ):
                 return await self._give_up(attempt, outcome)
 
+    def _pause_left_s(self, avoid: Set[str] = frozenset()) -> float | None:
+        """Return how long all targets but those to avoid pause, None if they don't."""
+        targets = [each for each in self._targets() if each.id not in avoid]
+        return self._services.load_tracker.pause_left_s(
+            targets, now=self._services.timers.now()
+        )
+
+    async def _wait_for_pause_end(self) -> bool:
+        """Wait until a pause is over; return False if that isn't surely in time."""
+        pause_left_s = self._pause_left_s(self._avoid)
+        limit = pause_wait_limit(
+            self._route,
+            self._progress,
+            started_at=self._started_at,
+            deadline=self._deadline,
+        )
+        if pause_left_s is None or trio.current_time() + pause_left_s > limit:
+            return False
+        await trio.sleep(pause_left_s)
+        return True
+
     async def _wait_for_decision(self) -> None:
         quarantine = self._services.quarantine
         wait_s = quarantine.decision_wait_s(self._request.shared_part_ids)
@@ -165,9 +189,12 @@
             Reason.PROMPT_QUARANTINED, retry_after_s=quarantine.remaining_s(part_ids)
         )
 
+    def _targets(self) -> list[Target]:
+        return self._services.directory.usable(self._service_name)
+
     def _choose(self, avoid: Set[str]) -> TargetChoice | None:
         return choose_target(
-            self._services.directory.usable(self._service_name),
+            self._targets(),
             self._services.load_tracker,
             self._request,
             avoid=avoid,
@@ -193,6 +220,11 @@
             deadline=self._deadline,
             target_wait=self._new_target_wait(target),
             on_answering=self._record_answer,
+            on_head=partial(
+                self._services.notices.record,
+                target,
+                request_id=self._request.attempt_id,
+            ),
         )
 
     def _new_target_wait(self, target: Target) -> TargetWait:
@@ -246,7 +278,7 @@
         self._last_outcome = outcome
         if outcome is AttemptOutcome.LOST:
             self._log.write_lost_attempt(attempt, target, sent_at=sent_at)
-            if attempt.is_before_answer and self._request.shared_part_ids:
+            if self._may_have_crashed(attempt):
                 await self._record_crash(attempt, target, sent_at)
         if outcome in RECORDED_OUTCOMES:
             return outcome
@@ -256,10 +288,15 @@
             self._services.reachability.record_answer()
         if outcome is AttemptOutcome.DELIVERED:
             load_tracker.record_success(target)
-        elif outcome is not AttemptOutcome.REJECTED:
+        elif outcome is not AttemptOutcome.REJECTED and not attempt.is_turned_away:
             load_tracker.record_failure(target, now=self._services.timers.now())
         return outcome
 
+    def _may_have_crashed(self, attempt: Attempt) -> bool:
+        """Whether the prompt of a lost attempt may have crashed its target."""
+        is_suspect = attempt.is_before_answer and not attempt.is_turned_away
+        return is_suspect and bool(self._request.shared_part_ids)
+
     async def _record_crash(
         self, attempt: Attempt, target: Target, sent_at: float
     ) -> None:
@@ -317,13 +354,24 @@
         reason = Reason.OVERLOADED
         if outcome is AttemptOutcome.NOT_CONNECTED:
             reason = Reason.CONNECTION_FAILED
-        return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        return self._refuse_not_run(reason)
 
     def _refuse_without_target(self) -> Refusal:
         self._not_repeated = "no_target"
         if self._progress.may_have_run:
             return may_have_run(Reason.TARGET_FAILED)
-        return not_run(Reason.NO_TARGET, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        return self._refuse_not_run(Reason.NO_TARGET)
+
+    def _refuse_not_run(self, reason: Reason) -> Refusal:
+        """Refuse; the reason is another one if all targets that are left pause."""
+        pause_left_s = self._pause_left_s()
+        if pause_left_s is None:
+            return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        caller_left_s = self._caller_deadline - trio.current_time()
+        return not_run(
+            Reason.TARGETS_PAUSED,
+            retry_after_s=pause_retry_after_s(pause_left_s, caller_left_s),
+        )
 
     async def _refuse(self, refusal: Refusal) -> None:
         if self._writer.started:
--- a/src/lavenderfold/direct/_router_services.py
+++ b/src/lavenderfold/direct/_router_services.py
@@ -8,6 +8,7 @@
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
 from lavenderfold.direct._load import LoadTracker
 from lavenderfold.direct._metrics import RouterMetrics
+from lavenderfold.direct._notices import TargetNotices
 from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._requests import PlatformCodec
 from lavenderfold.escrow import BalanceManager
@@ -29,6 +30,7 @@
     codec: PlatformCodec
     directory: TargetDirectory
     metrics: RouterMetrics
+    notices: TargetNotices
     quarantine: PromptQuarantine
     event_loop_monitor: EventLoopMonitor
     reachability: Reachability
