Reject heads in which a single-valued header stands twice

Callers of a repeatable route got the id and the signature of an earlier answer beside their own, or 503 "not_run" for a request that its target had run. A target had sent a second, torn copy of an earlier answer late, on a kept connection. The copy stopped inside a header; the head of the real answer continued it, and h11 accepted both as one head. read_answer took the last of two values and passed both on.

The platform's codec now decodes the headers that may stand once where they are read. A repeated one, a value of another form, or "not run" beside a success raises InvalidAnswerError: the attempt is INVALID (may have run), the connection is closed, the failure counts against the target, and the line answer_invalid and lavenderfold_invalid_answers_total name the cause. The causes of INVALID that existed before use the same path.

--- a/src/lavenderfold/direct/__init__.py
+++ b/src/lavenderfold/direct/__init__.py
@@ -3,6 +3,8 @@
 from lavenderfold.direct._requests import (
     AnswerHead,
     CallerRequest,
+    InvalidAnswerError,
+    InvalidCause,
     PlatformCodec,
     PromptPart,
     TargetCall,
@@ -16,6 +18,8 @@
     "CallerRequest",
     "PlatformCodec",
     "DirectRouter",
+    "InvalidAnswerError",
+    "InvalidCause",
     "PromptPart",
     "RecordReader",
     "RouterOptions",
--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -13,7 +13,13 @@
     EventSplitter,
     EventTooLongError,
 )
-from lavenderfold.direct._requests import AnswerHead, PlatformCodec, TargetCall
+from lavenderfold.direct._requests import (
+    AnswerHead,
+    InvalidAnswerError,
+    InvalidCause,
+    PlatformCodec,
+    TargetCall,
+)
 from lavenderfold.http import (
     HttpClient,
     HttpResponse,
@@ -100,7 +106,8 @@
     """Sends a call to a target and relays a valid answer to the caller.
 
     An error response of the target is kept in ``failure_response``, so that it can
-    be relayed if no other attempt follows. ``can_fail_over`` says whether another
+    be relayed if no other attempt follows; ``invalid_answer`` tells why its bytes are
+    no answer. ``can_fail_over`` says whether another
     target can take over; only then is the wait for this target limited.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
     answer. ``events`` counts those that this target sent, the first of them at
@@ -118,6 +125,7 @@
         on_answering: Callable[[], None],
     ):
         self.failure_response: HttpResponse | None = None
+        self.invalid_answer: InvalidAnswerError | None = None
         self.status: int | None = None
         self.events = 0
         self.first_event_at: float | None = None
@@ -166,6 +174,9 @@
                 if wait.cancelled_caught:
                     return AttemptOutcome.SILENT
                 return await self._handle_response(response, first_deadline)
+        except InvalidAnswerError as error:
+            self.invalid_answer = error
+            return AttemptOutcome.INVALID
         except RequestNotSentError:
             return AttemptOutcome.NOT_CONNECTED
         except ResponseLostError:
@@ -174,16 +185,18 @@
     async def _handle_response(
         self, response: StreamedResponse, first_deadline: float
     ) -> AttemptOutcome:
+        self.status = response.status
         head = self._codec.read_answer(response.status, response.headers)
-        self.status = head.status
         if head.attempt_id != self._call.request.attempt_id:
-            return AttemptOutcome.INVALID
+            raise InvalidAnswerError(InvalidCause.OTHER_ATTEMPT)
         if head.is_not_run:
             if head.is_misdirected:
                 return AttemptOutcome.MISDIRECTED
             return AttemptOutcome.REJECTED
-        if not head.is_signed or head.is_encoded:
-            return AttemptOutcome.INVALID
+        if not head.is_signed:
+            raise InvalidAnswerError(InvalidCause.UNSIGNED)
+        if head.is_encoded:
+            raise InvalidAnswerError(InvalidCause.ENCODED)
         if head.is_success and _is_event_stream(head):
             return await self._relay_events(head, response, first_deadline)
         return await self._relay_buffered(head, response, first_deadline)
@@ -196,7 +209,7 @@
             async for chunk in response.chunks():
                 body += chunk
                 if len(body) > ANSWER_BYTES_LIMIT:
-                    return AttemptOutcome.INVALID
+                    raise InvalidAnswerError(InvalidCause.TOO_LONG)
         if wait.cancelled_caught:
             return AttemptOutcome.SILENT
         answer = HttpResponse(
@@ -231,8 +244,8 @@
                 break
             try:
                 events = splitter.feed(chunk)
-            except EventTooLongError:
-                return AttemptOutcome.INVALID
+            except EventTooLongError as error:
+                raise InvalidAnswerError(InvalidCause.TOO_LONG) from error
             if events is not None:
                 await self._write_events(head, events)
             deadline = trio.current_time() + self._event_wait_s()
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -43,6 +43,12 @@
             ["outcome"],
             registry=self._registry,
         )
+        self._invalid_answers = Counter(
+            "lavenderfold_invalid_answers",
+            "Attempts whose target sent bytes that are no answer to them, by cause.",
+            ["cause"],
+            registry=self._registry,
+        )
         self._first_byte_time = Histogram(
             "lavenderfold_first_byte_seconds",
             "Time to the first byte of an answer.",
@@ -115,6 +121,9 @@
     def record_attempt(self, outcome: str) -> None:
         self._attempts.labels(outcome).inc()
 
+    def record_invalid_answer(self, cause: str) -> None:
+        self._invalid_answers.labels(cause).inc()
+
     def record_store_call(self, call: StoreCall) -> None:
         self._store_calls.labels(call.kind, call.purpose, call.result).inc()
 
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -257,6 +257,8 @@
                 attempt, target, outcome, sent_at=sent_at, load=load
             )
         self._last_outcome = outcome
+        if outcome is AttemptOutcome.INVALID:
+            self._log.write_invalid_answer(attempt, target)
         if outcome is AttemptOutcome.LOST:
             self._log.write_lost_attempt(attempt, target, sent_at=sent_at)
             if attempt.is_before_answer and self._request.shared_part_ids:
--- a/src/lavenderfold/direct/_request_log.py
+++ b/src/lavenderfold/direct/_request_log.py
@@ -92,6 +92,20 @@
         }
         logger.warning("attempt_lost", extra=fields)
 
+    def write_invalid_answer(self, attempt: Attempt, target: Target) -> None:
+        """Log and count bytes of a target that are no answer to the attempt."""
+        cause = attempt.invalid_answer.cause.value
+        self._metrics.record_invalid_answer(cause)
+        fields = {
+            "request_id": self._request.attempt_id,
+            "target": target.id,
+            "born": target.born,
+            "status": attempt.status,
+            "cause": cause,
+            "detail": attempt.invalid_answer.detail,
+        }
+        logger.warning("answer_invalid", extra=fields)
+
     def write_result(self, result: RequestResult) -> None:
         """Log and count the end of the request."""
         now = trio.current_time()
--- a/src/lavenderfold/direct/_requests.py
+++ b/src/lavenderfold/direct/_requests.py
@@ -1,5 +1,6 @@
 """Requests and answers as the router sees them, and the codec of a platform."""
 
+import enum
 from collections.abc import Callable
 
 import msgspec
@@ -83,11 +84,37 @@
         return 200 <= self.status < 300
 
 
+class InvalidCause(enum.Enum):
+    """Why bytes of a target are no answer to the attempt.
+
+    REPEATED_HEADER, HEADER_VALUE and CONTRADICTION: parts of two answers may stand in
+    one head.
+    """
+
+    REPEATED_HEADER = "repeated_header"
+    HEADER_VALUE = "header_value"
+    CONTRADICTION = "contradiction"
+    OTHER_ATTEMPT = "other_attempt"
+    UNSIGNED = "unsigned"
+    ENCODED = "encoded"
+    TOO_LONG = "too_long"
+
+
+class InvalidAnswerError(Exception):
+    """The bytes of a target are no answer; ``detail`` names the header, if any."""
+
+    def __init__(self, cause: InvalidCause, detail: str | None = None):
+        super().__init__(cause.value if detail is None else f"{cause.value}: {detail}")
+        self.cause = cause
+        self.detail = detail
+
+
 class PlatformCodec(msgspec.Struct, frozen=True, kw_only=True):
     """Functions that encode and decode a platform's requests and answers.
 
-    ``read_request`` raises MalformedRequestError. ``answer_headers`` returns the
-    headers of an answer by the router itself, given the attempt id.
+    ``read_request`` raises MalformedRequestError and ``read_answer``
+    InvalidAnswerError. ``answer_headers`` returns the headers of an answer by the
+    router itself, given the attempt id.
     """
 
     read_request: Callable[[HttpRequest], CallerRequest]
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -271,9 +271,16 @@
 class DirectFleet:
     """The router under test with its store and targets."""
 
-    def __init__(self, *, nursery: trio.Nursery, store: MemoryStore):
+    def __init__(
+        self,
+        *,
+        nursery: trio.Nursery,
+        store: MemoryStore,
+        codec: PlatformCodec = PLATFORM_CODEC,
+    ):
         self.nursery = nursery
         self.store = store
+        self.codec = codec
         self.target_by_id: dict[str, FakeTarget] = {}
         self.router: DirectRouter | None = None
         self.address: Address | None = None
@@ -320,7 +327,7 @@
             store=CountedStore(store=self.store, calls=store_calls),
             store_calls=store_calls,
             reader=READER,
-            codec=PLATFORM_CODEC,
+            codec=self.codec,
             timers=TimerService(),
         )
         self.nursery.start_soon(self.router.run)
--- /dev/null
+++ b/tests/test_answer_heads.py
@@ -0,0 +1,141 @@
+"""Heads of answers that contain parts of an earlier answer on a kept connection."""
+
+import logging
+
+import pytest
+from lavenderfold_platform.headers import read_answer
+
+from lavenderfold.direct import InvalidAnswerError, InvalidCause
+from lavenderfold.http import HttpClient, HttpRequest
+from tests.answer_bytes import (
+    Exchange,
+    answer_bytes,
+    call,
+    caller_request,
+    refusal_bytes,
+    run_byte_scenario,
+)
+
+
+def preceded_by(late_bytes: bytes, *, headers: str = ""):
+    """Return a script that writes bytes before its second answer on a connection."""
+
+    async def script(exchange: Exchange) -> bytes:
+        answer = answer_bytes(exchange.request_id, b"whole", headers=headers)
+        await exchange.write((late_bytes if exchange.number else b"") + answer)
+        return answer
+
+    return script
+
+
+async def call_twice(fleet, path: str = "/read/x"):
+    """Return the answer to the second of two requests on a kept connection."""
+    first = await call(fleet.address, caller_request("a1", path))
+    assert (first.status, first.body) == (200, b"whole")
+    return await call(fleet.address, caller_request("a2", path))
+
+
+TORN_HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nReplica-Signature: s0\r\nServer: x"
+TORN_REFUSAL = b"HTTP/1.1 503 X\r\nAttempt-Id: a1\r\nNot-Executed: "
+
+
+def assert_uncertain(answer) -> None:
+    assert (answer.status, answer.is_whole) == (502, True)
+    assert b"may_have_run" in answer.body
+    assert answer.values("attempt-id") == ["a2"]
+    assert not any("HTTP/" in value for _, value in answer.headers)
+
+
+def test_head_with_the_headers_of_two_answers_reaches_no_caller(caplog):
+    """The caller got the id and the signature of an earlier answer beside its own."""
+
+    async def scenario(fleet, targets):
+        assert_uncertain(await call_twice(fleet))
+        assert targets[0].received == ["a1", "a2"]
+        # The connection with the two heads is closed.
+        third = await call(fleet.address, caller_request("a3", "/read/x"))
+        assert (third.status, targets[0].connections) == (200, 2)
+        metrics = HttpClient(address=fleet.router.metrics_address)
+        page = (await metrics.request(HttpRequest(method="GET", target="/"))).body
+        await metrics.close()
+        assert b"lavenderfold_invalid_answers_total{cause=" in page
+
+    with caplog.at_level(logging.WARNING):
+        run_byte_scenario(scenario, preceded_by(TORN_HEAD))
+    lines = [each for each in caplog.records if each.message == "answer_invalid"]
+    assert [(each.target, each.request_id) for each in lines] == [("t0", "a2")]
+
+
+def test_request_that_ran_is_not_refused_by_the_head_of_an_earlier_refusal():
+    """The caller was told 503 "not_run" for a request that its target had run."""
+
+    async def scenario(fleet, targets):
+        answer = await call_twice(fleet)
+        assert not answer.says_not_run
+        assert_uncertain(answer)
+
+    run_byte_scenario(scenario, preceded_by(TORN_REFUSAL))
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "attempt-id",
+        "content-length",
+        "content-type",
+        "not-executed",
+        "replica-signature",
+        "retry-after",
+        "server-leaving",
+        "weight-versions",
+    ],
+)
+def test_single_valued_header_that_stands_twice_invalidates_the_head(name):
+    """The last of the two was taken, and both were passed on."""
+    value = "5" if name != "content-type" else "text/plain"
+    headers = [("attempt-id", "a1"), ("replica-signature", "s"), (name, value)]
+    with pytest.raises(InvalidAnswerError) as raised:
+        read_answer(503, [*headers, (name, value)])
+    assert raised.value.cause is InvalidCause.REPEATED_HEADER
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("replica-signature", ""),
+        ("replica-signature", "s1 s2"),
+        ("content-type", "text"),
+        ("content-length", "many"),
+        ("weight-versions", "3x"),
+    ],
+)
+def test_value_of_another_kind_invalidates_the_head(name, value):
+    """A cut value would otherwise count as a signature or a type."""
+    with pytest.raises(InvalidAnswerError) as raised:
+        read_answer(200, [("attempt-id", "a1"), (name, value)])
+    assert raised.value.cause is InvalidCause.HEADER_VALUE
+    assert raised.value.detail == name
+
+
+def test_success_that_says_not_run_is_no_refusal():
+    """A request whose answer is a success has run, whatever else its head says."""
+    headers = [("attempt-id", "a1"), ("not-executed", "1")]
+    with pytest.raises(InvalidAnswerError):
+        read_answer(200, headers)
+    assert read_answer(503, headers).is_not_run
+
+
+def test_refusal_on_a_kept_connection_is_still_a_refusal():
+    """Guards against heads judged so strictly that sound refusals are lost."""
+
+    async def script(exchange: Exchange) -> bytes:
+        if exchange.number:
+            await exchange.write(refusal_bytes(exchange.request_id))
+        else:
+            await exchange.write(answer_bytes(exchange.request_id, b"whole"))
+        return b""
+
+    async def scenario(fleet, targets):
+        assert (await call_twice(fleet)).says_not_run
+
+    run_byte_scenario(scenario, script)
