Reject heads that contain the status line of another response

Callers got the status of an earlier answer for their own request: a 404 or 500 of the target's for a request that it had answered with 200, or "not run" for one that had run. A late, torn copy of an earlier answer had stopped where no header stood twice: in the reason phrase, or in a value like that of Date, before the id. The status line of the next answer became the rest of that text. After a torn interim response the answer was skipped altogether.

Wherever h11 accepts two heads as one, the second status line stands in the reason phrase or in a value; a cut at any other byte leaves a line that h11 refuses, which the test of each offset shows. So the HTTP client refuses each head that contains a status line there, and the attempt is INVALID (mixed_head).

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -23,6 +23,7 @@
 from lavenderfold.http import (
     HttpClient,
     HttpResponse,
+    MixedHeadError,
     RequestNotSentError,
     ResponseLostError,
     ResponseWriter,
@@ -177,6 +178,9 @@
         except InvalidAnswerError as error:
             self.invalid_answer = error
             return AttemptOutcome.INVALID
+        except MixedHeadError:
+            self.invalid_answer = InvalidAnswerError(InvalidCause.MIXED_HEAD)
+            return AttemptOutcome.INVALID
         except RequestNotSentError:
             return AttemptOutcome.NOT_CONNECTED
         except ResponseLostError:
--- a/src/lavenderfold/direct/_requests.py
+++ b/src/lavenderfold/direct/_requests.py
@@ -88,12 +88,13 @@
     """Why bytes of a target are no answer to the attempt.
 
     REPEATED_HEADER, HEADER_VALUE and CONTRADICTION: parts of two answers may stand in
-    one head.
+    one head. MIXED_HEAD: a status line stands within the head.
     """
 
     REPEATED_HEADER = "repeated_header"
     HEADER_VALUE = "header_value"
     CONTRADICTION = "contradiction"
+    MIXED_HEAD = "mixed_head"
     OTHER_ATTEMPT = "other_attempt"
     UNSIGNED = "unsigned"
     ENCODED = "encoded"
--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -3,6 +3,7 @@
 from lavenderfold.http._client import (
     HttpClient,
     HttpClientError,
+    MixedHeadError,
     RequestNotSentError,
     ResponseLostError,
     StreamedResponse,
@@ -26,6 +27,7 @@
     "HttpRequest",
     "HttpResponse",
     "MalformedRequestError",
+    "MixedHeadError",
     "PeerClient",
     "RequestNotSentError",
     "ResponseLostError",
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -4,6 +4,7 @@
 that isn't idempotent may be repeated only if it was never sent.
 """
 
+import re
 import socket
 from collections import deque
 from collections.abc import AsyncIterator
@@ -22,6 +23,7 @@
 # the peer reads it.
 SEND_FIRST_LIMIT_BYTES = 8192
 METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD"))
+STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 
 
 async def _open_stream(address: Address) -> trio.SocketStream:
@@ -52,6 +54,10 @@
     """At least part of the request may have been sent; no complete response came."""
 
 
+class MixedHeadError(ResponseLostError):
+    """The head of the response contains the status line of another response."""
+
+
 class StreamedResponse:
     """A response whose body is read incrementally with ``chunks``."""
 
@@ -165,10 +171,13 @@
     async def response_head(self) -> h11.Response:
         while True:
             event = await self.next_event()
+            if not isinstance(event, (h11.Response, h11.InformationalResponse)):
+                raise ResponseLostError(self.address, "connection closed")
+            if _contains_status_line(event):
+                cause = "a response started within the head of another one"
+                raise MixedHeadError(self.address, cause)
             if isinstance(event, h11.Response):
                 return event
-            if not isinstance(event, h11.InformationalResponse):
-                raise ResponseLostError(self.address, "connection closed")
 
     def is_stale(self) -> bool:
         """Return whether the peer has closed this idle connection or written to it."""
@@ -182,6 +191,16 @@
         return is_complete and not self.protocol.trailing_data[0]
 
 
+def _contains_status_line(head: h11.Response | h11.InformationalResponse) -> bool:
+    """Return whether the reason phrase or a header's value contains a status line.
+
+    If a torn response stops there, h11 takes the next response's status line for the
+    rest of that text.
+    """
+    values = (bytes(value) for _, value in head.headers)
+    return STATUS_LINE.search(b"\n".join((bytes(head.reason), *values))) is not None
+
+
 class HttpClient:
     """Sends requests to one address and keeps idle connections for reuse."""
 
--- a/tests/test_answer_heads.py
+++ b/tests/test_answer_heads.py
@@ -6,6 +6,7 @@
 from lavenderfold_platform.headers import read_answer
 
 from lavenderfold.direct import InvalidAnswerError, InvalidCause
+from lavenderfold.fleet import RepeatPolicy
 from lavenderfold.http import HttpClient, HttpRequest
 from tests.answer_bytes import (
     Exchange,
@@ -15,6 +16,12 @@
     refusal_bytes,
     run_byte_scenario,
 )
+from tests.direct_support import make_config, make_route
+
+# An error that the only attempt got is passed on to the caller.
+ONE_ATTEMPT = make_config(
+    routes=(make_route("read", RepeatPolicy.IDEMPOTENT, attempt_limit=1),)
+)
 
 
 def preceded_by(late_bytes: bytes, *, headers: str = ""):
@@ -39,6 +46,20 @@
 TORN_REFUSAL = b"HTTP/1.1 503 X\r\nAttempt-Id: a1\r\nNot-Executed: "
 
 
+# These leave no header twice.
+TORN_WITHOUT_REPETITION = {
+    "date": b"HTTP/1.1 404 Not Found\r\nDate: Fri, 04 D",
+    "empty date": b"HTTP/1.1 404 X\r\nDate:",
+    "refusal": b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nDate: Fri",
+    "misdirected": b"HTTP/1.1 421 X\r\nDate: Fri",
+    "reason": b"HTTP/1.1 500 Internal Ser",
+    "empty reason": b"HTTP/1.1 500 ",
+    "interim": b"HTTP/1.1 100 Continue\r\nDate: Fri",
+    "twice torn": b"HTTP/1.1 404 X\r\nDate: HTTP/1.1 503 X\r\nServer: a",
+    "older version": b"HTTP/1.0 404 X\r\nDate: Fri",
+}
+
+
 def assert_uncertain(answer) -> None:
     assert (answer.status, answer.is_whole) == (502, True)
     assert b"may_have_run" in answer.body
@@ -77,6 +98,56 @@
     run_byte_scenario(scenario, preceded_by(TORN_REFUSAL))
 
 
+@pytest.mark.parametrize("place", TORN_WITHOUT_REPETITION)
+def test_head_that_contains_the_next_status_line_is_no_answer(place):
+    """The status of an earlier answer, or its refusal, was taken for this one's."""
+
+    async def scenario(fleet, targets):
+        assert_uncertain(await call_twice(fleet))
+
+    script = preceded_by(TORN_WITHOUT_REPETITION[place])
+    run_byte_scenario(scenario, script, config=ONE_ATTEMPT)
+
+
+def test_cut_at_any_byte_of_an_earlier_answer_leaves_no_answer():
+    """One cut place that parses is enough to mix two answers."""
+    old_answers = (
+        answer_bytes("a0", b"old body", signature="s0"),
+        answer_bytes("a0", b"old body", status_line="HTTP/1.1 500 Failed"),
+        refusal_bytes("a0"),
+        b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    )
+    torn = [old[:end] for old in old_answers for end in range(1, len(old) + 1)]
+    late_bytes = iter(torn)
+
+    async def script(exchange: Exchange) -> bytes:
+        answer = answer_bytes(exchange.request_id, b"whole")
+        late = next(late_bytes) if exchange.number else b""
+        await exchange.write(late + answer)
+        return answer
+
+    async def scenario(fleet, targets):
+        for number, late in enumerate(torn):
+            first = caller_request(f"first-{number}", "/read/x")
+            assert (await call(fleet.address, first)).body == b"whole", late
+            second = caller_request(f"second-{number}", "/read/x")
+            answer = await call(fleet.address, second)
+            assert answer.status == 502 and not answer.says_not_run, late
+            assert answer.values("attempt-id") == [f"second-{number}"], late
+
+    run_byte_scenario(scenario, script, config=ONE_ATTEMPT)
+
+
+def test_header_that_names_a_protocol_version_is_no_status_line():
+    """Guards against refusing answers that passed a proxy, or that name a protocol."""
+    headers = "Via: HTTP/1.1 proxy\r\nUpgrade: HTTP/2.0\r\n"
+
+    async def scenario(fleet, targets):
+        assert (await call_twice(fleet)).status == 200
+
+    run_byte_scenario(scenario, preceded_by(b"", headers=headers))
+
+
 @pytest.mark.parametrize(
     "name",
     [
