Read no answer before the request's first bytes are written

A request with a long body was sent by a task of its own while the client already read the answer. Bytes that an earlier answer had left on a kept connection after the check for them could be read as the answer before anything of the request had been sent. The same held for bytes, or a reset, on a new connection: a request of which nothing was sent counted as one that may have run.

The first bytes are now written before anything is read, with no checkpoint between the check and that write, and new connections are checked too: one that fails counts as not connected.

The test of a closed idle connection calls exchange, because send is gone.

--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -109,14 +109,19 @@
 
         A peer may respond to a long body before it has read all of it, so a body
         longer than SEND_FIRST_LIMIT_BYTES is sent while waiting for the response.
+        Nothing is read before the first bytes of the request were written: what
+        arrived earlier isn't a response to it.
         """
+        data = self._encode(request)
         if len(request.body) <= SEND_FIRST_LIMIT_BYTES:
-            await self.send(request)
+            await self._write(data)
+            self.is_request_sent = True
             return await self.response_head()
+        await self._write(data[:SEND_FIRST_LIMIT_BYTES])
         head: h11.Response | None = None
         failure: HttpClientError | None = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send_in_background, request)
+            nursery.start_soon(self._send_rest, data[SEND_FIRST_LIMIT_BYTES:])
             try:
                 head = await self.response_head()
             except HttpClientError as error:
@@ -126,13 +131,14 @@
             raise failure
         return head
 
-    async def _send_in_background(self, request: HttpRequest) -> None:
+    async def _send_rest(self, data: bytes) -> None:
         # If the connection breaks here, waiting for the response fails as well and
         # reports the error.
         with suppress(ResponseLostError):
-            await self.send(request)
+            await self._write(data)
+            self.is_request_sent = True
 
-    async def send(self, request: HttpRequest) -> None:
+    def _encode(self, request: HttpRequest) -> bytes:
         headers = list(request.headers)
         if request.header("host") is None:
             headers.insert(0, ("host", str(self.address)))
@@ -143,15 +149,16 @@
         )
         events = (head, h11.Data(data=request.body), h11.EndOfMessage())
         try:
-            data = b"".join(self.protocol.send(event) or b"" for event in events)
+            return b"".join(self.protocol.send(event) or b"" for event in events)
         except h11.LocalProtocolError as error:
             # The peer closed the idle connection just before this request used it.
             raise ResponseLostError(self.address, error) from error
+
+    async def _write(self, data: bytes) -> None:
         try:
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ResponseLostError(self.address, error) from error
-        self.is_request_sent = True
 
     async def next_event(self) -> h11.Event:
         try:
@@ -180,7 +187,11 @@
                 return event
 
     def is_stale(self) -> bool:
-        """Return whether the peer has closed this idle connection or written to it."""
+        """Return whether the peer has closed this connection or written to it.
+
+        It must be called right before the first write of a request, with no
+        checkpoint in between: bytes that arrive later may be the response.
+        """
         return self.stream.socket.is_readable()
 
     def is_reusable(self) -> bool:
@@ -256,7 +267,12 @@
         except (OSError, trio.TooSlowError) as error:
             cause = f"all attempts to connect failed: {error}"
             raise RequestNotSentError(self.address, cause) from error
-        return _ClientConnection(address=self.address, stream=stream)
+        connection = _ClientConnection(address=self.address, stream=stream)
+        if connection.is_stale():
+            await trio.aclose_forcefully(stream)
+            cause = "the peer closed the connection or wrote before the request"
+            raise RequestNotSentError(self.address, cause)
+        return connection
 
     async def _release(self, connection: _ClientConnection) -> None:
         if (
--- a/tests/test_direct_faults.py
+++ b/tests/test_direct_faults.py
@@ -248,7 +248,7 @@
         await peer.aclose()
         with pytest.raises(ResponseLostError):
             await connection.next_event()
-            await connection.send(HttpRequest(method="POST", target="/", body=b"x"))
+            await connection.exchange(HttpRequest(method="POST", target="/", body=b"x"))
 
     trio.run(main)
 
