Forward header values whose bytes aren't ASCII

Callers whose request, or whose target's answer, had a header with bytes beyond ASCII got 500 "internal"; in the case of an answer the request had run. Values were read as Latin-1, which stands for any bytes, but written by h11, which encodes text as ASCII and raised.

Everything that h11 accepts can be forwarded, so no request needs a 400 for it.

--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -13,7 +13,12 @@
 import h11
 import trio
 
-from lavenderfold.http._messages import HttpRequest, HttpResponse
+from lavenderfold.http._messages import (
+    HttpRequest,
+    HttpResponse,
+    decode_headers,
+    encode_headers,
+)
 from lavenderfold.settings import Address
 
 RECEIVE_BYTES = 65536
@@ -65,10 +70,7 @@
 
     def __init__(self, *, head: h11.Response, connection: "_ClientConnection"):
         self.status = head.status_code
-        self.headers = [
-            (name.decode("ascii"), value.decode("latin-1"))
-            for name, value in head.headers
-        ]
+        self.headers = decode_headers(head.headers)
         self._connection = connection
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -145,7 +147,9 @@
         if request.body or request.method not in METHODS_WITHOUT_BODY:
             headers.append(("content-length", str(len(request.body))))
         head = h11.Request(
-            method=request.method, target=request.target, headers=headers
+            method=request.method,
+            target=request.target,
+            headers=encode_headers(headers),
         )
         events = (head, h11.Data(data=request.body), h11.EndOfMessage())
         try:
--- a/src/lavenderfold/http/_messages.py
+++ b/src/lavenderfold/http/_messages.py
@@ -1,5 +1,7 @@
 """HTTP request and response types."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 
@@ -19,8 +21,21 @@
         self.limit = limit
 
 
+def decode_headers(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
+    """Return headers with values as Latin-1 text, which stands for any bytes."""
+    return [(name.decode("ascii"), value.decode("latin-1")) for name, value in headers]
+
+
+def encode_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[bytes, bytes]]:
+    """Return the bytes of headers that ``decode_headers`` decoded."""
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+
+
 class HttpRequest(msgspec.Struct, kw_only=True):
-    """A request with its complete body. Header names are lower case."""
+    """A request with its complete body.
+
+    Header names are lower case; values are Latin-1 text.
+    """
 
     method: str
     target: str
@@ -47,7 +62,10 @@
 
 
 class HttpResponse(msgspec.Struct, kw_only=True):
-    """A response with its complete body. Header names are lower case."""
+    """A response with its complete body.
+
+    Header names are lower case; values are Latin-1 text.
+    """
 
     status: int
     headers: list[tuple[str, str]] = msgspec.field(default_factory=list)
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -13,6 +13,8 @@
     HttpRequest,
     HttpResponse,
     MalformedRequestError,
+    decode_headers,
+    encode_headers,
     json_response,
 )
 from lavenderfold.settings import Address
@@ -78,7 +80,7 @@
         length = ("content-length", str(len(response.body)))
         headers = [*response.headers, length, *self._closing_headers()]
         await self._send_events(
-            h11.Response(status_code=response.status, headers=headers),
+            _response_head(response.status, headers),
             h11.Data(data=response.body),
             h11.EndOfMessage(),
         )
@@ -88,7 +90,7 @@
         """Send the status line and headers of a chunked response."""
         framing = ("transfer-encoding", "chunked")
         chunked = [*headers, framing, *self._closing_headers()]
-        await self._send_events(h11.Response(status_code=status, headers=chunked))
+        await self._send_events(_response_head(status, chunked))
 
     async def write(self, data: bytes) -> None:
         """Send one chunk."""
@@ -108,6 +110,10 @@
         await self._stream.send_all(data)
 
 
+def _response_head(status: int, headers: list[tuple[str, str]]) -> h11.Response:
+    return h11.Response(status_code=status, headers=encode_headers(headers))
+
+
 Handler = Callable[[HttpRequest, ResponseWriter], Awaitable[None]]
 
 
@@ -247,10 +253,7 @@
         return HttpRequest(
             method=head.method.decode("ascii"),
             target=head.target.decode("ascii", "replace"),
-            headers=[
-                (name.decode("ascii"), value.decode("latin-1"))
-                for name, value in head.headers
-            ],
+            headers=decode_headers(head.headers),
             body=bytes(body),
         )
 
--- a/tests/answer_bytes.py
+++ b/tests/answer_bytes.py
@@ -32,6 +32,7 @@
     stream: trio.SocketStream
     request_id: str
     path: str
+    headers: list[tuple[bytes, bytes]]
     number: int
     last_answer: bytes = b""
     is_closed: bool = False
@@ -84,6 +85,7 @@
                     stream=stream,
                     request_id=request_id,
                     path=request.target.decode(),
+                    headers=list(request.headers),
                     number=number,
                     last_answer=last_answer,
                 )
