Fuzz the bytes that targets write on kept connections

Both faults of mixed heads were found by chance. The fuzzer plays targets that write late copies of earlier answers, whole, torn and with their headers in another order, earlier refusals, cut heads and bodies, streams that break off, resets and answers without a length, to long bodies early, while the configuration changes and targets drain. Callers compare ids, status, signature, framing and body with what the targets ran; "not run" must be true, and nothing may run more often than its route allows.

--- a/tests/answer_bytes.py
+++ b/tests/answer_bytes.py
@@ -18,6 +18,7 @@
 from tests.direct_support import LOOPBACK, DirectFleet, make_config
 
 RECEIVE_BYTES = 65536
+RESET_ON_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 ANSWER_WAIT_S = 8.0
 STREAM_HEADER = "Content-Type: text/event-stream\r\n"
 
@@ -25,8 +26,9 @@
 class Exchange(msgspec.Struct, kw_only=True):
     """One request that a target received, and the connection that it came on.
 
-    ``number`` counts the requests of the connection from 0. ``last_answer`` is what
-    the script remembered of the connection's previous answer.
+    ``number`` counts the requests of the connection from 0. ``last_request_id`` is
+    the id of its previous request, and ``last_answer`` what the script remembered of
+    the answer to that.
     """
 
     stream: trio.SocketStream
@@ -34,6 +36,7 @@
     path: str
     headers: list[tuple[bytes, bytes]]
     number: int
+    last_request_id: str = ""
     last_answer: bytes = b""
     is_closed: bool = False
 
@@ -45,6 +48,16 @@
         self.is_closed = True
         await self.stream.aclose()
 
+    async def reset(self) -> None:
+        """Reset the connection, without what wasn't sent yet."""
+        self.stream.setsockopt(
+            trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, RESET_ON_CLOSE
+        )
+        await self.close()
+
+    def header(self, name: bytes) -> bytes | None:
+        return dict(self.headers).get(name)
+
 
 Script = Callable[[Exchange], Awaitable[bytes]]
 
@@ -53,12 +66,20 @@
     """A target whose script writes the bytes of its answers itself.
 
     The script returns the bytes that it remembers for the connection's next request.
-    ``received`` holds the ids of the requests, in order.
+    ``received`` holds the ids of the requests, in order. With ``answers_early`` a
+    request is answered before its body was read.
     """
 
-    def __init__(self, *, id: str, script: Script):
+    def __init__(
+        self,
+        *,
+        id: str,
+        script: Script,
+        answers_early: Callable[[h11.Request], bool] = lambda head: False,
+    ):
         self.id = id
         self.script = script
+        self.answers_early = answers_early
         self.born = 0
         self.address: Address | None = None
         self.received: list[str] = []
@@ -76,9 +97,11 @@
         self.connections += 1
         protocol = h11.Connection(h11.SERVER)
         number = 0
-        last_answer = b""
+        last_request_id, last_answer = "", b""
         async with stream:
-            while request := await _read_request(protocol, stream):
+            while request := await _read_head(protocol, stream):
+                if not self.answers_early(request):
+                    await _read_body(protocol, stream)
                 request_id = dict(request.headers)[b"attempt-id"].decode()
                 self.received.append(request_id)
                 exchange = Exchange(
@@ -87,6 +110,7 @@
                     path=request.target.decode(),
                     headers=list(request.headers),
                     number=number,
+                    last_request_id=last_request_id,
                     last_answer=last_answer,
                 )
                 try:
@@ -96,29 +120,40 @@
                 if exchange.is_closed:
                     return
                 number += 1
+                last_request_id = request_id
                 # h11 needs an answer of its own; the bytes of this one aren't sent.
                 protocol.send(h11.Response(status_code=204, headers=[]))
                 protocol.send(h11.EndOfMessage())
+                if not await _read_body(protocol, stream):
+                    return
                 protocol.start_next_cycle()
 
 
-async def _read_request(
+async def _next_event(
     protocol: h11.Connection, stream: trio.SocketStream
-) -> h11.Request | None:
-    request = None
+) -> h11.Event | None:
+    """Return the next event, or None if the connection broke."""
     try:
-        while True:
-            event = protocol.next_event()
-            if event is h11.NEED_DATA:
-                protocol.receive_data(await stream.receive_some(RECEIVE_BYTES))
-            elif isinstance(event, h11.Request):
-                request = event
-            elif isinstance(event, h11.EndOfMessage):
-                return request
-            elif not isinstance(event, h11.Data):
-                return None
+        while (event := protocol.next_event()) is h11.NEED_DATA:
+            protocol.receive_data(await stream.receive_some(RECEIVE_BYTES))
     except (h11.RemoteProtocolError, trio.BrokenResourceError):
         return None
+    return event
+
+
+async def _read_head(
+    protocol: h11.Connection, stream: trio.SocketStream
+) -> h11.Request | None:
+    event = await _next_event(protocol, stream)
+    return event if isinstance(event, h11.Request) else None
+
+
+async def _read_body(protocol: h11.Connection, stream: trio.SocketStream) -> bool:
+    """Read the rest of a request, if any; return whether it is whole."""
+    while protocol.their_state is h11.SEND_BODY:
+        if await _next_event(protocol, stream) is None:
+            return False
+    return protocol.their_state is h11.DONE
 
 
 def answer_bytes(
@@ -216,14 +251,20 @@
 
 
 @asynccontextmanager
-async def byte_fleet(*scripts: Script, config: FleetConfig | None = None):
+async def byte_fleet(
+    *scripts: Script,
+    config: FleetConfig | None = None,
+    answers_early: Callable[[h11.Request], bool] = lambda head: False,
+):
     """Run a router with byte targets ``t0``, ``t1`` and so on; yield both."""
     async with trio.open_nursery() as nursery:
         fleet = DirectFleet(nursery=nursery, store=MemoryStore(), codec=PLATFORM_CODEC)
         fleet.configure(config or make_config())
         targets = []
         for number, script in enumerate(scripts):
-            target = ByteTarget(id=f"t{number}", script=script)
+            target = ByteTarget(
+                id=f"t{number}", script=script, answers_early=answers_early
+            )
             await nursery.start(target.run)
             fleet.register(target)
             targets.append(target)
