Tell bytes that are no HTTP from a connection that broke

An answer that h11 refuses, such as one with two lengths or with a line of another answer in its head, counted as a lost connection: no line and no metric said why, the failure looked like a crash of the target, and didn't count as a sign that the router reaches it.

The client now raises MalformedResponseError if the connection is still open when h11 refuses its bytes; the attempt is INVALID (malformed), with h11's message as detail. A connection that ends within a head or body is lost, as before. Callers see no difference: the outcome is uncertain in both cases.

Failed before: the four cases of test_bytes_that_are_no_http_are_logged_with_their_fault.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -23,6 +23,7 @@
 from lavenderfold.http import (
     HttpClient,
     HttpResponse,
+    MalformedResponseError,
     MixedHeadError,
     RequestNotSentError,
     ResponseLostError,
@@ -43,6 +44,8 @@
 # With one of these statuses a router guarantees that the request didn't run, so a
 # target's own answer with such a status isn't relayed.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# The message of an error can contain a whole line of the target's.
+DETAIL_CHARACTERS_LIMIT = 100
 # Headers of the connection or of the message framing, which aren't relayed.
 FRAMING_HEADERS = frozenset(
     ("connection", "content-length", "keep-alive", "transfer-encoding", "date")
@@ -181,6 +184,10 @@
         except MixedHeadError:
             self.invalid_answer = InvalidAnswerError(InvalidCause.MIXED_HEAD)
             return AttemptOutcome.INVALID
+        except MalformedResponseError as error:
+            detail = str(error.__cause__)[:DETAIL_CHARACTERS_LIMIT]
+            self.invalid_answer = InvalidAnswerError(InvalidCause.MALFORMED, detail)
+            return AttemptOutcome.INVALID
         except RequestNotSentError:
             return AttemptOutcome.NOT_CONNECTED
         except ResponseLostError:
--- a/src/lavenderfold/direct/_requests.py
+++ b/src/lavenderfold/direct/_requests.py
@@ -88,13 +88,15 @@
     """Why bytes of a target are no answer to the attempt.
 
     REPEATED_HEADER, HEADER_VALUE and CONTRADICTION: parts of two answers may stand in
-    one head. MIXED_HEAD: a status line stands within the head.
+    one head. MIXED_HEAD: a status line stands within the head. MALFORMED: the bytes
+    aren't HTTP.
     """
 
     REPEATED_HEADER = "repeated_header"
     HEADER_VALUE = "header_value"
     CONTRADICTION = "contradiction"
     MIXED_HEAD = "mixed_head"
+    MALFORMED = "malformed"
     OTHER_ATTEMPT = "other_attempt"
     UNSIGNED = "unsigned"
     ENCODED = "encoded"
@@ -102,7 +104,10 @@
 
 
 class InvalidAnswerError(Exception):
-    """The bytes of a target are no answer; ``detail`` names the header, if any."""
+    """The bytes of a target are no answer.
+
+    ``detail`` names the header, or what makes the bytes malformed.
+    """
 
     def __init__(self, cause: InvalidCause, detail: str | None = None):
         super().__init__(cause.value if detail is None else f"{cause.value}: {detail}")
--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -3,6 +3,7 @@
 from lavenderfold.http._client import (
     HttpClient,
     HttpClientError,
+    MalformedResponseError,
     MixedHeadError,
     RequestNotSentError,
     ResponseLostError,
@@ -27,6 +28,7 @@
     "HttpRequest",
     "HttpResponse",
     "MalformedRequestError",
+    "MalformedResponseError",
     "MixedHeadError",
     "PeerClient",
     "RequestNotSentError",
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -59,7 +59,11 @@
     """At least part of the request may have been sent; no complete response came."""
 
 
-class MixedHeadError(ResponseLostError):
+class MalformedResponseError(ResponseLostError):
+    """The bytes of the response aren't HTTP; its connection didn't just end."""
+
+
+class MixedHeadError(MalformedResponseError):
     """The head of the response contains the status line of another response."""
 
 
@@ -172,11 +176,11 @@
                     return event
                 data = await self.stream.receive_some(RECEIVE_BYTES)
                 self.protocol.receive_data(data)
-        except (
-            h11.RemoteProtocolError,
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-        ) as error:
+        except h11.RemoteProtocolError as error:
+            _, is_closed = self.protocol.trailing_data
+            error_type = ResponseLostError if is_closed else MalformedResponseError
+            raise error_type(self.address, error) from error
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ResponseLostError(self.address, error) from error
 
     async def response_head(self) -> h11.Response:
--- a/tests/test_answer_heads.py
+++ b/tests/test_answer_heads.py
@@ -196,6 +196,62 @@
     assert read_answer(503, headers).is_not_run
 
 
+@pytest.mark.parametrize(
+    ("data", "detail"),
+    [
+        (b"HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK\r\n\r\n", "illegal header line"),
+        (b"garbage\r\n\r\n", "illegal status line"),
+        (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            "conflicting Content-Length headers",
+        ),
+        (
+            answer_bytes("a2", b"zz\r\n").replace(
+                b"Content-Length: 4", b"Transfer-Encoding: chunked"
+            ),
+            "illegal chunk header",
+        ),
+    ],
+    ids=["header line", "status line", "two lengths", "chunk"],
+)
+def test_bytes_that_are_no_http_are_logged_with_their_fault(data, detail, caplog):
+    """They counted as a connection that broke, and nothing told what was wrong."""
+
+    async def script(exchange: Exchange) -> bytes:
+        first = answer_bytes(exchange.request_id, b"whole")
+        await exchange.write(data if exchange.number else first)
+        return b""
+
+    async def scenario(fleet, targets):
+        assert_uncertain(await call_twice(fleet))
+
+    with caplog.at_level(logging.WARNING):
+        run_byte_scenario(scenario, script)
+    lines = [each for each in caplog.records if each.message == "answer_invalid"]
+    assert [each.cause for each in lines] == ["malformed"]
+    assert lines[0].detail.startswith(detail)
+    assert len(lines[0].detail) <= 100
+
+
+def test_connection_that_ends_in_a_head_is_lost_and_not_malformed(caplog):
+    """Only a lost attempt is a sign that its prompt crashed the target."""
+
+    async def script(exchange: Exchange) -> bytes:
+        answer = answer_bytes(exchange.request_id, b"whole")
+        await exchange.write(answer[:30] if exchange.number else answer)
+        if exchange.number:
+            await exchange.close()
+        return b""
+
+    async def scenario(fleet, targets):
+        assert_uncertain(await call_twice(fleet))
+
+    with caplog.at_level(logging.WARNING):
+        run_byte_scenario(scenario, script)
+    events = {each.message for each in caplog.records}
+    assert "attempt_lost" in events and "answer_invalid" not in events
+
+
 def test_refusal_on_a_kept_connection_is_still_a_refusal():
     """Guards against heads judged so strictly that sound refusals are lost."""
 
