Keep callers' connections in the fuzzer of answers

Each request came on a new connection, so that bytes that the router writes without a request, or beyond the end of an answer, couldn't show. Callers now keep a connection while its answers are whole, and report such bytes.

--- a/tests/answer_bytes.py
+++ b/tests/answer_bytes.py
@@ -213,21 +213,61 @@
     return head.encode() + body
 
 
-async def call(address: Address, request: bytes) -> CallerAnswer:
-    """Send the bytes of one request on a new connection and read the answer."""
-    answer = CallerAnswer(headers=[])
-    protocol = h11.Connection(h11.CLIENT)
-    # Tells h11 that a request was sent; its bytes are those of the caller.
-    protocol.send(h11.Request(method="POST", target="/", headers=[("host", "host")]))
-    protocol.send(h11.EndOfMessage())
-    with trio.fail_after(ANSWER_WAIT_S):
-        async with await trio.open_tcp_stream(address.host, address.port) as stream:
+class Caller:
+    """A caller that keeps its connection to a router while answers are whole.
+
+    ``unasked`` holds bytes that came without a request.
+    """
+
+    def __init__(self, address: Address):
+        self.unasked: list[bytes] = []
+        self._address = address
+        self._stream: trio.SocketStream | None = None
+
+    async def call(self, request: bytes) -> CallerAnswer:
+        """Send the bytes of one request and read the answer."""
+        answer = CallerAnswer(headers=[])
+        protocol = h11.Connection(h11.CLIENT)
+        # Tells h11 that a request was sent; its bytes are those of the caller.
+        head = h11.Request(method="POST", target="/", headers=[("host", "host")])
+        protocol.send(head)
+        protocol.send(h11.EndOfMessage())
+        with trio.fail_after(ANSWER_WAIT_S):
+            stream = await self._connect()
             await stream.send_all(request)
             try:
                 await _read_answer(protocol, stream, answer)
             except (h11.RemoteProtocolError, trio.BrokenResourceError):
                 answer.is_whole = False
-    return answer
+        if trailing := protocol.trailing_data[0]:
+            self.unasked.append(bytes(trailing))
+        if not answer.is_whole or protocol.their_state is h11.MUST_CLOSE:
+            await self.close()
+        return answer
+
+    async def close(self) -> None:
+        if self._stream is not None:
+            await trio.aclose_forcefully(self._stream)
+            self._stream = None
+
+    async def _connect(self) -> trio.SocketStream:
+        if self._stream is not None and self._stream.socket.is_readable():
+            if data := await self._stream.receive_some(RECEIVE_BYTES):
+                self.unasked.append(data)
+            await self.close()
+        if self._stream is None:
+            address = self._address
+            self._stream = await trio.open_tcp_stream(address.host, address.port)
+        return self._stream
+
+
+async def call(address: Address, request: bytes) -> CallerAnswer:
+    """Send the bytes of one request on a new connection and read the answer."""
+    caller = Caller(address)
+    try:
+        return await caller.call(request)
+    finally:
+        await caller.close()
 
 
 async def _read_answer(
--- a/tests/answer_fuzzer.py
+++ b/tests/answer_fuzzer.py
@@ -15,11 +15,11 @@
 from tests.answer_bytes import (
     STREAM_HEADER,
     ByteTarget,
+    Caller,
     CallerAnswer,
     Exchange,
     answer_bytes,
     byte_fleet,
-    call,
     caller_request,
     refusal_bytes,
 )
@@ -33,6 +33,7 @@
 CASE_TIMEOUT_S = 60.0
 LATE_SHARE = 0.35
 EARLY_SHARE = 0.2
+NEW_CONNECTION_SHARE = 0.1
 STREAM_ROUTES = ("chat", "draft")
 # How often a request may run. "fetch" may be repeated, but has one attempt, so that
 # its callers see what the router makes of an uncertain answer.
@@ -80,6 +81,7 @@
         self.runs: list[Run] = []
         self.calls: list[Call] = []
         self.late_copies = 0
+        self.unasked: list[bytes] = []
         self._run_numbers = itertools.count(1)
 
     async def run(self) -> list[str]:
@@ -102,14 +104,19 @@
     # Callers
 
     async def _call_often(self, fleet: DirectFleet, caller: int) -> None:
+        client = Caller(fleet.address)
         for number in range(self.requests // CALLERS):
             request_id = f"{self.seed}-{caller}-{number}"
             rng = random.Random(request_id)
             route = rng.choice(list(RUNS_LIMIT_BY_ROUTE))
             body = b"x" * rng.choice((0, 4, 4, 20_000))
             request = caller_request(request_id, f"/{route}/x", body=body)
-            answer = await call(fleet.address, request)
+            if rng.random() < NEW_CONNECTION_SHARE:
+                await client.close()
+            answer = await client.call(request)
             self.calls.append(Call(request_id=request_id, route=route, answer=answer))
+        await client.close()
+        self.unasked += client.unasked
 
     async def _change_config(
         self, fleet: DirectFleet, targets: list[ByteTarget]
@@ -202,6 +209,8 @@
         runs_by_id: dict[str, list[Run]] = {}
         for run in self.runs:
             runs_by_id.setdefault(run.request_id, []).append(run)
+        for data in self.unasked:
+            yield f"bytes to a caller without a request: {data!r}"
         for each in self.calls:
             runs = runs_by_id.get(each.request_id, [])
             for text in _call_violations(each, runs):
