--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -12,11 +12,19 @@
     EventSplitter,
     EventTooLongError,
 )
-from lavenderfold.direct._requests import AnswerHead, PlatformCodec, TargetCall
+from lavenderfold.direct._requests import (
+    AnswerHead,
+    InvalidAnswerError,
+    InvalidCause,
+    PlatformCodec,
+    TargetCall,
+)
 from lavenderfold.direct._target_wait import TargetWait
 from lavenderfold.http import (
     HttpClient,
     HttpResponse,
+    MalformedResponseError,
+    MixedHeadError,
     RequestNotSentError,
     ResponseLostError,
     ResponseWriter,
@@ -38,6 +46,8 @@
 # With one of these statuses a router guarantees that the request didn't run, so a
 # target's own answer with such a status isn't relayed.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# The message of an error can contain a whole line of the target's.
+DETAIL_CHARACTERS_LIMIT = 100
 # Headers of the connection or of the message framing, which aren't relayed.
 FRAMING_HEADERS = frozenset(
     ("connection", "content-length", "keep-alive", "transfer-encoding", "date")
@@ -104,9 +114,9 @@
     """Sends a call to a target and relays a valid answer to the caller.
 
     An error response of the target is kept in ``failure_response``, so that it can
-    be relayed if no other attempt follows. ``target_wait`` limits the waits for the
-    target; what has arrived by then is written also after ``deadline``, on the trio
-    clock, if the caller reads it.
+    be relayed if no other attempt follows; ``invalid_answer`` tells why its bytes are
+    no answer. ``target_wait`` limits the waits for the target; what has arrived by
+    then is written also after ``deadline``, on the trio clock, if the caller reads it.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
     answer, ``on_head`` when the head of any answer was read. ``is_turned_away`` says
     whether the target asked for a pause. ``events`` counts those that this target
@@ -126,6 +136,7 @@
         on_head: Callable[[AnswerHead], None],
     ):
         self.failure_response: HttpResponse | None = None
+        self.invalid_answer: InvalidAnswerError | None = None
         self.status: int | None = None
         self.is_turned_away = False
         self.events = 0
@@ -190,6 +201,16 @@
                 if wait.cancelled_caught:
                     return self._unanswered()
                 return await self._handle_response(response, first_deadline)
+        except InvalidAnswerError as error:
+            self.invalid_answer = error
+            return AttemptOutcome.INVALID
+        except MixedHeadError:
+            self.invalid_answer = InvalidAnswerError(InvalidCause.MIXED_HEAD)
+            return AttemptOutcome.INVALID
+        except MalformedResponseError as error:
+            detail = str(error.__cause__)[:DETAIL_CHARACTERS_LIMIT]
+            self.invalid_answer = InvalidAnswerError(InvalidCause.MALFORMED, detail)
+            return AttemptOutcome.INVALID
         except RequestNotSentError:
             return AttemptOutcome.NOT_CONNECTED
         except ResponseLostError:
@@ -198,18 +219,20 @@
     async def _handle_response(
         self, response: StreamedResponse, first_deadline: float
     ) -> AttemptOutcome:
+        self.status = response.status
         head = self._codec.read_answer(response.status, response.headers)
-        self.status = head.status
         self.is_turned_away = head.asks_pause
         self._on_head(head)
         if head.attempt_id != self._call.request.attempt_id:
-            return AttemptOutcome.INVALID
+            raise InvalidAnswerError(InvalidCause.OTHER_ATTEMPT)
         if head.is_not_run:
             if head.is_misdirected:
                 return AttemptOutcome.MISDIRECTED
             return AttemptOutcome.REJECTED
-        if not head.is_signed or head.is_encoded:
-            return AttemptOutcome.INVALID
+        if not head.is_signed:
+            raise InvalidAnswerError(InvalidCause.UNSIGNED)
+        if head.is_encoded:
+            raise InvalidAnswerError(InvalidCause.ENCODED)
         if head.is_success and _is_event_stream(head):
             return await self._relay_events(head, response, first_deadline)
         return await self._relay_buffered(head, response, first_deadline)
@@ -222,7 +245,7 @@
             async for chunk in response.chunks():
                 body += chunk
                 if len(body) > ANSWER_BYTES_LIMIT:
-                    return AttemptOutcome.INVALID
+                    raise InvalidAnswerError(InvalidCause.TOO_LONG)
         if wait.cancelled_caught:
             return self._unanswered()
         answer = HttpResponse(
@@ -258,8 +281,8 @@
                 break
             try:
                 events = splitter.feed(chunk)
-            except EventTooLongError:
-                return AttemptOutcome.INVALID
+            except EventTooLongError as error:
+                raise InvalidAnswerError(InvalidCause.TOO_LONG) from error
             if events is not None and not await self._write_events(head, events):
                 return AttemptOutcome.TIMED_OUT
             deadline = trio.current_time() + self._event_wait_s()
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -71,6 +71,12 @@
             ["value"],
             registry=self._registry,
         )
+        self._invalid_answers = Counter(
+            "lavenderfold_invalid_answers",
+            "Attempts whose target sent bytes that are no answer to them, by cause.",
+            ["cause"],
+            registry=self._registry,
+        )
         self._first_byte_time = Histogram(
             "lavenderfold_first_byte_seconds",
             "Time to the first byte of an answer.",
@@ -147,6 +153,9 @@
         """Count a pause in a target's answer by the kind of its value."""
         self._target_pauses.labels(value).inc()
 
+    def record_invalid_answer(self, cause: str) -> None:
+        self._invalid_answers.labels(cause).inc()
+
     def record_store_call(self, call: StoreCall) -> None:
         self._store_calls.labels(call.kind, call.purpose, call.result).inc()
 
--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -3,6 +3,8 @@
 from lavenderfold.http._client import (
     HttpClient,
     HttpClientError,
+    MalformedResponseError,
+    MixedHeadError,
     RequestNotSentError,
     ResponseLostError,
     StreamedResponse,
@@ -35,6 +37,8 @@
     "HttpResponse",
     "IDLE_GRACE_S",
     "MalformedRequestError",
+    "MalformedResponseError",
+    "MixedHeadError",
     "PeerClient",
     "RequestNotSentError",
     "ResponseLostError",
