Send no attempt id twice over one kept connection to a target

What callers saw: a caller that used an attempt id again was told "not run, try again" (503 with Retry-After) while a target ran its request. The target had sent the refusal of the first request with that id once more, late, on the same connection.

Cause: the attempt id in an answer tells a late copy of an earlier answer from the answer that is due, but not if both requests have the same id.

A kept connection remembers the last ids that it carried, and a request whose id is among them gets a new connection, where no earlier answer can arrive.

Failed before: test_refusal_sent_again_on_a_kept_connection_refuses_no_other_request [attempt-1]. The other tests of tests/test_stale_refusals.py passed before and stay as guards: refusals of other attempts, after a whole answer, inside an answer and after an interim head.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -157,7 +157,11 @@
         # The target may close an idle connection while the request is being sent,
         # which leaves unknown whether it ran. Requests that must not run twice are
         # therefore sent on a new connection.
-        exchange = client.stream(request, is_fresh=not self._call.route.is_repeatable)
+        exchange = client.stream(
+            request,
+            is_fresh=not self._call.route.is_repeatable,
+            exchange_id=self._call.request.attempt_id,
+        )
         first_deadline = trio.current_time() + self._head_wait_s()
         try:
             async with contextlib.AsyncExitStack() as stack:
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -18,6 +18,9 @@
 RECEIVE_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
 IDLE_CONNECTIONS_LIMIT = 32
+# A peer that repeats an answer does so soon after the original; older ids would only
+# take memory on connections that are kept for long.
+RECENT_EXCHANGES_LIMIT = 64
 # A longer body may fill the peer's receive window, so that sending it blocks until
 # the peer reads it.
 SEND_FIRST_LIMIT_BYTES = 8192
@@ -90,13 +93,14 @@
 class _ClientConnection:
     """A connection that carries one request at a time."""
 
-    __slots__ = ("address", "stream", "protocol", "is_request_sent")
+    __slots__ = ("address", "stream", "protocol", "is_request_sent", "exchange_ids")
 
     def __init__(self, *, address: Address, stream: trio.SocketStream):
         self.address = address
         self.stream = stream
         self.protocol = h11.Connection(h11.CLIENT)
         self.is_request_sent = False
+        self.exchange_ids: deque[str] = deque(maxlen=RECENT_EXCHANGES_LIMIT)
 
     async def exchange(self, request: HttpRequest) -> h11.Response:
         """Send a request and return the head of its response.
@@ -203,14 +207,23 @@
 
     @asynccontextmanager
     async def stream(
-        self, request: HttpRequest, *, is_fresh: bool = False
+        self,
+        request: HttpRequest,
+        *,
+        is_fresh: bool = False,
+        exchange_id: str | None = None,
     ) -> AsyncIterator[StreamedResponse]:
         """Send a request and yield its response before its body is complete.
 
         With ``is_fresh`` a new connection is opened. The peer may drop an idle
         connection without notice, and a request lost with it may have been run.
+        ``exchange_id`` is the id that the peer repeats in its response. An earlier
+        response with the same id may arrive again, so a connection that lately
+        carried this id isn't used.
         """
-        connection = await (self._connect() if is_fresh else self._acquire())
+        connection = await (self._connect() if is_fresh else self._acquire(exchange_id))
+        if exchange_id is not None:
+            connection.exchange_ids.append(exchange_id)
         try:
             head = await connection.exchange(request)
             yield StreamedResponse(head=head, connection=connection)
@@ -222,9 +235,12 @@
         while self._idle_connections:
             await trio.aclose_forcefully(self._idle_connections.pop().stream)
 
-    async def _acquire(self) -> _ClientConnection:
+    async def _acquire(self, exchange_id: str | None) -> _ClientConnection:
         while self._idle_connections:
             connection = self._idle_connections.pop()
+            if exchange_id in connection.exchange_ids:
+                self._idle_connections.append(connection)
+                break
             if not connection.is_stale():
                 return connection
             await trio.aclose_forcefully(connection.stream)
