Take no response head between events for part of a stream

What callers saw: the head of a target's refusal in the middle of their stream. The target had begun the stream, then wrote an earlier refusal into it.

Cause: the splitter passed on everything up to a blank line as events.

A line of an event never begins with "HTTP/1.", so such bytes make the answer invalid: a resumable stream goes on at another target after the events that were relayed, any other is left truncated.

Failed before: test_refusal_inside_a_stream_never_reaches_the_caller, the cases inside a chunk and unframed that have a blank line after the refusal (8). With chunks around the events only, the refusal was no valid chunk before either.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -11,7 +11,7 @@
 from lavenderfold.direct._events import (
     CompleteEvents,
     EventSplitter,
-    EventTooLongError,
+    InvalidEventError,
 )
 from lavenderfold.direct._requests import AnswerHead, PlatformCodec, TargetCall
 from lavenderfold.http import (
@@ -235,7 +235,7 @@
                 break
             try:
                 events = splitter.feed(chunk)
-            except EventTooLongError:
+            except InvalidEventError:
                 return AttemptOutcome.INVALID
             if events is not None:
                 await self._write_events(head, events)
--- a/src/lavenderfold/direct/_events.py
+++ b/src/lavenderfold/direct/_events.py
@@ -4,10 +4,12 @@
 
 EVENT_SEPARATOR = b"\n\n"
 EVENT_BYTES_LIMIT = 1024 * 1024
+# No line of an event begins like the status line of an HTTP response.
+STATUS_LINE_PREFIX = b"HTTP/1."
 
 
-class EventTooLongError(Exception):
-    """An event of a target is longer than EVENT_BYTES_LIMIT."""
+class InvalidEventError(Exception):
+    """A target sent bytes that can't be an event, or too many without its end."""
 
 
 class CompleteEvents(msgspec.Struct, frozen=True):
@@ -44,13 +46,15 @@
         end = buffer.rfind(EVENT_SEPARATOR)
         if end < 0:
             if len(buffer) > EVENT_BYTES_LIMIT:
-                raise EventTooLongError(
+                raise InvalidEventError(
                     f"{len(buffer)} bytes received without the end of the event"
                 )
             self._partial_event = buffer
             return None
         end += len(EVENT_SEPARATOR)
         complete, self._partial_event = buffer[:end], buffer[end:]
+        if _has_status_line(complete):
+            raise InvalidEventError("a response head stands between the events")
         return CompleteEvents(
             data=complete,
             count=complete.count(EVENT_SEPARATOR),
@@ -58,6 +62,10 @@
         )
 
 
+def _has_status_line(events: bytes) -> bool:
+    return events.startswith(STATUS_LINE_PREFIX) or b"\n" + STATUS_LINE_PREFIX in events
+
+
 def _last_event_id(events: bytes) -> str | None:
     start = events.rfind(b"\nid:")
     if start >= 0:
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -3,14 +3,18 @@
 import pytest
 import trio
 
+from lavenderfold.http import ResponseLostError
 from tests.direct_support import (
     answer_successfully,
     count_target_requests,
+    event,
     reject,
     run_scenario,
+    stream,
 )
 from tests.raw_answers import (
     CHUNKED,
+    EVENT_STREAM,
     encode_chunk,
     encode_head,
     encode_refusal,
@@ -150,3 +154,37 @@
         assert (await fleet.send_request("/sign/x")).status == 503
 
     run_scenario(scenario, refuse_after_interim)
+
+
+@pytest.mark.parametrize("framing", ["chunks", "inside a chunk", "unframed"])
+@pytest.mark.parametrize("is_resumable", [False, True])
+@pytest.mark.parametrize("end", [b"", b"\n\n", b"\n\n" + event(2)])
+def test_refusal_inside_a_stream_never_reaches_the_caller(framing, is_resumable, end):
+    """Guards against a target's refusal between the events of a caller's stream."""
+    head = REFUSAL.replace(b"\r\n", b"\n") if end else REFUSAL
+
+    async def refuse_inside(request, writer):
+        if request.header("x-last") is not None:
+            await stream()(request, writer)
+            return
+        headers = [EVENT_STREAM] if framing == "unframed" else [EVENT_STREAM, CHUNKED]
+        data = encode_success(request, *headers)
+        first, refusal = event(1), head + end
+        if framing != "unframed":
+            first = encode_chunk(first)
+        if framing == "inside a chunk":
+            refusal = encode_chunk(refusal) + b"0\r\n\r\n"
+        await writer._stream.send_all(data + first)
+        # The router relays the first event before the refusal arrives.
+        await trio.sleep(0.1)
+        await send_and_close(writer, refusal)
+
+    async def scenario(fleet):
+        if is_resumable:
+            answer = await fleet.send_request("/draft/x")
+            assert answer.body == b"".join(event(number) for number in range(1, 5))
+        else:
+            with pytest.raises(ResponseLostError):
+                await fleet.send_request("/chat/x")
+
+    run_scenario(scenario, refuse_inside, refuse_inside)
