Open a connection for each run of an agent

What callers saw: the answer of an earlier run, if a service sent it a second time on a kept connection that was in use again (agent-based router, idempotent runs).

Cause: responses of these services bear no id of their request, so the late copy was read as the response that was due.

Each run has its own connection now, as runs that aren't idempotent had already, so no earlier response can precede its own. Streams of engines had their own connection in effect unless another call's had been kept; that is explicit now.

--- a/src/lavenderfold/agent/_engine.py
+++ b/src/lavenderfold/agent/_engine.py
@@ -120,7 +120,8 @@
         body=msgspec.json.encode(body),
     )
     try:
-        async with client.stream(request) as response:
+        # On a kept connection a late copy of an earlier response could come first.
+        async with client.stream(request, is_fresh=True) as response:
             return await _relay_events(client, order, response, progress)
     except RequestNotSentError as error:
         return connection_failed(error)
--- a/src/lavenderfold/agent/_target.py
+++ b/src/lavenderfold/agent/_target.py
@@ -56,16 +56,15 @@
 
 def build_app_caller(*, address: Address) -> TargetCaller:
     """Return a function that runs orders at a plain service."""
-    pooled_client = HttpClient(address=address)
 
     async def call(order: Run, sink: AnswerSink) -> TargetResult:
         request = _make_http_request(order)
         if not _is_valid_http(request):
             return NotRun(Reason.INVALID, "method, path or header is not valid HTTP")
-        # The service may close a pooled connection during a call, and a call that isn't
-        # idempotent can't be repeated then. A new connection avoids most of these
-        # unknown outcomes.
-        client = pooled_client if order.idempotent else HttpClient(address=address)
+        # Responses bear no id of their request, so on a kept connection a late copy of
+        # an earlier response would be taken for this one. The service may also close
+        # a kept connection during a call, and then it is unknown whether it ran.
+        client = HttpClient(address=address)
         try:
             async with client.stream(request) as response:
                 return await _relay_response(response, sink)
@@ -74,8 +73,7 @@
         except ResponseLostError as error:
             return connection_lost(error)
         finally:
-            if client is not pooled_client:
-                await client.close()
+            await client.close()
 
     return call
 
