Continue no stream with events that the caller has already

What callers saw: events twice, and pieces of two runs in one stream, when a stream broke off and the next target began it again at its beginning.

Cause: the events of the next target were relayed without a look at their ids.

An attempt that continues a stream checks that the first event id of what it relays comes after the last one that the caller has. Otherwise the target can't continue the stream, and another is tried or the stream is left truncated.

Failed before, in both tests of wrong continuations: from the beginning, from the beginning after a comment, from the last event (6). The other cases of tests/test_broken_streams.py passed before and stay as guards.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -12,6 +12,7 @@
     CompleteEvents,
     EventSplitter,
     InvalidEventError,
+    is_later_id,
 )
 from lavenderfold.direct._requests import AnswerHead, PlatformCodec, TargetCall
 from lavenderfold.http import (
@@ -125,6 +126,7 @@
         self._codec = codec
         self._writer = writer
         self._progress = progress
+        self._is_continuation = progress.events > 0
         self._can_fail_over = can_fail_over
         self._on_answering = on_answering
         self._is_answering = False
@@ -238,6 +240,8 @@
             except InvalidEventError:
                 return AttemptOutcome.INVALID
             if events is not None:
+                if not self._follows_relayed(events):
+                    return AttemptOutcome.FAILED
                 await self._write_events(head, events)
             deadline = trio.current_time() + self._event_wait_s()
         if splitter.has_partial_event:
@@ -247,6 +251,16 @@
         await self._writer.finish()
         return AttemptOutcome.DELIVERED
 
+    def _follows_relayed(self, events: CompleteEvents) -> bool:
+        """Return whether these events may follow those of an earlier attempt.
+
+        A target that can't resume a stream begins it again.
+        """
+        last_id = self._progress.last_event_id
+        if not self._is_continuation or last_id is None or events.first_id is None:
+            return True
+        return is_later_id(events.first_id, last_id)
+
     async def _write_events(self, head: AnswerHead, events: CompleteEvents) -> None:
         if not self._writer.started:
             await self._writer.start(head.status, _relayed_headers(head))
--- a/src/lavenderfold/direct/_events.py
+++ b/src/lavenderfold/direct/_events.py
@@ -15,11 +15,13 @@
 class CompleteEvents(msgspec.Struct, frozen=True):
     """One or more complete events in their encoded form.
 
-    ``last_id`` is the last event id among them, or None if no event has an id.
+    ``first_id`` and ``last_id`` are the first and the last event id among them, or
+    None if no event has an id.
     """
 
     data: bytes
     count: int
+    first_id: str | None
     last_id: str | None
 
 
@@ -58,6 +60,7 @@
         return CompleteEvents(
             data=complete,
             count=complete.count(EVENT_SEPARATOR),
+            first_id=_first_event_id(complete),
             last_id=_last_event_id(complete),
         )
 
@@ -66,13 +69,29 @@
     return events.startswith(STATUS_LINE_PREFIX) or b"\n" + STATUS_LINE_PREFIX in events
 
 
+def _first_event_id(events: bytes) -> str | None:
+    start = 0 if events.startswith(b"id:") else events.find(b"\nid:") + 1
+    return _read_id(events, start)
+
+
 def _last_event_id(events: bytes) -> str | None:
-    start = events.rfind(b"\nid:")
-    if start >= 0:
-        start += 4
-    elif events.startswith(b"id:"):
-        start = 3
-    else:
+    return _read_id(events, events.rfind(b"\nid:") + 1)
+
+
+def _read_id(events: bytes, start: int) -> str | None:
+    """Return the id in the line that begins at ``start``, or None if it has none."""
+    if not events.startswith(b"id:", start):
         return None
     end = events.find(b"\n", start)
-    return events[start:end].strip().decode("latin-1")
+    return events[start + len(b"id:") : end].strip().decode("latin-1")
+
+
+def is_later_id(event_id: str, earlier_id: str) -> bool:
+    """Return whether an event comes after another one of its stream.
+
+    Ids that aren't numbers have no order; they only have to differ.
+    """
+    if not (event_id.isdecimal() and earlier_id.isdecimal()):
+        return event_id != earlier_id
+    number, earlier_number = event_id.lstrip("0"), earlier_id.lstrip("0")
+    return (len(number), number) > (len(earlier_number), earlier_number)
