Take no answer without events for the rest of a stream

What callers saw: a stream that ended as if it were complete although events were missing. Its first target had broken off, and the next one answered with a success without events: an empty stream, a comment only, or 204.

Cause: the end of any such answer was written as the end of the stream.

A continuation without an event that has an id now counts as failed, so that another target is tried or the stream is left truncated. A caller that resumes a stream itself still gets an empty one, because nothing was relayed to it before.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -246,6 +246,10 @@
             deadline = trio.current_time() + self._event_wait_s()
         if splitter.has_partial_event:
             return AttemptOutcome.LOST
+        if self._is_continuation and not self._has_relayed_ids:
+            # A target that can't resume the stream may answer without any event; the
+            # caller would take the broken stream for a complete one.
+            return AttemptOutcome.FAILED
         if not self._writer.started:
             await self._writer.start(head.status, _relayed_headers(head))
         await self._writer.finish()
@@ -261,6 +265,11 @@
             return True
         return is_later_id(events.first_id, last_id)
 
+    @property
+    def _has_relayed_ids(self) -> bool:
+        """Whether any event with an id was relayed in this attempt."""
+        return self._progress.last_event_id != self._call.last_event_id
+
     async def _write_events(self, head: AnswerHead, events: CompleteEvents) -> None:
         if not self._writer.started:
             await self._writer.start(head.status, _relayed_headers(head))
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -18,7 +18,7 @@
     stream,
     valid_headers,
 )
-from tests.raw_answers import EVENT_STREAM
+from tests.raw_answers import EVENT_STREAM, encode_head, encode_success, send_and_close
 
 WHOLE_STREAM = b"".join(event(number) for number in range(1, 5))
 FIRST_EVENTS = event(1) + event(2)
@@ -31,6 +31,11 @@
     await writer.send(HttpResponse(status=503, headers=headers, body=b"failed"))
 
 
+async def answer_without_content(request, writer):
+    head = encode_head("204 No Content", [*valid_headers(request), EVENT_STREAM])
+    await send_and_close(writer, head)
+
+
 async def answer_unsigned(request, writer):
     headers = [("x-attempt", request.header("x-attempt")), EVENT_STREAM]
     await writer.send(HttpResponse(status=200, headers=headers, body=event(3)))
@@ -67,6 +72,26 @@
     await writer.finish()
 
 
+async def stream_nothing(request, writer):
+    await writer.start(200, [*valid_headers(request), EVENT_STREAM])
+    await writer.finish()
+
+
+async def stream_a_comment(request, writer):
+    await writer.start(200, [*valid_headers(request), EVENT_STREAM])
+    await writer.write(COMMENT)
+    await writer.finish()
+
+
+async def stream_nothing_unframed(request, writer):
+    await send_and_close(writer, encode_success(request, EVENT_STREAM))
+
+
+async def stream_nothing_with_length(request, writer):
+    headers = [*valid_headers(request), EVENT_STREAM]
+    await writer.send(HttpResponse(status=200, headers=headers))
+
+
 async def write_error_in_stream(request, writer):
     await writer.start(200, [*valid_headers(request), EVENT_STREAM])
     await writer.write(b"HTTP/1.1 500 Internal Server Error\n\n")
@@ -78,11 +103,16 @@
     "signed 503": answer_503_signed,
     "refusal": reject,
     "whole success": answer_successfully,
+    "no content": answer_without_content,
     "unsigned": answer_unsigned,
     "another attempt": answer_for_another,
     "from the beginning": stream_from_the_beginning,
     "from the beginning after a comment": stream_from_the_beginning_after_a_comment,
     "from the last event": stream_from_the_last_event,
+    "no events": stream_nothing,
+    "no events, but a comment": stream_a_comment,
+    "no events, unframed": stream_nothing_unframed,
+    "no events, length": stream_nothing_with_length,
     "error in the stream": write_error_in_stream,
 }
 
