Continue a stream elsewhere only if its route and events allow it

What callers saw: the first events twice, from a stream without event ids or an event stream of an idempotent route that broke off; and on idempotent routes, streams cut in a pause although their target went on.

Cause: any repeatable request was sent to another target after part of its answer had been relayed. Without a last event id, or on a route whose targets don't resume streams, that target begins again. The wait for the next event was limited as well.

An answer that was relayed in part goes on elsewhere only if its route is resumable and an event id is known; otherwise the wait for its target isn't limited either.

Failed before: test_stream_without_event_ids_is_not_continued, test_event_stream_of_an_idempotent_route_is_not_continued and test_stream_that_cannot_be_continued_is_not_cut_for_a_pause.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -15,6 +15,7 @@
     is_later_id,
 )
 from lavenderfold.direct._requests import AnswerHead, PlatformCodec, TargetCall
+from lavenderfold.fleet import Route
 from lavenderfold.http import (
     HttpClient,
     HttpResponse,
@@ -292,7 +293,11 @@
 
     def _wait_until(self, deadline: float) -> trio.CancelScope:
         """Return a scope that limits a wait if another target can take over."""
-        return trio.CancelScope(deadline=deadline if self._can_fail_over else math.inf)
+        can_fail_over = self._can_fail_over and (
+            not self._writer.started
+            or can_be_continued(self._call.route, self._progress)
+        )
+        return trio.CancelScope(deadline=deadline if can_fail_over else math.inf)
 
     def _head_wait_s(self) -> float:
         return max(
@@ -304,6 +309,14 @@
         return max(EVENT_WAIT_MIN_S, EVENT_WAIT_FACTOR * limit_s)
 
 
+def can_be_continued(route: Route, progress: RelayProgress) -> bool:
+    """Return whether another target can continue an answer that was relayed in part.
+
+    Without event ids a target would begin the answer again.
+    """
+    return route.is_resumable and progress.last_event_id is not None
+
+
 def _is_event_stream(head: AnswerHead) -> bool:
     return any(
         name == "content-type" and value.startswith(EVENT_STREAM_TYPE)
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -6,7 +6,12 @@
 import trio
 import xxhash
 
-from lavenderfold.direct._attempt import Attempt, AttemptOutcome, RelayProgress
+from lavenderfold.direct._attempt import (
+    Attempt,
+    AttemptOutcome,
+    RelayProgress,
+    can_be_continued,
+)
 from lavenderfold.direct._choice import choose_target
 from lavenderfold.direct._connections import TargetClients, has_crashed
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
@@ -295,6 +300,8 @@
         """Return whether another target may be tried after this outcome."""
         if not outcome.is_certainly_not_run and not self._route.is_repeatable:
             return False
+        if self._writer.started and not can_be_continued(self._route, self._progress):
+            return False
         if outcome is AttemptOutcome.NOT_CONNECTED:
             return True
         if self._sent_attempts >= self._route.attempt_limit:
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -191,6 +191,51 @@
     run_scenario(scenario, script, script)
 
 
+def test_stream_without_event_ids_is_not_continued():
+    """Another target would begin again, and the caller get the first events twice."""
+
+    async def break_off(request, writer):
+        await writer.start(200, [*valid_headers(request), EVENT_STREAM])
+        await writer.write(b"data: piece 1\n\n")
+        raise RuntimeError("the target closes the connection")
+
+    async def scenario(fleet):
+        assert await read_until_broken(fleet, "/draft/x") == b"data: piece 1\n\n"
+        assert count_target_requests(fleet) == 1
+
+    run_scenario(scenario, break_off, break_off)
+
+
+def test_event_stream_of_an_idempotent_route_is_not_continued():
+    """Its targets don't know the last event id, so they would begin again."""
+    script = stream(end_at=2, cut=True)
+
+    async def scenario(fleet):
+        assert await read_until_broken(fleet, "/read/x") == FIRST_EVENTS
+        assert count_target_requests(fleet) == 1
+
+    run_scenario(scenario, script, script)
+
+
+def test_stream_that_cannot_be_continued_is_not_cut_for_a_pause():
+    """Giving up a silent target would only lose the rest of its stream."""
+
+    async def pause(request, writer):
+        await writer.start(200, [*valid_headers(request), EVENT_STREAM])
+        await writer.write(event(1))
+        # Longer than the router waits if another target can take over.
+        await trio.sleep(1.0)
+        await writer.write(event(2))
+        await writer.finish()
+
+    async def scenario(fleet):
+        answer = await fleet.send_request("/read/x")
+        assert answer.body == FIRST_EVENTS
+        assert count_target_requests(fleet) == 1
+
+    run_scenario(scenario, pause, pause)
+
+
 def test_stream_that_breaks_off_before_its_first_event_is_begun_again():
     """Nothing has reached the caller yet, so any whole answer may follow."""
     script = then(stream(end_at=0, cut=True), stream())
