Take no head without a body for a whole answer unless its framing says so

What callers saw: a 200 with an empty body, or an empty stream, framed as whole. The target had stopped after its answer's head, which had neither a length nor chunks, and closed.

Cause: such an answer ends with its connection, so the close was its regular end.

The HTTP client reports an answer as lost if its end is only the close and no byte of a body came. Answers that are empty by their framing (a length of 0, an empty chunked body, 204, 304, HEAD) stay whole. A body that is cut after its first byte and closed without a reset can't be told from a whole one in this framing.

Failed before: test_answer_cut_at_any_byte_is_answered_as_lost[connection] (at the end of the head), test_stream_cut_at_any_byte_never_looks_whole[connection], test_agent_takes_no_head_without_framing_and_body_for_a_whole_answer. All other cuts, at each byte of answers with a length and with chunks, passed and stay as guards.

--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -25,6 +25,8 @@
 # the peer reads it.
 SEND_FIRST_LIMIT_BYTES = 8192
 METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD"))
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
 async def _open_stream(address: Address) -> trio.SocketStream:
@@ -58,26 +60,39 @@
 class StreamedResponse:
     """A response whose body is read incrementally with ``chunks``."""
 
-    __slots__ = ("status", "headers", "_connection")
+    __slots__ = ("status", "headers", "_connection", "_ends_with_connection")
 
-    def __init__(self, *, head: h11.Response, connection: "_ClientConnection"):
+    def __init__(
+        self, *, head: h11.Response, connection: "_ClientConnection", method: str
+    ):
         self.status = head.status_code
         self.headers = [
             (name.decode("ascii"), value.decode("latin-1"))
             for name, value in head.headers
         ]
         self._connection = connection
+        self._ends_with_connection = (
+            method != "HEAD"
+            and head.status_code not in STATUSES_WITHOUT_BODY
+            and not any(name in FRAMING_HEADERS for name, _ in head.headers)
+        )
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive.
 
-        Raises ResponseLostError if the body ends early.
+        Raises ResponseLostError if the body ends early. A body that ends with its
+        connection and has no byte counts as such: the peer may have stopped after
+        the head.
         """
+        is_empty = True
         while True:
             event = await self._connection.next_event()
             if isinstance(event, h11.Data):
+                is_empty = False
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                if is_empty and self._ends_with_connection:
+                    raise ResponseLostError(self._connection.address, "no body came")
                 return
             else:
                 raise ResponseLostError(self._connection.address, "body was cut")
@@ -226,7 +241,9 @@
             connection.exchange_ids.append(exchange_id)
         try:
             head = await connection.exchange(request)
-            yield StreamedResponse(head=head, connection=connection)
+            yield StreamedResponse(
+                head=head, connection=connection, method=request.method
+            )
         finally:
             await self._release(connection)
 
