Bound the interim responses before an answer

What callers saw: no answer until their timeout, from a router busy with one target that sent interim responses (1xx) without end.

Cause: the client read any number of them before a response.

After 16 interim responses the response counts as lost: the connection is closed, the target is ejected and the caller gets 502, or the request goes to another target.

Failed before: test_endless_answer_is_ended_at_its_limit_and_other_work_goes_on [interim responses].

--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -21,6 +21,8 @@
 # A peer that repeats an answer does so soon after the original; older ids would only
 # take memory on connections that are kept for long.
 RECENT_EXCHANGES_LIMIT = 64
+# A response is preceded by a few interim responses (1xx) at most.
+INTERIM_RESPONSES_LIMIT = 16
 # A longer body may fill the peer's receive window, so that sending it blocks until
 # the peer reads it.
 SEND_FIRST_LIMIT_BYTES = 8192
@@ -182,12 +184,13 @@
             raise ResponseLostError(self.address, error) from error
 
     async def response_head(self) -> h11.Response:
-        while True:
+        for _ in range(INTERIM_RESPONSES_LIMIT + 1):
             event = await self.next_event()
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise ResponseLostError(self.address, "connection closed")
+        raise ResponseLostError(self.address, "too many interim responses")
 
     def is_stale(self) -> bool:
         """Return whether the peer has closed this idle connection or written to it."""
