Bound the parts and the processor time of an event without end

What callers saw: answers of all other requests late, and connections closed because of overload, while one target sent an event without end in chunks of one byte.

Cause: each part was appended to a copy of the event so far and searched from its beginning, so the time grew by the square of the event's length. Up to the limit of 1 MiB that keeps a router busy until the timeout.

The splitter searches only new bytes, and an event may arrive in EVENT_PARTS_LIMIT parts (16384) at most, which take about half a second of processor time in reads of 64 KiB with other work between them.

--- a/src/lavenderfold/direct/_events.py
+++ b/src/lavenderfold/direct/_events.py
@@ -4,12 +4,14 @@
 
 EVENT_SEPARATOR = b"\n\n"
 EVENT_BYTES_LIMIT = 1024 * 1024
+# Each part costs processor time, however short it is.
+EVENT_PARTS_LIMIT = 16 * 1024
 # No line of an event begins like the status line of an HTTP response.
 STATUS_LINE_PREFIX = b"HTTP/1."
 
 
 class InvalidEventError(Exception):
-    """A target sent bytes that can't be an event, or too many without its end."""
+    """A target sent bytes that can't be an event, or too much without its end."""
 
 
 class CompleteEvents(msgspec.Struct, frozen=True):
@@ -32,10 +34,11 @@
     event if the target's connection breaks.
     """
 
-    __slots__ = ("_partial_event",)
+    __slots__ = ("_partial_event", "_parts")
 
     def __init__(self):
-        self._partial_event = b""
+        self._partial_event = bytearray()
+        self._parts = 0
 
     @property
     def has_partial_event(self) -> bool:
@@ -44,17 +47,24 @@
 
     def feed(self, data: bytes) -> CompleteEvents | None:
         """Add received bytes; return the events that they complete, if any."""
-        buffer = self._partial_event + data
-        end = buffer.rfind(EVENT_SEPARATOR)
+        buffer = self._partial_event
+        # Only the new bytes are searched, or a long event in short parts would take
+        # time by the square of its length. The separator may have begun before them.
+        start = max(0, len(buffer) - len(EVENT_SEPARATOR) + 1)
+        buffer += data
+        end = buffer.rfind(EVENT_SEPARATOR, start)
         if end < 0:
-            if len(buffer) > EVENT_BYTES_LIMIT:
+            self._parts += 1
+            if len(buffer) > EVENT_BYTES_LIMIT or self._parts > EVENT_PARTS_LIMIT:
                 raise InvalidEventError(
-                    f"{len(buffer)} bytes received without the end of the event"
+                    f"{len(buffer)} bytes in {self._parts} parts without the end of "
+                    "the event"
                 )
-            self._partial_event = buffer
             return None
+        self._parts = 0
         end += len(EVENT_SEPARATOR)
-        complete, self._partial_event = buffer[:end], buffer[end:]
+        complete = bytes(buffer[:end])
+        del buffer[:end]
         if _has_status_line(complete):
             raise InvalidEventError("a response head stands between the events")
         return CompleteEvents(
