Count only whole events as progress of a stream

What callers saw: a stream that stood still until the timeout of its route although other targets could have continued it. Its target sent a byte now and then.

Cause: each received part, however short, restarted the wait for the next event.

The wait restarts with a complete event. Events that arrive in parts, but in time, are relayed as before.

Failed before: test_stalled_stream_goes_on_elsewhere_although_bytes_arrive (4), and with slow bytes test_request_goes_on_elsewhere_and_the_target_is_ejected for the places in an event (3). test_slow_stream_whose_events_arrive_in_parts_is_not_cut passed and stays as a guard.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -244,7 +244,8 @@
                 if not self._follows_relayed(events):
                     return AttemptOutcome.FAILED
                 await self._write_events(head, events)
-            deadline = trio.current_time() + self._event_wait_s()
+                # Bytes without a complete event don't show that the target goes on.
+                deadline = trio.current_time() + self._event_wait_s()
         if splitter.has_partial_event:
             return AttemptOutcome.LOST
         if self._is_continuation and not self._has_relayed_ids:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -178,9 +178,10 @@
 
 
 @pytest.mark.parametrize("place", ENDLESS_BY_PLACE)
-def test_request_goes_on_elsewhere_and_the_target_is_ejected(place):
+@pytest.mark.parametrize("is_slow", [False, True])
+def test_request_goes_on_elsewhere_and_the_target_is_ejected(place, is_slow):
     """Guards against later requests that wait for the same endless answer."""
-    target = EndlessTarget(ENDLESS_BY_PLACE[place])
+    target = EndlessTarget(ENDLESS_BY_PLACE[place], is_slow=is_slow)
     is_stream = "event" in place
     good = stream() if is_stream else answer_successfully
     whole = b"".join(event(number) for number in range(1, 5)) if is_stream else b"done"
