Don't read an error that can't follow a stream

What callers saw: a broken stream held open until their timeout. The next target answered with an error whose body never ended.

Cause: the body was read up to its end or limit before it was discarded.

An answer that isn't an event stream fails at its head if part of a stream was relayed already.

Failed before: test_error_without_end_does_not_hold_a_broken_stream_open.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -198,6 +198,9 @@
     async def _relay_buffered(
         self, head: AnswerHead, response: StreamedResponse, deadline: float
     ) -> AttemptOutcome:
+        if self._writer.started:
+            # The caller has already received part of another target's stream.
+            return AttemptOutcome.FAILED
         body = bytearray()
         with self._wait_until(deadline) as wait:
             async for chunk in response.chunks():
@@ -209,9 +212,6 @@
         answer = HttpResponse(
             status=head.status, headers=_relayed_headers(head), body=bytes(body)
         )
-        if self._writer.started:
-            # The caller has already received part of another target's stream.
-            return AttemptOutcome.FAILED
         if head.is_success:
             self._progress.first_byte_at = trio.current_time()
             await self._writer.send(answer)
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -266,3 +266,26 @@
         assert (answer.status, answer.body) == (200, b"")
 
     run_scenario(scenario, stream())
+
+
+def test_error_without_end_does_not_hold_a_broken_stream_open():
+    """Guards against reading an error's body that no caller will get."""
+
+    async def fail_endlessly(request, writer):
+        head = encode_head("500 Internal Server Error", valid_headers(request))
+        with pytest.raises(trio.BrokenResourceError):
+            await writer._stream.send_all(head)
+            while True:
+                await writer._stream.send_all(b"x")
+                await trio.sleep(0.05)
+
+    script = then(stream(end_at=2, cut=True), fail_endlessly)
+    route = make_route("draft", RepeatPolicy.STREAM, is_resumable=True, timeout_s=10.0)
+
+    async def scenario(fleet):
+        started_at = trio.current_time()
+        assert await read_until_broken(fleet, "/draft/x") == FIRST_EVENTS
+        assert trio.current_time() - started_at < 2.0
+
+    config = make_config(routes=(route,))
+    run_scenario(scenario, script, script, config=config)
