Close the connection of a caller that stops reading refusals

What operators saw: connections and handlers that never ended, and a router that waited for them through its whole grace period when it drained. Their callers sent requests and read no answers, or a byte now and then.

Cause: writes within a request's execution end at its deadline, but refusals before it (unknown route or key, draining, overload, malformed input) had no limit.

A caller has the idle timeout to take each 16 KiB of a response. Slow callers that keep reading are served for as long as the timeout of their route allows.

Failed before: test_connection_of_a_caller_that_does_not_read_is_closed, the two cases of refusals. The cases of answers and test_caller_that_reads_slowly_but_steadily_gets_its_whole_answer passed and stay as guards.

--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -22,12 +22,17 @@
 BODY_BYTES_LIMIT = 4 * 1024 * 1024
 IDLE_TIMEOUT_S = 75.0
 REQUEST_READ_TIMEOUT_S = 20.0
+# The part of an answer that a caller must take within the idle timeout.
+WRITE_BYTES = 16384
 
 logger = logging.getLogger(__name__)
 
 
 class ServerLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """Limits on the size of a request and on the time that it may take to arrive."""
+    """Limits on the size of a request and on the time that it may take to arrive.
+
+    A caller that reads nothing of a response counts as idle as well.
+    """
 
     header_bytes: int = HEADER_BYTES_LIMIT
     body_bytes: int = BODY_BYTES_LIMIT
@@ -58,7 +63,14 @@
     complete one.
     """
 
-    __slots__ = ("_connection", "_stream", "_is_closing", "started", "finished")
+    __slots__ = (
+        "_connection",
+        "_stream",
+        "_is_closing",
+        "_idle_timeout_s",
+        "started",
+        "finished",
+    )
 
     def __init__(
         self,
@@ -66,10 +78,12 @@
         connection: h11.Connection,
         stream: trio.SocketStream,
         is_closing: Callable[[], bool] = bool,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
     ):
         self._connection = connection
         self._stream = stream
         self._is_closing = is_closing
+        self._idle_timeout_s = idle_timeout_s
         self.started = False
         self.finished = False
 
@@ -105,7 +119,19 @@
     async def _send_events(self, *events: h11.Event) -> None:
         self.started = True
         data = b"".join(self._connection.send(event) or b"" for event in events)
-        await self._stream.send_all(data)
+        await self._write_data(data)
+
+    async def _write_data(self, data: bytes) -> None:
+        """Write in parts that each have the idle timeout.
+
+        A slow caller takes them in time; for one that stops reading, or reads only a
+        byte now and then, BrokenResourceError is raised.
+        """
+        for start in range(0, len(data), WRITE_BYTES):
+            with trio.move_on_after(self._idle_timeout_s) as scope:
+                await self._stream.send_all(data[start : start + WRITE_BYTES])
+            if scope.cancelled_caught:
+                raise trio.BrokenResourceError("the caller doesn't read the response")
 
 
 Handler = Callable[[HttpRequest, ResponseWriter], Awaitable[None]]
@@ -143,6 +169,7 @@
             connection=self._connection,
             stream=self._stream,
             is_closing=self._options.is_closing,
+            idle_timeout_s=self._limits.idle_timeout_s,
         )
         try:
             request = await self._read_request()
