--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -1,5 +1,6 @@
 """HTTP server with one trio task per connection; h11 implements the protocol."""
 
+import enum
 import logging
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -22,6 +23,11 @@
 BODY_BYTES_LIMIT = 4 * 1024 * 1024
 IDLE_TIMEOUT_S = 75.0
 REQUEST_READ_TIMEOUT_S = 20.0
+# Callers may learn of a lowered idle timeout this much later than the server, and of
+# a raised one that much sooner.
+IDLE_GRACE_S = 3.0
+# Bounds what h11 buffers for a head, if the limit in force is lower.
+HEAD_BUFFER_BYTES = 65536
 # The part of an answer that a caller must take within the idle timeout.
 WRITE_BYTES = 16384
 
@@ -40,18 +46,38 @@
     read_timeout_s: float = REQUEST_READ_TIMEOUT_S
 
 
+class CloseReason(enum.Enum):
+    """Why the connection of a caller ended.
+
+    IDLE: no request came within the idle timeout.
+    LEFT: the caller closed it.
+    ANSWERED: it was closed after a whole answer.
+    CUT: it was closed without a whole answer to a request.
+    """
+
+    IDLE = "idle"
+    LEFT = "left"
+    ANSWERED = "answered"
+    CUT = "cut"
+
+
+def _ignore_close(reason: CloseReason) -> None:
+    """Ignore the end of a connection."""
+
+
 class ServerOptions(msgspec.Struct, kw_only=True):
     """Options of a server.
 
     ``limits`` is called for each request and returns the limits in force.
     ``is_closing`` returns whether responses should close their connections. With
     ``cancels_on_disconnect`` a handler is cancelled when its caller closes the
-    connection.
+    connection. ``on_closed`` is called with the reason when a connection ends.
     """
 
     limits: Callable[[], ServerLimits] = ServerLimits
     is_closing: Callable[[], bool] = bool
     cancels_on_disconnect: bool = False
+    on_closed: Callable[[CloseReason], None] = _ignore_close
 
 
 class ResponseWriter:
@@ -117,6 +143,9 @@
         return [("connection", "close")] if self._is_closing() else []
 
     async def _send_events(self, *events: h11.Event) -> None:
+        # A write that is cancelled before its first byte leaves the response as it
+        # was, so that another one can be sent.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self.started = True
         data = b"".join(self._connection.send(event) or b"" for event in events)
         await self._write_data(data)
@@ -148,23 +177,27 @@
         self._options = options
         self._limits = options.limits()
         # _check_head enforces the limit in force for each request. h11's own limit is
-        # fixed for the life of the connection, so it is set to twice the first one.
+        # fixed for the life of the connection, so it is higher than the first one.
+        buffer_bytes = max(HEAD_BUFFER_BYTES, 2 * self._limits.header_bytes)
         self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=2 * self._limits.header_bytes
+            h11.SERVER, max_incomplete_event_size=buffer_bytes
         )
         self._is_caller_disconnected = False
+        self._close_reason = CloseReason.LEFT
 
     async def run(self) -> None:
-        async with self._stream:
-            try:
+        try:
+            async with self._stream:
                 while await self._serve_one():
                     self._connection.start_next_cycle()
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self._close_reason = CloseReason.LEFT
+        finally:
+            self._options.on_closed(self._close_reason)
 
     async def _serve_one(self) -> bool:
         """Serve one request and return whether the connection can be used again."""
-        self._limits = self._options.limits()
+        self._close_reason = CloseReason.LEFT
         writer = ResponseWriter(
             connection=self._connection,
             stream=self._stream,
@@ -175,15 +208,21 @@
             request = await self._read_request()
         except (h11.RemoteProtocolError, MalformedRequestError) as error:
             await self._send_error(writer, error)
+            self._close_reason = CloseReason.ANSWERED
             return False
         if request is None:
             return False
+        self._close_reason = CloseReason.CUT
         if self._options.cancels_on_disconnect:
             await self._handle_until_disconnect(request, writer)
         else:
             await self._handle(request, writer)
-        if not writer.finished or self._is_caller_disconnected:
+        if self._is_caller_disconnected:
+            self._close_reason = CloseReason.LEFT
             return False
+        if not writer.finished:
+            return False
+        self._close_reason = CloseReason.ANSWERED
         states = (self._connection.our_state, self._connection.their_state)
         return states == (h11.DONE, h11.DONE)
 
@@ -246,17 +285,34 @@
         """Return the next request head, or None if the idle timeout expired first."""
         event = self._connection.next_event()
         if event is not h11.NEED_DATA:
+            self._limits = self._options.limits()
             return event
-        data = None
-        with trio.move_on_after(self._limits.idle_timeout_s):
-            data = await self._stream.receive_some(RECEIVE_BYTES)
+        data = await self._receive_after_idling()
+        self._limits = self._options.limits()
         if data is None:
+            self._close_reason = CloseReason.IDLE
             return None
         self._connection.receive_data(data)
         with trio.move_on_after(self._limits.read_timeout_s):
             return await self._next_event()
         raise MalformedRequestError("the head took too long", status=408)
 
+    async def _receive_after_idling(self) -> bytes | None:
+        """Return the first bytes of the next request, or None if none came in time.
+
+        The longest idle timeout that was in force meanwhile counts, as callers rely
+        on the one that they know.
+        """
+        idle_since = trio.current_time()
+        timeout_s = self._options.limits().idle_timeout_s
+        while True:
+            with trio.move_on_at(idle_since + timeout_s + IDLE_GRACE_S):
+                return await self._stream.receive_some(RECEIVE_BYTES)
+            latest_timeout_s = self._options.limits().idle_timeout_s
+            if latest_timeout_s <= timeout_s:
+                return None
+            timeout_s = latest_timeout_s
+
     async def _read_body(self, head: h11.Request) -> HttpRequest:
         if any(name == b"expect" for name, _ in head.headers):
             interim = h11.InformationalResponse(status_code=100, headers=[])
