Answer every request that has arrived before a router stops

What callers saw: connections closed without an answer during a planned stop, for requests whose head or body was still on its way when the last request ended, for requests on kept connections at that moment, and under load for connections that the router had not accepted yet.

Cause: as soon as no request was being run and the grants were back, all tasks were cancelled and the listening socket was closed.

A server can now be asked to stop: it accepts the connections that wait and no others, closes idle ones after a moment, and ends when the requests that have begun to arrive are answered. A draining router stops its server this way after the grants are back, within the grace period; it refuses those requests as not run.

--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -40,6 +40,8 @@
 # Part of the grace period that is reserved for handing grants back.
 HAND_BACK_RESERVE_S = 1.0
 HAND_BACK_TIMEOUT_S = 0.5
+# Part of the grace period that is reserved for the end of the process.
+EXIT_RESERVE_S = 0.2
 EXPIRY_PERIOD_S = 0.2
 CLEANUP_PERIOD_S = 2.0
 REPORT_PERIOD_S = 4.0
@@ -94,6 +96,8 @@
         self._log_lines_left_out = log_lines_left_out
         self._holder = f"{options.name}/{secrets.token_hex(HOLDER_ID_BYTES)}"
         self._draining = trio.Event()
+        self._stop_requested = trio.Event()
+        self._stopped_serving = trio.Event()
         self._metrics = RouterMetrics()
         self.reachability = Reachability(timers=timers)
         self.event_loop_monitor = EventLoopMonitor()
@@ -237,6 +241,7 @@
             is_closing=self._is_closing,
             cancels_on_disconnect=True,
             on_closed=self._metrics.record_closed_connection,
+            stop_requested=self._stop_requested,
         )
 
         async def serve_callers(task_status) -> None:
@@ -246,6 +251,7 @@
                 options=options,
                 task_status=task_status,
             )
+            self._stopped_serving.set()
 
         async def serve_readiness(task_status) -> None:
             await serve(
@@ -297,12 +303,17 @@
         )
 
     async def _finish(self) -> None:
+        grace_ends_at = trio.current_time() + self._options.grace_period_s
         with trio.move_on_after(self._options.grace_period_s - HAND_BACK_RESERVE_S):
             await trio.sleep(DRAIN_ACCEPT_S)
             self._caller_api.is_closed = True
             await self._caller_api.wait_idle()
         with trio.move_on_after(HAND_BACK_TIMEOUT_S):
             await self._balance_manager.return_all()
+        # Requests that are still being read are refused when they are complete.
+        with trio.move_on_at(grace_ends_at - EXIT_RESERVE_S):
+            self._stop_requested.set()
+            await self._stopped_serving.wait()
 
     async def _clean_up_periodically(self) -> None:
         while True:
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -16,6 +16,7 @@
     MalformedRequestError,
     json_response,
 )
+from lavenderfold.http._stop import IdleConnections, close_listeners
 from lavenderfold.settings import Address
 
 RECEIVE_BYTES = 65536
@@ -28,6 +29,8 @@
 IDLE_GRACE_S = 3.0
 # Bounds what h11 buffers for a head, if the limit in force is lower.
 HEAD_BUFFER_BYTES = 65536
+# How long a stopping server waits for the requests of callers that have just connected.
+LAST_REQUESTS_S = 0.2
 # The part of an answer that a caller must take within the idle timeout.
 WRITE_BYTES = 16384
 
@@ -71,13 +74,16 @@
     ``limits`` is called for each request and returns the limits in force.
     ``is_closing`` returns whether responses should close their connections. With
     ``cancels_on_disconnect`` a handler is cancelled when its caller closes the
-    connection. ``on_closed`` is called with the reason when a connection ends.
+    connection. ``on_closed`` is called with the reason when a connection ends. When
+    ``stop_requested`` is set, the server accepts no more connections, closes those
+    that are idle, answers the requests that have begun to arrive, and ends.
     """
 
     limits: Callable[[], ServerLimits] = ServerLimits
     is_closing: Callable[[], bool] = bool
     cancels_on_disconnect: bool = False
     on_closed: Callable[[CloseReason], None] = _ignore_close
+    stop_requested: trio.Event = msgspec.field(default_factory=trio.Event)
 
 
 class ResponseWriter:
@@ -170,8 +176,14 @@
     """Reads requests from one connection and calls the handler for each."""
 
     def __init__(
-        self, *, stream: trio.SocketStream, handler: Handler, options: ServerOptions
+        self,
+        *,
+        stream: trio.SocketStream,
+        handler: Handler,
+        options: ServerOptions,
+        idle_connections: IdleConnections,
     ):
+        self._idle_connections = idle_connections
         self._stream = stream
         self._handler = handler
         self._options = options
@@ -287,7 +299,12 @@
         if event is not h11.NEED_DATA:
             self._limits = self._options.limits()
             return event
-        data = await self._receive_after_idling()
+        data = None
+        with self._idle_connections.waiting():
+            data = await self._receive_after_idling()
+        if data is None and self._stream.socket.is_readable():
+            # A request has arrived just when the wait ended.
+            data = await self._stream.receive_some(RECEIVE_BYTES)
         self._limits = self._options.limits()
         if data is None:
             self._close_reason = CloseReason.IDLE
@@ -385,23 +402,40 @@
     options: ServerOptions | None = None,
     task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve HTTP on ``address`` until cancelled.
+    """Serve HTTP on ``address`` until cancelled or stopped.
 
     Reports the bound address to ``task_status``, which tells the port if 0 was given.
     """
     options = options or ServerOptions()
+    idle_connections = IdleConnections()
 
     async def serve_connection(stream: trio.SocketStream) -> None:
-        connection = _ServerConnection(stream=stream, handler=handler, options=options)
+        connection = _ServerConnection(
+            stream=stream,
+            handler=handler,
+            options=options,
+            idle_connections=idle_connections,
+        )
         try:
             await connection.run()
         except (OSError, h11.LocalProtocolError) as error:
             logger.info("connection_failed", extra={"cause": repr(error)})
 
-    async with trio.open_nursery() as nursery:
-        start_listening = partial(
-            trio.serve_tcp, serve_connection, address.port, host=address.host
-        )
-        listeners = await nursery.start(start_listening)
-        host, port = listeners[0].socket.getsockname()[:2]
-        task_status.started(Address(host=host, port=port))
+    async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as listening:
+            start_listening = partial(
+                trio.serve_tcp,
+                serve_connection,
+                address.port,
+                host=address.host,
+                handler_nursery=connections,
+            )
+            listeners = await listening.start(start_listening)
+            host, port = listeners[0].socket.getsockname()[:2]
+            task_status.started(Address(host=host, port=port))
+            await options.stop_requested.wait()
+            listening.cancel_scope.cancel()
+            for stream in close_listeners(listeners):
+                connections.start_soon(serve_connection, stream)
+        await trio.sleep(LAST_REQUESTS_S)
+        idle_connections.close()
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,162 @@
+"""Planned stops: what requests get that arrive while a router drains."""
+
+import pytest
+import trio
+
+from lavenderfold.settings import Address
+from tests.direct_support import answer_successfully, run_scenario
+
+HEAD = (
+    b"POST /sign/x HTTP/1.1\r\nhost: host\r\nx-attempt: a\r\nx-key: secret\r\n"
+    b"x-tokens: 1,2\r\ncontent-length: 4\r\n\r\n"
+)
+REQUEST = HEAD + b"body"
+# While draining, requests are accepted this long and refused after it.
+ACCEPT_S = 2.5
+SEND_PERIOD_S = 0.005
+
+
+async def receive_all(stream: trio.SocketStream) -> bytes:
+    """Receive until the router closes the connection."""
+    received = b""
+    try:
+        while data := await stream.receive_some(65536):
+            received += data
+    except trio.BrokenResourceError:
+        pass
+    return received
+
+
+@pytest.mark.parametrize("first_part", [HEAD[:30], HEAD, HEAD + b"bo"])
+def test_request_that_is_being_read_when_the_last_one_ends_is_answered(first_part):
+    """Guards against a closed connection instead of a refusal.
+
+    The router is idle but for this request, which ends a moment later.
+    """
+
+    async def scenario(fleet):
+        address = fleet.address
+        fleet.router.drain()
+        await trio.sleep(ACCEPT_S - 0.5)
+        async with await trio.open_tcp_stream(address.host, address.port) as stream:
+            await stream.send_all(first_part)
+            await trio.sleep(1.2)
+            await stream.send_all(REQUEST[len(first_part) :])
+            answer = await receive_all(stream)
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"retry-after" in answer
+
+    run_scenario(scenario, answer_successfully)
+
+
+class CallerUnderLoad:
+    """Sends a request on a new connection again and again, until it is refused.
+
+    ``statuses`` holds those of the answers; ``cut`` counts the connections that ended
+    without an answer although the router had accepted them.
+    """
+
+    def __init__(self, address: Address):
+        self.statuses: list[int] = []
+        self.cut = 0
+        self._address = address
+
+    async def run(self) -> None:
+        while True:
+            try:
+                stream = await trio.open_tcp_stream(
+                    self._address.host, self._address.port
+                )
+            except OSError:
+                return
+            async with stream:
+                await self._send_request(stream)
+            await trio.sleep(SEND_PERIOD_S)
+
+    async def _send_request(self, stream: trio.SocketStream) -> None:
+        try:
+            await stream.send_all(REQUEST)
+        except trio.BrokenResourceError:
+            self.cut += 1
+            return
+        answer = await receive_all(stream)
+        if answer:
+            self.statuses.append(int(answer.split()[1]))
+        else:
+            self.cut += 1
+
+
+def test_requests_accepted_during_a_planned_stop_under_load_are_all_answered():
+    """Guards against connections that are accepted and closed without an answer.
+
+    A request that takes longer than requests are accepted delays the end of the stop.
+    """
+
+    async def answer(request, writer):
+        if request.header("x-attempt") == "slow":
+            await trio.sleep(1.0)
+        await answer_successfully(request, writer)
+
+    async def scenario(fleet):
+        callers = [CallerUnderLoad(fleet.address) for _ in range(20)]
+        async with trio.open_nursery() as nursery:
+            for caller in callers:
+                nursery.start_soon(caller.run)
+            fleet.router.drain()
+            await trio.sleep(ACCEPT_S - 0.3)
+            assert (await fleet.send_request("/sign/x", attempt="slow")).status == 200
+        statuses = {status for caller in callers for status in caller.statuses}
+        assert statuses == {200, 503}
+        assert sum(caller.cut for caller in callers) == 0
+
+    run_scenario(scenario, answer)
+
+
+def test_request_that_arrives_while_grants_are_handed_back_is_refused():
+    """Guards against a request that is read just before the process ends."""
+
+    async def scenario(fleet):
+        await fleet.send_request("/read/x")
+        # Handing back takes as long as it may.
+        fleet.store.is_down = True
+        fleet.router.drain()
+        await trio.sleep(ACCEPT_S + 0.2)
+        address = fleet.address
+        for _ in range(3):
+            stream = await trio.open_tcp_stream(address.host, address.port)
+            async with stream:
+                await stream.send_all(REQUEST)
+                assert (await receive_all(stream)).startswith(b"HTTP/1.1 503")
+            await trio.sleep(0.1)
+
+    run_scenario(scenario, answer_successfully)
+
+
+def test_kept_connection_is_answered_or_closed_unused_during_a_planned_stop():
+    """Guards against closing a kept connection with a request on it."""
+    answers = {}
+
+    async def use_after(delay_s, stream):
+        await trio.sleep(delay_s)
+        try:
+            await stream.send_all(REQUEST)
+        except trio.BrokenResourceError:
+            return
+        answers[delay_s] = await receive_all(stream)
+
+    async def scenario(fleet):
+        delays = [1.0, ACCEPT_S - 0.05, ACCEPT_S + 0.05, ACCEPT_S + 0.15]
+        async with trio.open_nursery() as nursery:
+            for delay_s in delays:
+                stream = await trio.open_tcp_stream(
+                    fleet.address.host, fleet.address.port
+                )
+                await stream.send_all(REQUEST)
+                assert (await stream.receive_some(65536)).startswith(b"HTTP/1.1 200")
+                nursery.start_soon(use_after, delay_s, stream)
+            fleet.router.drain()
+        for delay_s, status in zip(delays, (200, 200, 503, 503), strict=True):
+            assert answers[delay_s].startswith(b"HTTP/1.1 %d" % status), delay_s
+            assert b"connection: close" in answers[delay_s]
+
+    run_scenario(scenario, answer_successfully)
