--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -10,7 +10,8 @@
 from lavenderfold.direct._events import (
     CompleteEvents,
     EventSplitter,
-    EventTooLongError,
+    InvalidEventError,
+    is_later_id,
 )
 from lavenderfold.direct._requests import (
     AnswerHead,
@@ -20,6 +21,7 @@
     TargetCall,
 )
 from lavenderfold.direct._target_wait import TargetWait
+from lavenderfold.fleet import Route
 from lavenderfold.http import (
     HttpClient,
     HttpResponse,
@@ -145,6 +147,7 @@
         self._codec = codec
         self._writer = writer
         self._progress = progress
+        self._is_continuation = progress.events > 0
         self._deadline = deadline
         self._target_wait = target_wait
         self._on_answering = on_answering
@@ -192,6 +195,7 @@
             request,
             is_fresh=not self._call.route.is_repeatable,
             on_sending=self._record_sending,
+            exchange_id=self._call.request.attempt_id,
         )
         first_deadline = trio.current_time() + self._head_wait_s()
         try:
@@ -240,6 +244,9 @@
     async def _relay_buffered(
         self, head: AnswerHead, response: StreamedResponse, deadline: float
     ) -> AttemptOutcome:
+        if self._writer.started:
+            # The caller has already received part of another target's stream.
+            return AttemptOutcome.FAILED
         body = bytearray()
         with self._target_wait.until_silent(deadline) as wait:
             async for chunk in response.chunks():
@@ -251,9 +258,6 @@
         answer = HttpResponse(
             status=head.status, headers=_relayed_headers(head), body=bytes(body)
         )
-        if self._writer.started:
-            # The caller has already received part of another target's stream.
-            return AttemptOutcome.FAILED
         if head.is_success:
             self._progress.first_byte_at = trio.current_time()
             if await self._write(self._writer.send(answer)):
@@ -281,17 +285,40 @@
                 break
             try:
                 events = splitter.feed(chunk)
-            except EventTooLongError as error:
-                raise InvalidAnswerError(InvalidCause.TOO_LONG) from error
-            if events is not None and not await self._write_events(head, events):
-                return AttemptOutcome.TIMED_OUT
-            deadline = trio.current_time() + self._event_wait_s()
+            except InvalidEventError as error:
+                raise InvalidAnswerError(InvalidCause.EVENT, str(error)) from error
+            if events is not None:
+                if not self._follows_relayed(events):
+                    return AttemptOutcome.FAILED
+                if not await self._write_events(head, events):
+                    return AttemptOutcome.TIMED_OUT
+                # Bytes without a complete event don't show that the target goes on.
+                deadline = trio.current_time() + self._event_wait_s()
         if splitter.has_partial_event:
             return AttemptOutcome.LOST
+        if self._is_continuation and not self._has_relayed_ids:
+            # A target that can't resume the stream may answer without any event; the
+            # caller would take the broken stream for a complete one.
+            return AttemptOutcome.FAILED
         if await self._start(head) and await self._write(self._writer.finish()):
             return AttemptOutcome.DELIVERED
         return AttemptOutcome.TIMED_OUT
 
+    def _follows_relayed(self, events: CompleteEvents) -> bool:
+        """Return whether these events may follow those of an earlier attempt.
+
+        A target that can't resume a stream begins it again.
+        """
+        last_id = self._progress.last_event_id
+        if not self._is_continuation or last_id is None or events.first_id is None:
+            return True
+        return is_later_id(events.first_id, last_id)
+
+    @property
+    def _has_relayed_ids(self) -> bool:
+        """Whether any event with an id was relayed in this attempt."""
+        return self._progress.last_event_id != self._call.last_event_id
+
     async def _write_events(self, head: AnswerHead, events: CompleteEvents) -> bool:
         if not await self._start(head):
             return False
@@ -346,6 +373,14 @@
         return max(EVENT_WAIT_MIN_S, EVENT_WAIT_FACTOR * limit_s)
 
 
+def can_be_continued(route: Route, progress: RelayProgress) -> bool:
+    """Return whether another target can continue an answer that was relayed in part.
+
+    Without event ids a target would begin the answer again.
+    """
+    return route.is_resumable and progress.last_event_id is not None
+
+
 def _is_event_stream(head: AnswerHead) -> bool:
     return any(
         name == "content-type" and value.startswith(EVENT_STREAM_TYPE)
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -6,7 +6,12 @@
 import trio
 import xxhash
 
-from lavenderfold.direct._attempt import Attempt, AttemptOutcome, RelayProgress
+from lavenderfold.direct._attempt import (
+    Attempt,
+    AttemptOutcome,
+    RelayProgress,
+    can_be_continued,
+)
 from lavenderfold.direct._choice import TargetChoice, choose_target
 from lavenderfold.direct._connections import has_crashed
 from lavenderfold.direct._pauses import pause_retry_after_s, pause_wait_limit
@@ -247,8 +252,10 @@
         if silent.id not in self._silent_ids:
             self._silent_ids.add(silent.id)
             self._record_silence(silent)
+        if not (self._is_prompt_sound and self._can_go_on_elsewhere):
+            return False
         choice = self._choose(self._avoid | {silent.id})
-        if choice is None or choice.is_last_resort or not self._is_prompt_sound:
+        if choice is None or choice.is_last_resort:
             return False
         if not self._has_reserved_retry:
             self._has_reserved_retry = self._retry_budget.try_acquire()
@@ -324,6 +331,9 @@
         if not outcome.is_certainly_not_run and not self._route.is_repeatable:
             self._not_repeated = "not_repeatable"
             return False
+        if not self._can_go_on_elsewhere:
+            self._not_repeated = "not_resumable"
+            return False
         if outcome is AttemptOutcome.NOT_CONNECTED:
             return True
         if self._sent_attempts >= self._route.attempt_limit:
@@ -340,6 +350,11 @@
             return False
         return True
 
+    @property
+    def _can_go_on_elsewhere(self) -> bool:
+        """Whether another target may answer after what the caller has received."""
+        return not self._writer.started or can_be_continued(self._route, self._progress)
+
     @property
     def _is_prompt_sound(self) -> bool:
         part_ids = self._request.shared_part_ids
--- a/src/lavenderfold/direct/_requests.py
+++ b/src/lavenderfold/direct/_requests.py
@@ -98,7 +98,7 @@
 
     REPEATED_HEADER, HEADER_VALUE and CONTRADICTION: parts of two answers may stand in
     one head. MIXED_HEAD: a status line stands within the head. MALFORMED: the bytes
-    aren't HTTP.
+    aren't HTTP. EVENT: the bytes of a stream can't be an event.
     """
 
     REPEATED_HEADER = "repeated_header"
@@ -110,6 +110,7 @@
     UNSIGNED = "unsigned"
     ENCODED = "encoded"
     TOO_LONG = "too_long"
+    EVENT = "event"
 
 
 class InvalidAnswerError(Exception):
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -18,6 +18,7 @@
     encode_headers,
     json_response,
 )
+from lavenderfold.http._stop import IdleConnections, close_listeners
 from lavenderfold.settings import Address
 
 RECEIVE_BYTES = 65536
@@ -30,12 +31,19 @@
 IDLE_GRACE_S = 3.0
 # Bounds what h11 buffers for a head, if the limit in force is lower.
 HEAD_BUFFER_BYTES = 65536
+# How long a stopping server waits for the requests of callers that have just connected.
+LAST_REQUESTS_S = 0.2
+# The part of an answer that a caller must take within the idle timeout.
+WRITE_BYTES = 16384
 
 logger = logging.getLogger(__name__)
 
 
 class ServerLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """Limits on the size of a request and on the time that it may take to arrive."""
+    """Limits on the size of a request and on the time that it may take to arrive.
+
+    A caller that reads nothing of a response counts as idle as well.
+    """
 
     header_bytes: int = HEADER_BYTES_LIMIT
     body_bytes: int = BODY_BYTES_LIMIT
@@ -68,13 +76,16 @@
     ``limits`` is called for each request and returns the limits in force.
     ``is_closing`` returns whether responses should close their connections. With
     ``cancels_on_disconnect`` a handler is cancelled when its caller closes the
-    connection. ``on_closed`` is called with the reason when a connection ends.
+    connection. ``on_closed`` is called with the reason when a connection ends. When
+    ``stop_requested`` is set, the server accepts no more connections, closes those
+    that are idle, answers the requests that have begun to arrive, and ends.
     """
 
     limits: Callable[[], ServerLimits] = ServerLimits
     is_closing: Callable[[], bool] = bool
     cancels_on_disconnect: bool = False
     on_closed: Callable[[CloseReason], None] = _ignore_close
+    stop_requested: trio.Event = msgspec.field(default_factory=trio.Event)
 
 
 class ResponseWriter:
@@ -86,7 +97,14 @@
     complete one.
     """
 
-    __slots__ = ("_connection", "_stream", "_is_closing", "started", "finished")
+    __slots__ = (
+        "_connection",
+        "_stream",
+        "_is_closing",
+        "_idle_timeout_s",
+        "started",
+        "finished",
+    )
 
     def __init__(
         self,
@@ -94,10 +112,12 @@
         connection: h11.Connection,
         stream: trio.SocketStream,
         is_closing: Callable[[], bool] = bool,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
     ):
         self._connection = connection
         self._stream = stream
         self._is_closing = is_closing
+        self._idle_timeout_s = idle_timeout_s
         self.started = False
         self.finished = False
 
@@ -136,7 +156,19 @@
         await trio.lowlevel.checkpoint_if_cancelled()
         self.started = True
         data = b"".join(self._connection.send(event) or b"" for event in events)
-        await self._stream.send_all(data)
+        await self._write_data(data)
+
+    async def _write_data(self, data: bytes) -> None:
+        """Write in parts that each have the idle timeout.
+
+        A slow caller takes them in time; for one that stops reading, or reads only a
+        byte now and then, BrokenResourceError is raised.
+        """
+        for start in range(0, len(data), WRITE_BYTES):
+            with trio.move_on_after(self._idle_timeout_s) as scope:
+                await self._stream.send_all(data[start : start + WRITE_BYTES])
+            if scope.cancelled_caught:
+                raise trio.BrokenResourceError("the caller doesn't read the response")
 
 
 def _response_head(status: int, headers: list[tuple[str, str]]) -> h11.Response:
@@ -150,8 +182,14 @@
     """Reads requests from one connection and calls the handler for each."""
 
     def __init__(
-        self, *, stream: trio.SocketStream, handler: Handler, options: ServerOptions
+        self,
+        *,
+        stream: trio.SocketStream,
+        handler: Handler,
+        options: ServerOptions,
+        idle_connections: IdleConnections,
     ):
+        self._idle_connections = idle_connections
         self._stream = stream
         self._handler = handler
         self._options = options
@@ -182,6 +220,7 @@
             connection=self._connection,
             stream=self._stream,
             is_closing=self._options.is_closing,
+            idle_timeout_s=self._limits.idle_timeout_s,
         )
         try:
             request = await self._read_request()
@@ -266,8 +305,7 @@
         if event is not h11.NEED_DATA:
             self._limits = self._options.limits()
             return event
-        is_begun = bool(self._connection.trailing_data[0])
-        if not is_begun and not await self._receive_after_idling():
+        if not self._connection.trailing_data[0] and not await self._receive_first():
             self._close_reason = CloseReason.IDLE
             return None
         self._limits = self._options.limits()
@@ -275,8 +313,21 @@
             return await self._next_event()
         raise MalformedRequestError("the head took too long", status=408)
 
+    async def _receive_first(self) -> bool:
+        """Receive the first bytes of the next request; return False if none came."""
+        is_received = False
+        with self._idle_connections.waiting():
+            is_received = await self._receive_after_idling()
+        if not is_received and self._stream.socket.is_readable():
+            # A request has arrived just when the wait ended.
+            self._connection.receive_data(
+                await self._stream.receive_some(RECEIVE_BYTES)
+            )
+            return True
+        return is_received
+
     async def _receive_after_idling(self) -> bool:
-        """Receive the first bytes of the next request; return False if none came.
+        """Receive bytes unless the idle timeout passes first; return whether any came.
 
         The longest idle timeout that was in force meanwhile counts, as callers rely
         on the one that they know.
@@ -362,23 +413,40 @@
     options: ServerOptions | None = None,
     task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve HTTP on ``address`` until cancelled.
+    """Serve HTTP on ``address`` until cancelled or stopped.
 
     Reports the bound address to ``task_status``, which tells the port if 0 was given.
     """
     options = options or ServerOptions()
+    idle_connections = IdleConnections()
 
     async def serve_connection(stream: trio.SocketStream) -> None:
-        connection = _ServerConnection(stream=stream, handler=handler, options=options)
+        connection = _ServerConnection(
+            stream=stream,
+            handler=handler,
+            options=options,
+            idle_connections=idle_connections,
+        )
         try:
             await connection.run()
         except (OSError, h11.LocalProtocolError) as error:
             logger.info("connection_failed", extra={"cause": repr(error)})
 
-    async with trio.open_nursery() as nursery:
-        start_listening = partial(
-            trio.serve_tcp, serve_connection, address.port, host=address.host
-        )
-        listeners = await nursery.start(start_listening)
-        host, port = listeners[0].socket.getsockname()[:2]
-        task_status.started(Address(host=host, port=port))
+    async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as listening:
+            start_listening = partial(
+                trio.serve_tcp,
+                serve_connection,
+                address.port,
+                host=address.host,
+                handler_nursery=connections,
+            )
+            listeners = await listening.start(start_listening)
+            host, port = listeners[0].socket.getsockname()[:2]
+            task_status.started(Address(host=host, port=port))
+            await options.stop_requested.wait()
+            listening.cancel_scope.cancel()
+            for stream in close_listeners(listeners):
+                connections.start_soon(serve_connection, stream)
+        await trio.sleep(LAST_REQUESTS_S)
+        idle_connections.close()
