Keep the first listings of a process open while the links are full

What callers saw: after a loss of all power of a large fleet two thirds of the routers had no configuration for 25 s and refused their callers.

Cause: all processes list what they need at once, over the same links. A listing was given up after 0.6 s without a byte and asked again 0.15 s later, but its answer still passed the link. With more listings than the link sends in 0.6 s the copies that nobody read kept it full.

Change: the first listing of a follower and of the ledger waits 8 s for data and goes on while data arrives; a wait that was used up doubles, with a random quarter. So each process puts one copy on the link, and the last one is served when the link has sent all of them. A path that is broken is still found: a relay is asked 1.5 s to 3 s after the last data, and a second one after that, while the first call stays open. Without a known relay the listing of the relays is asked twice.

Watches, writes, the ledger's later reads and the first attempt after lost history are given up as before, so the steady state doesn't change.

--- a/src/lavenderfold/escrow/_balance_manager.py
+++ b/src/lavenderfold/escrow/_balance_manager.py
@@ -25,7 +25,7 @@
 from lavenderfold.escrow._reservation_confirmer import ReservationConfirmer
 from lavenderfold.escrow._witness import WitnessClient
 from lavenderfold.escrow._writer import LedgerWriter
-from lavenderfold.shared import RelayDirectory, SharedStore
+from lavenderfold.shared import ListingWaits, RelayDirectory, SharedStore
 from lavenderfold.timers import TimerService
 
 SYNC_PERIOD_S = 0.5
@@ -261,9 +261,9 @@
         self._sync_requested.set()
 
     async def _load_ledger(self) -> None:
-        while True:
-            if await self._pages.load():
-                break
+        waits = ListingWaits()
+        while not await self._pages.load(wait=waits.begin_attempt()):
+            waits.record_failure()
             await trio.sleep(FAILURE_DELAY_S)
         self.loaded.set()
 
--- a/src/lavenderfold/escrow/_pages.py
+++ b/src/lavenderfold/escrow/_pages.py
@@ -14,6 +14,7 @@
 from lavenderfold.shared import (
     ConditionalWrite,
     Item,
+    ListingWait,
     SharedStore,
     SharedStoreError,
 )
@@ -52,10 +53,10 @@
         page = self._page_by_key.get(key)
         return trio.current_time() - page.checked_at if page else math.inf
 
-    async def load(self) -> bool:
+    async def load(self, *, wait: ListingWait | None = None) -> bool:
         """Read all pages; return False if the store can't be reached."""
         try:
-            listing = await self._store.list_items(self.prefix)
+            listing = await self._store.list_items(self.prefix, wait=wait)
         except SharedStoreError as error:
             logger.info("ledger_unreachable", extra={"cause": str(error)})
             return False
--- a/src/lavenderfold/fleet/_follower.py
+++ b/src/lavenderfold/fleet/_follower.py
@@ -10,6 +10,8 @@
 from lavenderfold.shared import (
     HistoryLostError,
     Item,
+    Listing,
+    ListingWaits,
     SharedStore,
     SharedStoreError,
 )
@@ -67,6 +69,8 @@
         self._on_answer = on_answer
         self._revision: int | None = None
         self._failed_at = -math.inf
+        self._listing_waits = ListingWaits()
+        self._is_history_lost = False
         self.is_reachable = True
 
     @property
@@ -82,6 +86,7 @@
             except HistoryLostError:
                 logger.info("watch_history_lost", extra={"prefix": self._prefix})
                 self._revision = None
+                self._is_history_lost = True
                 continue
             except SharedStoreError as error:
                 self._record_failure(error)
@@ -106,7 +111,7 @@
         self._revision = max(self._revision, changes.revision)
 
     async def _list(self) -> None:
-        listing = await self._store.list_items(self._prefix)
+        listing = await self._call_list()
         for item in listing.items:
             self._sink.put(item)
         self._remove_all_but({item.key for item in listing.items}, listing.revision)
@@ -114,6 +119,21 @@
         self.listed_revision = listing.revision
         self.is_listed = True
 
+    async def _call_list(self) -> Listing:
+        if self._is_history_lost:
+            # The process was served until now. The first attempt finds out as fast as
+            # a watch whether the path to the store is broken.
+            self._is_history_lost = False
+            return await self._store.list_items(self._prefix)
+        wait = self._listing_waits.begin_attempt()
+        try:
+            listing = await self._store.list_items(self._prefix, wait=wait)
+        except SharedStoreError:
+            self._listing_waits.record_failure()
+            raise
+        self._listing_waits = ListingWaits()
+        return listing
+
     def _remove_all_but(self, keys: Collection[str], revision: int) -> None:
         for key in self._sink.known_keys():
             if key not in keys:
--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -11,6 +11,7 @@
     Changes,
     ConditionalWrite,
     Listing,
+    ListingWait,
     RelaySelector,
     SharedStore,
 )
@@ -38,10 +39,12 @@
         self._prefixes = prefixes
         self._calls = PeerClient(connect_timeout_s=CONNECT_TIMEOUT_S)
 
-    async def list_items(self, prefix: str) -> Listing:
+    async def list_items(
+        self, prefix: str, *, wait: ListingWait | None = None
+    ) -> Listing:
         answer = await self._call_hub(FollowCall(prefix, 0, 0.0))
         if answer is None:
-            return await self._store.list_items(prefix)
+            return await self._store.list_items(prefix, wait=wait)
         return Listing(items=answer.items, revision=answer.revision)
 
     async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Changes:
--- a/src/lavenderfold/shared/__init__.py
+++ b/src/lavenderfold/shared/__init__.py
@@ -6,6 +6,11 @@
 
 from lavenderfold.shared._counted import CountedStore, StoreCall, StoreCallCounter
 from lavenderfold.shared._failover import FailoverStore
+from lavenderfold.shared._listing import (
+    FIRST_LISTING_WAIT_S,
+    FirstListing,
+    ListingWaits,
+)
 from lavenderfold.shared._relay_selector import RelaySelector, in_region, near_store
 from lavenderfold.shared._relays import Relay, RelayDirectory, RelayRecord
 from lavenderfold.shared._store import (
@@ -15,6 +20,7 @@
     HistoryLostError,
     Item,
     Listing,
+    ListingWait,
     SharedStore,
     SharedStoreError,
     WriteConflictError,
@@ -23,14 +29,18 @@
 )
 
 __all__ = [
+    "FIRST_LISTING_WAIT_S",
     "Change",
     "Changes",
     "ConditionalWrite",
     "CountedStore",
     "FailoverStore",
+    "FirstListing",
     "HistoryLostError",
     "Item",
     "Listing",
+    "ListingWait",
+    "ListingWaits",
     "Relay",
     "RelaySelector",
     "RelayDirectory",
--- a/src/lavenderfold/shared/_counted.py
+++ b/src/lavenderfold/shared/_counted.py
@@ -12,6 +12,7 @@
     ConditionalWrite,
     HistoryLostError,
     Listing,
+    ListingWait,
     SharedStore,
     SharedStoreError,
     WriteConflictError,
@@ -83,8 +84,11 @@
         self._store = store
         self._calls = calls
 
-    async def list_items(self, prefix: str) -> Listing:
-        return await self._count("list", prefix, self._store.list_items(prefix))
+    async def list_items(
+        self, prefix: str, *, wait: ListingWait | None = None
+    ) -> Listing:
+        call = self._store.list_items(prefix, wait=wait)
+        return await self._count("list", prefix, call)
 
     async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Changes:
         call = self._store.wait_changes(prefix, after=after, wait_s=wait_s)
--- a/src/lavenderfold/shared/_relays.py
+++ b/src/lavenderfold/shared/_relays.py
@@ -1,16 +1,27 @@
 """Directory of the relays that are registered in the shared store."""
 
 import logging
+import random
 
 import msgspec
 import trio
 import xxhash
 
 from lavenderfold.settings import Address, parse_address
-from lavenderfold.shared._store import Listing, SharedStore, SharedStoreError
+from lavenderfold.shared._listing import FIRST_LISTING_WAIT_S, FirstListing
+from lavenderfold.shared._store import (
+    Listing,
+    ListingWait,
+    SharedStore,
+    SharedStoreError,
+)
 
 LIST_PERIOD_S = 30.0
 LIST_RETRY_S = 1.0
+# Without a known relay the listing is asked a second time over another connection
+# after this time, lengthened by a random part up to its double: no other path leads
+# around a connection that went silent, and the listing is small.
+SECOND_CALL_DELAY_S = 1.5
 # Shortest time between two listings when a relay turns out to have restarted.
 REFRESH_PAUSE_S = 1.0
 
@@ -58,6 +69,7 @@
         self, *, store: SharedStore, prefix: str, failure_domain: str, owner: str = ""
     ):
         self.relays: list[Relay] = []
+        self.first_listed = trio.Event()
         self._store = store
         self._prefix = prefix
         self._failure_domain = failure_domain
@@ -74,7 +86,7 @@
             self._refresh_requested = trio.Event()
             pause_s = LIST_PERIOD_S
             try:
-                self.install(await self._store.list_items(self._prefix))
+                self.install(await self._list())
             except SharedStoreError as error:
                 logger.info("relays_not_listed", extra={"cause": str(error)})
                 pause_s = LIST_RETRY_S
@@ -84,6 +96,17 @@
             with trio.move_on_after(pause_s - REFRESH_PAUSE_S):
                 await self._refresh_requested.wait()
 
+    async def _list(self) -> Listing:
+        if self.relays:
+            return await self._store.list_items(self._prefix)
+
+        async def list_patiently(wait: ListingWait) -> Listing:
+            return await self._store.list_items(self._prefix, wait=wait)
+
+        delay_s = random.uniform(SECOND_CALL_DELAY_S, 2 * SECOND_CALL_DELAY_S)
+        first_listing = FirstListing(calls=[list_patiently] * 2, delays_s=[delay_s])
+        return await first_listing.run(FIRST_LISTING_WAIT_S)
+
     def install(self, listing: Listing) -> None:
         """Replace the relays by those of a listing; known relays keep their order."""
         relay_by_address: dict[Address, Relay] = {}
@@ -117,6 +140,7 @@
         self.relays = [
             relay_by_address[address] for address in known_addresses + new_addresses
         ]
+        self.first_listed.set()
 
     def move_to_end(self, address: Address) -> None:
         """Move a relay that failed behind all others."""
--- a/src/lavenderfold/shared/_store.py
+++ b/src/lavenderfold/shared/_store.py
@@ -1,8 +1,10 @@
 """Types of the shared store and the protocol that an adapter implements."""
 
+import math
 from typing import Protocol
 
 import msgspec
+import trio
 
 
 class SharedStoreError(Exception):
@@ -59,6 +61,25 @@
     revision: int
 
 
+class ListingWait:
+    """How long a listing may go without data, and when data last arrived.
+
+    ``timeout_s`` is the longest wait for the first part of the answer and for each
+    further part, in seconds. The store records in ``data_at`` when a part arrived,
+    by trio's clock.
+    """
+
+    __slots__ = ("timeout_s", "data_at")
+
+    def __init__(self, *, timeout_s: float):
+        self.timeout_s = timeout_s
+        self.data_at = -math.inf
+
+    def record_data(self) -> None:
+        """Record that a part of the answer arrived."""
+        self.data_at = trio.current_time()
+
+
 class Changes(msgspec.Struct, frozen=True):
     """All changes up to ``revision``, in the order of their revisions.
 
@@ -81,8 +102,13 @@
 class SharedStore(Protocol):
     """The calls that routers and relays need; each may raise SharedStoreError."""
 
-    async def list_items(self, prefix: str) -> Listing:
-        """Return the items whose keys start with ``prefix``."""
+    async def list_items(
+        self, prefix: str, *, wait: ListingWait | None = None
+    ) -> Listing:
+        """Return the items whose keys start with ``prefix``.
+
+        Without ``wait`` the call is given up as soon as any other call.
+        """
 
     async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Changes:
         """Wait for changes after a revision, at most ``wait_s`` seconds.
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -11,6 +11,7 @@
     HistoryLostError,
     Item,
     Listing,
+    ListingWait,
     SharedStoreError,
     WriteConflictError,
     WriteRefusedError,
@@ -80,7 +81,9 @@
             if not self._conflicts(writes):
                 self._apply(writes)
 
-    async def list_items(self, prefix: str) -> Listing:
+    async def list_items(
+        self, prefix: str, *, wait: ListingWait | None = None
+    ) -> Listing:
         await self._begin_call()
         items = [
             item for key, item in self._item_by_key.items() if key.startswith(prefix)
--- a/tests/test_ledger_orders.py
+++ b/tests/test_ledger_orders.py
@@ -53,9 +53,9 @@
     def __init__(self, store: MemoryStore):
         self._store = store
 
-    async def list_items(self, prefix):
+    async def list_items(self, prefix, *, wait=None):
         await trio.sleep(0.004)
-        return await self._store.list_items(prefix)
+        return await self._store.list_items(prefix, wait=wait)
 
     async def write(self, writes):
         await trio.sleep(0.004)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -27,6 +27,7 @@
     ConditionalWrite,
     HistoryLostError,
     Item,
+    ListingWait,
     SharedStoreError,
     WriteConflictError,
     WriteRefusedError,
@@ -269,6 +270,35 @@
     trio.run(main)
 
 
+def test_listing_waits_for_data_as_long_as_its_caller_allows():
+    """Listings that were given up while the link was full were asked again."""
+    body = msgspec.json.encode({"entries": [row("a")], "at": 5})
+
+    async def main():
+        async def handle(request, writer):
+            await trio.sleep(0.9)
+            await writer.start(200, [])
+            await writer.write(body[:9])
+            await trio.sleep(0.9)
+            await writer.write(body[9:])
+            await writer.finish()
+
+        async with trio.open_nursery() as nursery:
+            listen = Address(host="127.0.0.1", port=0)
+            address = await nursery.start(partial(serve, handle, address=listen))
+            store = PlatformStore(address=address)
+            wait = ListingWait(timeout_s=2.0)
+            assert len((await store.list_items("", wait=wait)).items) == 1
+            assert trio.current_time() - wait.data_at < 0.5
+            started_at = trio.current_time()
+            with pytest.raises(SharedStoreError):
+                await store.list_items("", wait=ListingWait(timeout_s=0.2))
+            assert trio.current_time() - started_at < 0.8
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_watch_without_response_times_out():
     """A watch on a silently lost connection must end before the drain time limit."""
 
