List from the hub while all processes start

What callers saw: routers that started together each listed the configuration from the store, because no hub was known yet or because the hub had no listing within 0.4 s. The copies filled the link between the regions and delayed the listings and ledger calls of all.

Change: a router's first listing waits for the listing of the relays, at most 1 s, and then asks hubs. A hub whose own first listing is in progress says so with status 202, which older routers take as a failure, as they did with 503. A router stays with such a hub for 3 s, and with one that sends data; the store is asked 2 s to 4 s after the last sign of a hub, or at once when all hubs have failed. The hub is still asked while the store's answer is awaited, and the first answer counts.

Watches take status 202 as a failure, so what is known in steady state, and when, doesn't change.

Failed before: test_hub_start.py, the tests of routers that wait for a hub or for the relays, of a second hub and of a hub with a full link.

--- a/src/lavenderfold/fleet/_hub.py
+++ b/src/lavenderfold/fleet/_hub.py
@@ -17,6 +17,8 @@
 from lavenderfold.timers import TimerService
 
 HUB_PATH = "/hub/follow"
+# Status of the answer while the first listing of the prefix is in progress.
+LISTING_STATUS = 202
 # A hub that has had no answer from the store for this time refuses calls, so that
 # routers that can reach the store don't use outdated items.
 MAX_STALENESS_S = 2.0
@@ -144,7 +146,11 @@
             await trio.sleep_forever()
 
     async def answer(self, body: bytes) -> HttpResponse:
-        """Answer a router's call; status 503 if the hub may have missed changes."""
+        """Answer a router's call.
+
+        The status is 503 if the hub may have missed changes, and LISTING_STATUS while
+        its first listing is in progress and no attempt at it has failed.
+        """
         try:
             call = msgspec.msgpack.decode(body, type=FollowCall)
         except msgspec.DecodeError as error:
@@ -168,6 +174,9 @@
         finally:
             followed.waiting_calls -= 1
             followed.last_call_at = self._timers.now()
+        follower = followed.follower
+        if not follower.is_listed and follower.is_reachable:
+            return HttpResponse(status=LISTING_STATUS)
         if not self._is_up_to_date(followed):
             return HttpResponse(status=503)
         answer = followed.answer(call.after)
--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -1,15 +1,19 @@
 """A shared store that reads what all routers follow from a hub in the same region."""
 
 import logging
+import random
 
 import msgspec
+import trio
 
 from lavenderfold.fleet._hub import HUB_PATH, FollowAnswer, FollowCall
+from lavenderfold.fleet._hub_listing import HubListing
 from lavenderfold.http import CallFailedError, PeerClient
 from lavenderfold.shared import (
     Change,
     Changes,
     ConditionalWrite,
+    FirstListing,
     Listing,
     ListingWait,
     RelaySelector,
@@ -21,6 +25,12 @@
 ANSWER_MARGIN_S = 0.6
 # A hub that is paused is found by the end of this wait and the margin.
 MAX_HUB_WAIT_S = 0.7
+# A router that starts waits for the listing of the relays, so that it finds a hub and
+# large listings don't fill the link before the small one of the relays.
+RELAYS_TIMEOUT_S = 1.0
+# A router that starts lists from the store itself after this time without data from a
+# hub, lengthened by a random part up to its double.
+STORE_DELAY_S = 2.0
 
 logger = logging.getLogger(__name__)
 
@@ -28,7 +38,8 @@
 class RegionalStore:
     """A ``SharedStore`` that reads ``prefixes`` from a hub.
 
-    All other calls go to ``store``, as do reads of ``prefixes`` if the hub fails.
+    All other calls go to ``store``, as do reads of ``prefixes`` if the hub fails. A
+    listing with a wait of its own is that of a process that starts.
     """
 
     def __init__(
@@ -36,17 +47,36 @@
     ):
         self._store = store
         self._hubs = hubs
+        self._hub_listing = HubListing(hubs=hubs)
         self._prefixes = prefixes
         self._calls = PeerClient(connect_timeout_s=CONNECT_TIMEOUT_S)
 
     async def list_items(
         self, prefix: str, *, wait: ListingWait | None = None
     ) -> Listing:
+        if wait is not None:
+            return await self._list_at_start(prefix, wait)
         answer = await self._call_hub(FollowCall(prefix, 0, 0.0))
         if answer is None:
-            return await self._store.list_items(prefix, wait=wait)
+            return await self._store.list_items(prefix)
         return Listing(items=answer.items, revision=answer.revision)
 
+    async def _list_at_start(self, prefix: str, wait: ListingWait) -> Listing:
+        with trio.move_on_after(RELAYS_TIMEOUT_S):
+            await self._hubs.wait_listed()
+        if prefix not in self._prefixes or self._hubs.best() is None:
+            return await self._store.list_items(prefix, wait=wait)
+
+        async def list_from_store(store_wait: ListingWait) -> Listing:
+            return await self._store.list_items(prefix, wait=store_wait)
+
+        async def list_from_hub(hub_wait: ListingWait) -> Listing:
+            return await self._hub_listing.list_items(prefix, hub_wait)
+
+        calls = [list_from_hub, list_from_store]
+        delays_s = [random.uniform(STORE_DELAY_S, 2 * STORE_DELAY_S)]
+        return await FirstListing(calls=calls, delays_s=delays_s).run(wait.timeout_s)
+
     async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Changes:
         call = FollowCall(prefix, after, min(wait_s, MAX_HUB_WAIT_S))
         answer = await self._call_hub(call)
--- a/src/lavenderfold/shared/_relay_selector.py
+++ b/src/lavenderfold/shared/_relay_selector.py
@@ -88,6 +88,11 @@
             default=None,
         )
 
+    async def wait_listed(self) -> None:
+        """Wait until the relays were listed, even if none is registered."""
+        if not self._directory.relays:
+            await self._directory.first_listed.wait()
+
     def record_failure(self, relay: Relay) -> None:
         """Exclude a relay for a while after a failure."""
         failures = self._failures_by_incarnation.setdefault(
