Test the waits of ledger reads and of listings in steady state

The first read of the ledger must reach a relay when the direct path is silent, and later reads, and listings without a wait of their own, must still be given up after 0.6 s. No code changes.

--- a/tests/test_first_listing.py
+++ b/tests/test_first_listing.py
@@ -8,6 +8,7 @@
 import trio
 import trio.testing
 
+from lavenderfold.escrow import BalanceManager, LedgerPages
 from lavenderfold.fleet import PrefixFollower
 from lavenderfold.settings import Address
 from lavenderfold.shared import (
@@ -178,6 +179,36 @@
     run(scenario)
 
 
+def test_ledger_of_a_starting_router_is_read_through_a_relay():
+    """A router without the ledger isn't ready, and its orphaned grants stay open."""
+
+    async def scenario(nursery):
+        direct = SilentStore()
+        manager = BalanceManager(
+            store=new_failover(direct, MemoryStore()),
+            timers=new_timers(),
+            holder="router/1",
+            prefix="ledger/",
+        )
+        nursery.start_soon(manager.run)
+        with trio.fail_after(READY_S):
+            await manager.loaded.wait()
+        assert direct.calls == 1
+
+    run(scenario)
+
+
+def test_later_read_of_the_ledger_fails_over_like_any_other_call():
+    """Requests wait for a writer that reads the ledger after a conflict."""
+
+    async def scenario(nursery):
+        store = new_failover(SilentStore(), MemoryStore())
+        with trio.fail_after(CALL_TIMEOUT_S + 0.1):
+            assert await LedgerPages(store=store, prefix="ledger/").load()
+
+    run(scenario)
+
+
 def test_second_relay_is_asked_if_store_and_first_relay_are_silent():
     async def scenario(nursery):
         store = new_failover(SilentStore(), SilentStore(), MemoryStore())
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -299,6 +299,18 @@
     trio.run(main)
 
 
+def test_listing_without_a_wait_of_its_own_times_out():
+    """In steady state a silent path must be replaced by a relay quickly."""
+
+    async def scenario(store, requests):
+        started_at = trio.current_time()
+        with pytest.raises(SharedStoreError):
+            await store.list_items("")
+        assert trio.current_time() - started_at < 1.2
+
+    run_store([None], scenario)
+
+
 def test_watch_without_response_times_out():
     """A watch on a silently lost connection must end before the drain time limit."""
 
