End the accept loops of a stopping server before its listeners

An accept loop could also meet a listener that was closed under it.

The stop keeps second handles of the listening sockets, ends the loops, and accepts what waits from these.

--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -18,7 +18,7 @@
     encode_headers,
     json_response,
 )
-from lavenderfold.http._stop import IdleConnections, close_listeners
+from lavenderfold.http._stop import IdleConnections, accept_waiting, duplicate_sockets
 from lavenderfold.settings import Address
 
 RECEIVE_BYTES = 65536
@@ -445,8 +445,9 @@
             host, port = listeners[0].socket.getsockname()[:2]
             task_status.started(Address(host=host, port=port))
             await options.stop_requested.wait()
+            sockets = duplicate_sockets(listeners)
             listening.cancel_scope.cancel()
-            for stream in close_listeners(listeners):
-                connections.start_soon(serve_connection, stream)
+        for stream in accept_waiting(sockets):
+            connections.start_soon(serve_connection, stream)
         await trio.sleep(LAST_REQUESTS_S)
         idle_connections.close()
--- a/src/lavenderfold/http/_stop.py
+++ b/src/lavenderfold/http/_stop.py
@@ -37,21 +37,27 @@
             scope.cancel()
 
 
-def close_listeners(
-    listeners: list[trio.SocketListener],
-) -> list[trio.SocketStream]:
-    """Close listeners; return the connections that waited to be accepted.
+def duplicate_sockets(listeners: list[trio.SocketListener]) -> list[socket.socket]:
+    """Return second handles of listening sockets.
 
-    Closing a listener resets those. Nothing is awaited here, so that no more arrive
-    between the last one and the close.
+    With these the connections that wait to be accepted outlast the listeners; closing
+    the last handle of a listening socket resets them. Listeners that were closed
+    already, by a cancellation in the same turn, are left out.
+    """
+    descriptors = [listener.socket.fileno() for listener in listeners]
+    return [socket.socket(fileno=os.dup(each)) for each in descriptors if each >= 0]
+
+
+def accept_waiting(sockets: list[socket.socket]) -> list[trio.SocketStream]:
+    """Close listening sockets; return the connections that waited to be accepted.
+
+    Nothing is awaited here, so that no more arrive between the last one and the close.
     """
     streams = []
-    for listener in listeners:
-        with socket.socket(fileno=os.dup(listener.socket.fileno())) as pending:
-            listener.socket.close()
-            pending.setblocking(False)
-            with suppress(OSError):
-                while True:
-                    accepted = trio.socket.from_stdlib_socket(pending.accept()[0])
-                    streams.append(trio.SocketStream(accepted))
+    for listening in sockets:
+        with listening, suppress(OSError):
+            listening.setblocking(False)
+            while True:
+                accepted = trio.socket.from_stdlib_socket(listening.accept()[0])
+                streams.append(trio.SocketStream(accepted))
     return streams
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,8 +1,12 @@
 """Planned stops: what requests get that arrive while a router drains."""
 
+from functools import partial
+
 import pytest
 import trio
+import trio.testing
 
+from lavenderfold.http import ServerOptions, serve
 from lavenderfold.settings import Address
 from tests.direct_support import answer_successfully, run_scenario
 
@@ -160,3 +164,27 @@
             assert b"connection: close" in answers[delay_s]
 
     run_scenario(scenario, answer_successfully)
+
+
+def test_server_that_is_stopped_and_cancelled_at_once_ends():
+    """Guards against an error at the end of a router that is cancelled as it stops.
+
+    The listeners were closed by the cancellation before the stop looked at them.
+    """
+
+    async def main():
+        for _ in range(20):
+            stop_requested = trio.Event()
+            start = partial(
+                serve,
+                answer_successfully,
+                address=Address(host="127.0.0.1", port=0),
+                options=ServerOptions(stop_requested=stop_requested),
+            )
+            async with trio.open_nursery() as nursery:
+                await nursery.start(start)
+                await trio.testing.wait_all_tasks_blocked()
+                nursery.cancel_scope.cancel()
+                stop_requested.set()
+
+    trio.run(main)
