--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -1,6 +1,5 @@
 """Execution of one request: budget reservation, attempts, answer, settlement."""
 
-from collections.abc import Set
 from functools import partial
 
 import trio
@@ -12,8 +11,7 @@
     RelayProgress,
     can_be_continued,
 )
-from lavenderfold.direct._choice import TargetChoice, choose_target
-from lavenderfold.direct._connections import has_crashed
+from lavenderfold.direct._crash_check import record_crash
 from lavenderfold.direct._pauses import pause_retry_after_s, pause_wait_limit
 from lavenderfold.direct._refusals import (
     DEFAULT_RETRY_AFTER_S,
@@ -30,6 +28,7 @@
 from lavenderfold.direct._requests import CallerRequest, TargetCall
 from lavenderfold.direct._reservation import Reservation
 from lavenderfold.direct._router_services import RouterServices
+from lavenderfold.direct._target_selection import TargetSelection
 from lavenderfold.direct._target_wait import TargetWait
 from lavenderfold.fleet import (
     Organisation,
@@ -39,11 +38,7 @@
 )
 from lavenderfold.http import ResponseWriter
 from lavenderfold.outcomes import Reason
-from lavenderfold.quarantine import (
-    CrashKey,
-    LostPrompt,
-    Verdict,
-)
+from lavenderfold.quarantine import Verdict
 from lavenderfold.routing import RetryBudget
 
 # A target that can't be connected to doesn't count as an attempt, because nothing
@@ -94,8 +89,9 @@
         self._log = RequestLog(request=request, metrics=services.metrics)
         self._choice_reason = ""
         self._not_repeated: str | None = None
-        # The ids of targets that an attempt failed at, and of those that fell silent.
-        self._avoid: set[str] = set()
+        self._selection = TargetSelection(
+            services=services, service_name=self._service_name, request=request
+        )
         self._silent_ids: set[str] = set()
         self._has_reserved_retry = False
 
@@ -135,7 +131,7 @@
             refusal = self._refuse_quarantined()
             if refusal is not None:
                 return refusal
-            choice = self._choose(self._avoid)
+            choice = self._selection.choose()
             if choice is None:
                 if await self._wait_for_pause_end():
                     continue
@@ -148,7 +144,7 @@
                 return None
             if outcome is AttemptOutcome.TIMED_OUT:
                 return self._refuse_at_deadline()
-            self._avoid.add(target.id)
+            self._selection.record_failure(target)
             failed_connections += outcome is AttemptOutcome.NOT_CONNECTED
             self._sent_attempts += outcome is not AttemptOutcome.NOT_CONNECTED
             if failed_connections >= MAX_CONNECTION_FAILURES or not self._may_repeat(
@@ -156,26 +152,15 @@
             ):
                 return await self._give_up(attempt, outcome)
 
-    def _pause_left_s(self, avoid: Set[str] = frozenset()) -> float | None:
-        """Return how long all targets but those to avoid pause, None if they don't."""
-        targets = [each for each in self._targets() if each.id not in avoid]
-        return self._services.load_tracker.pause_left_s(
-            targets, now=self._services.timers.now()
-        )
-
     async def _wait_for_pause_end(self) -> bool:
         """Wait until a pause is over; return False if that isn't surely in time."""
-        pause_left_s = self._pause_left_s(self._avoid)
         limit = pause_wait_limit(
             self._route,
             self._progress,
             started_at=self._started_at,
             deadline=self._deadline,
         )
-        if pause_left_s is None or trio.current_time() + pause_left_s > limit:
-            return False
-        await trio.sleep(pause_left_s)
-        return True
+        return await self._selection.wait_for_pause_end(limit)
 
     async def _wait_for_decision(self) -> None:
         quarantine = self._services.quarantine
@@ -194,19 +179,6 @@
             Reason.PROMPT_QUARANTINED, retry_after_s=quarantine.remaining_s(part_ids)
         )
 
-    def _targets(self) -> list[Target]:
-        return self._services.directory.usable(self._service_name)
-
-    def _choose(self, avoid: Set[str]) -> TargetChoice | None:
-        return choose_target(
-            self._targets(),
-            self._services.load_tracker,
-            self._request,
-            avoid=avoid,
-            failure_domain=self._services.domain,
-            now=self._services.timers.now(),
-        )
-
     def _new_attempt(self, target: Target) -> Attempt:
         now = trio.current_time()
         call = TargetCall(
@@ -254,7 +226,7 @@
             self._record_silence(silent)
         if not (self._is_prompt_sound and self._can_go_on_elsewhere):
             return False
-        choice = self._choose(self._avoid | {silent.id})
+        choice = self._selection.choose(instead_of=silent)
         if choice is None or choice.is_last_resort:
             return False
         if not self._has_reserved_retry:
@@ -287,8 +259,14 @@
             self._log.write_invalid_answer(attempt, target)
         if outcome is AttemptOutcome.LOST:
             self._log.write_lost_attempt(attempt, target, sent_at=sent_at)
-            if self._may_have_crashed(attempt):
-                await self._record_crash(attempt, target, sent_at)
+            await record_crash(
+                self._services.quarantine,
+                self._services.timers,
+                request=self._request,
+                attempt=attempt,
+                target=target,
+                sent_at=sent_at,
+            )
         if outcome in RECORDED_OUTCOMES:
             return outcome
         if outcome is AttemptOutcome.NOT_CONNECTED:
@@ -301,31 +279,6 @@
             load_tracker.record_failure(target, now=self._services.timers.now())
         return outcome
 
-    def _may_have_crashed(self, attempt: Attempt) -> bool:
-        """Whether the prompt of a lost attempt may have crashed its target."""
-        is_suspect = attempt.is_before_answer and not attempt.is_turned_away
-        return is_suspect and bool(self._request.shared_part_ids)
-
-    async def _record_crash(
-        self, attempt: Attempt, target: Target, sent_at: float
-    ) -> None:
-        """Record the prompt if the target has crashed, which it may have caused."""
-        quarantine = self._services.quarantine
-        lost_at = self._services.timers.unix_time()
-        earlier_crashes = quarantine.earlier_crashes(
-            age_s=trio.current_time() - sent_at
-        )
-        if not await has_crashed(target):
-            return
-        lost = LostPrompt(
-            crash=CrashKey(target.id, target.born),
-            at=lost_at,
-            part_ids=self._request.shared_part_ids,
-            is_begun=attempt.is_begun,
-            earlier_crashes=earlier_crashes,
-        )
-        quarantine.record_loss(lost)
-
     def _may_repeat(self, outcome: AttemptOutcome) -> bool:
         """Return whether another target may be tried after this outcome."""
         if not outcome.is_certainly_not_run and not self._route.is_repeatable:
@@ -381,7 +334,7 @@
 
     def _refuse_not_run(self, reason: Reason) -> Refusal:
         """Refuse; the reason is another one if all targets that are left pause."""
-        pause_left_s = self._pause_left_s()
+        pause_left_s = self._selection.pause_left_s()
         if pause_left_s is None:
             return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
         caller_left_s = self._caller_deadline - trio.current_time()
