Take no answer for whole that a reset cut while a body was sent

A caller got part of an answer as a complete one. The target answered a long body before it had read it, without a length, and its connection was reset within the answer. The client was still sending the body. A socket reports a reset once: here to the write, whose error was dropped because "waiting for the response fails as well". It doesn't: the read returned what had arrived and then an end, and an answer without a length is whole at the end of its connection.

The connection now remembers that sending the rest of a body failed; an end that is read afterwards is a loss. An answer with a length or chunks doesn't need that end and is whole as before.

Failed before: test_answer_that_a_reset_cuts_while_a_body_is_sent_is_not_whole.

--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -8,7 +8,7 @@
 import socket
 from collections import deque
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 
 import h11
 import trio
@@ -102,13 +102,14 @@
 class _ClientConnection:
     """A connection that carries one request at a time."""
 
-    __slots__ = ("address", "stream", "protocol", "is_request_sent")
+    __slots__ = ("address", "stream", "protocol", "is_request_sent", "is_broken")
 
     def __init__(self, *, address: Address, stream: trio.SocketStream):
         self.address = address
         self.stream = stream
         self.protocol = h11.Connection(h11.CLIENT)
         self.is_request_sent = False
+        self.is_broken = False
 
     async def exchange(self, request: HttpRequest) -> h11.Response:
         """Send a request and return the head of its response.
@@ -138,11 +139,13 @@
         return head
 
     async def _send_rest(self, data: bytes) -> None:
-        # If the connection breaks here, waiting for the response fails as well and
-        # reports the error.
-        with suppress(ResponseLostError):
+        try:
             await self._write(data)
             self.is_request_sent = True
+        except ResponseLostError:
+            # A socket reports a reset once. The next read returns what arrived before
+            # it and then an end, which would make a response without a length whole.
+            self.is_broken = True
 
     def _encode(self, request: HttpRequest) -> bytes:
         headers = list(request.headers)
@@ -175,6 +178,8 @@
                 if event is not h11.NEED_DATA:
                     return event
                 data = await self.stream.receive_some(RECEIVE_BYTES)
+                if not data and self.is_broken:
+                    raise ResponseLostError(self.address, "reset within the request")
                 self.protocol.receive_data(data)
         except h11.RemoteProtocolError as error:
             _, is_closed = self.protocol.trailing_data
--- a/tests/test_answer_fuzz.py
+++ b/tests/test_answer_fuzz.py
@@ -10,8 +10,9 @@
 from tests import answer_bytes
 from tests.answer_fuzzer import AnswerFuzzer
 
-# The router without the checks of heads failed each of them.
-SEEDS = range(1, 7)
+# The router without the checks of heads failed seeds 1 to 6 in each run. Seed 3044
+# failed once: an answer without a length that was reset looked whole.
+SEEDS = (1, 2, 3, 4, 5, 6, 3044)
 REQUESTS = 240
 # With only the check for status lines switched off, a third of the cases fail.
 PLANTED_CASES = 40
--- a/tests/test_early_bytes.py
+++ b/tests/test_early_bytes.py
@@ -5,7 +5,14 @@
 import pytest
 import trio
 
-from lavenderfold.http import HttpClient, HttpRequest, RequestNotSentError, _client
+from lavenderfold.http import (
+    HttpClient,
+    HttpRequest,
+    RequestNotSentError,
+    ResponseLostError,
+    StreamedResponse,
+    _client,
+)
 from lavenderfold.http._client import SEND_FIRST_LIMIT_BYTES, _ClientConnection
 from lavenderfold.settings import Address
 
@@ -132,6 +139,58 @@
     trio.run(main)
 
 
+class ResetStream:
+    """A stream whose peer answers a part and resets while a body is being sent.
+
+    The write reports the reset; reads then return what had arrived, and an end.
+    """
+
+    def __init__(self, part: bytes):
+        self._parts = [part]
+        self._writes = 0
+        self._reset = trio.Event()
+
+    async def send_all(self, data: bytes) -> None:
+        await trio.lowlevel.checkpoint()
+        self._writes += 1
+        if self._writes > 1:
+            self._reset.set()
+            raise trio.BrokenResourceError
+
+    async def receive_some(self, limit: int) -> bytes:
+        await self._reset.wait()
+        return self._parts.pop(0) if self._parts else b""
+
+
+def test_answer_that_a_reset_cuts_while_a_body_is_sent_is_not_whole():
+    """A cut answer without a length reached the caller as a complete one."""
+
+    async def main():
+        stream = ResetStream(b"HTTP/1.1 200 OK\r\n\r\npart")
+        address = Address(host="127.0.0.1", port=1)
+        connection = _ClientConnection(address=address, stream=stream)
+        head = await connection.exchange(LONG_REQUEST)
+        response = StreamedResponse(head=head, connection=connection)
+        with pytest.raises(ResponseLostError):
+            await response.read()
+
+    trio.run(main)
+
+
+def test_answer_with_a_length_is_whole_though_its_target_resets():
+    """A target may answer a body that it doesn't read, and close."""
+
+    async def main():
+        address = Address(host="127.0.0.1", port=1)
+        stream = ResetStream(OWN_ANSWER)
+        connection = _ClientConnection(address=address, stream=stream)
+        head = await connection.exchange(LONG_REQUEST)
+        response = StreamedResponse(head=head, connection=connection)
+        assert (await response.read()).body == b"own"
+
+    trio.run(main)
+
+
 def test_early_answer_to_a_long_body_is_the_answer():
     """A target may refuse a body that it hasn't read; its connection isn't kept.
 
