Answer every request that has arrived before an agent-based router stops

What callers saw: a connection closed without an answer during a planned stop, for a request that was still being read.

Cause: once drained, the router cancelled all tasks, as the direct router did.

The server of the callers is stopped in the same way as the direct router's; what is still being read is refused as not run, for LAST_REQUESTS_WAIT_S at most. Answers close their connections while the router drains, so that callers go elsewhere.

Failed before: test_agent_based_router_answers_a_request_that_it_is_reading_when_it_drains.

--- a/src/lavenderfold/router/_router.py
+++ b/src/lavenderfold/router/_router.py
@@ -27,6 +27,8 @@
 DRAIN_POLL_S = 0.02
 # If the store doesn't accept the retirement in this time, the reclaimer does it.
 RETIRE_WAIT_S = 5.0
+# How long a drained router waits for requests that are still being read.
+LAST_REQUESTS_WAIT_S = 5.0
 PROVISIONAL_INCARNATION_BITS = 62
 
 logger = logging.getLogger("lavenderfold.router")
@@ -53,6 +55,8 @@
         self.watcher = ConfigWatcher(state=self.state, revisions=Revisions(store=store))
         self._timers = timers
         self._drain_requested = trio.Event()
+        self._stop_requested = trio.Event()
+        self._stopped_serving = trio.Event()
         self.membership = Membership(store=store, settings=settings)
         self.liveness_key = LivenessKey(
             store=store, lease_s=settings.limits.member_lease_s
@@ -132,15 +136,29 @@
     async def _start_servers(self, nursery: trio.Nursery) -> None:
         parts = self._components
         limits = ServerLimits(body_bytes=self.settings.limits.body_bytes)
-        apis = {"listen": parts.caller_api, "operator_listen": parts.operator_api}
-        for name, api in apis.items():
-            start = partial(
-                serve,
-                api.handle,
-                address=getattr(self.settings, name),
-                options=ServerOptions(limits=lambda: limits),
+        serve_operators = partial(
+            serve,
+            parts.operator_api.handle,
+            address=self.settings.operator_listen,
+            options=ServerOptions(limits=lambda: limits),
+        )
+
+        async def serve_callers(task_status: trio.TaskStatus[Address]) -> None:
+            options = ServerOptions(
+                limits=lambda: limits,
+                is_closing=lambda: self.is_draining,
+                stop_requested=self._stop_requested,
             )
-            self.addresses[name] = await nursery.start(start)
+            await serve(
+                parts.caller_api.handle,
+                address=self.settings.listen,
+                options=options,
+                task_status=task_status,
+            )
+            self._stopped_serving.set()
+
+        self.addresses["listen"] = await nursery.start(serve_callers)
+        self.addresses["operator_listen"] = await nursery.start(serve_operators)
         self.addresses["peer_listen"] = await nursery.start(parts.peers.run)
 
     def _apply_config(self) -> None:
@@ -180,6 +198,10 @@
         if self.incarnation > 0:
             with trio.move_on_after(RETIRE_WAIT_S):
                 await self.membership.retire(self.incarnation)
+        # Requests that are still being read are refused when they are complete.
+        with trio.move_on_after(LAST_REQUESTS_WAIT_S):
+            self._stop_requested.set()
+            await self._stopped_serving.wait()
         log_event(
             logger, "drained", active=self._components.request_registry.active_count
         )
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -5,6 +5,7 @@
 
 from lavenderfold.settings import Address
 from tests.direct_support import answer_successfully, run_scenario
+from tests.router_fleet import FakeAgent, Fleet, completion, run_fleet
 
 HEAD = (
     b"POST /sign/x HTTP/1.1\r\nhost: host\r\nx-attempt: a\r\nx-key: secret\r\n"
@@ -160,3 +161,27 @@
             assert b"connection: close" in answers[delay_s]
 
     run_scenario(scenario, answer_successfully)
+
+
+def test_agent_based_router_answers_a_request_that_it_is_reading_when_it_drains():
+    """Guards against a closed connection instead of a refusal."""
+    body = completion()
+    head = (
+        "POST /v1/completions HTTP/1.1\r\nhost: host\r\n"
+        f"authorization: Bearer regina.secret\r\ncontent-length: {len(body)}\r\n\r\n"
+    ).encode()
+
+    async def check(fleet: Fleet):
+        address = fleet.router.addresses["listen"]
+        async with await trio.open_tcp_stream(address.host, address.port) as stream:
+            await stream.send_all(head + body[:5])
+            await trio.sleep(0.1)
+            fleet.router.drain()
+            # The router has nothing else to do.
+            await trio.sleep(1.0)
+            await stream.send_all(body[5:])
+            assert (await receive_all(stream)).startswith(b"HTTP/1.1 503")
+        with trio.fail_after(10):
+            await fleet.router.finished.wait()
+
+    run_fleet(check, FakeAgent("t1"))
