--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -2,8 +2,7 @@
 
 import contextlib
 import enum
-import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 import trio
@@ -11,7 +10,8 @@
 from lavenderfold.direct._events import (
     CompleteEvents,
     EventSplitter,
-    EventTooLongError,
+    InvalidEventError,
+    is_later_id,
 )
 from lavenderfold.direct._requests import (
     AnswerHead,
@@ -20,6 +20,8 @@
     PlatformCodec,
     TargetCall,
 )
+from lavenderfold.direct._target_wait import TargetWait
+from lavenderfold.fleet import Route
 from lavenderfold.http import (
     HttpClient,
     HttpResponse,
@@ -34,13 +36,15 @@
 
 EVENT_STREAM_TYPE = "text/event-stream"
 ANSWER_BYTES_LIMIT = 16 * 1024 * 1024
-# How long to wait for the head or the next event of an answer before failing over
-# to another target, as a multiple of the route's latency objective or pause limit,
+# How long to wait for the head or the next event of an answer before another target
+# may take over, as a multiple of the route's latency objective or pause limit,
 # but at least the minimum.
 HEAD_WAIT_FACTOR = 2.5
 HEAD_WAIT_MIN_S = 0.6
 EVENT_WAIT_FACTOR = 3.0
 EVENT_WAIT_MIN_S = 0.6
+# Time for a write to the caller that isn't complete at the deadline of the request.
+WRITE_GRACE_S = 0.2
 # With one of these statuses a router guarantees that the request didn't run, so a
 # target's own answer with such a status isn't relayed.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -57,7 +61,8 @@
 
     MISDIRECTED: the request reached another target than the chosen one.
     LOST: the connection broke, or the stream ended within an event.
-    SILENT: the target didn't answer in time, and another one can take over.
+    SILENT: the target didn't answer in time, and another one takes over.
+    TIMED_OUT: the deadline of the request passed before the answer was complete.
     INVALID: the answer isn't a valid answer to this attempt.
     FAILED: the target's answer is an error response, or can't continue a stream.
     """
@@ -68,6 +73,7 @@
     MISDIRECTED = "misdirected"
     LOST = "lost"
     SILENT = "silent"
+    TIMED_OUT = "timed_out"
     INVALID = "invalid"
     FAILED = "failed"
 
@@ -111,11 +117,12 @@
 
     An error response of the target is kept in ``failure_response``, so that it can
     be relayed if no other attempt follows; ``invalid_answer`` tells why its bytes are
-    no answer. ``can_fail_over`` says whether another
-    target can take over; only then is the wait for this target limited.
+    no answer. ``target_wait`` limits the waits for the target; what has arrived by
+    then is written also after ``deadline``, on the trio clock, if the caller reads it.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
-    answer. ``events`` counts those that this target sent, the first of them at
-    ``first_event_at``.
+    answer, ``on_head`` when the head of any answer was read. ``is_turned_away`` says
+    whether the target asked for a pause. ``events`` counts those that this target
+    sent, the first of them at ``first_event_at``.
     """
 
     def __init__(
@@ -125,20 +132,26 @@
         codec: PlatformCodec,
         writer: ResponseWriter,
         progress: RelayProgress,
-        can_fail_over: bool,
+        deadline: float,
+        target_wait: TargetWait,
         on_answering: Callable[[], None],
+        on_head: Callable[[AnswerHead], None],
     ):
         self.failure_response: HttpResponse | None = None
         self.invalid_answer: InvalidAnswerError | None = None
         self.status: int | None = None
+        self.is_turned_away = False
         self.events = 0
         self.first_event_at: float | None = None
         self._call = call
         self._codec = codec
         self._writer = writer
         self._progress = progress
-        self._can_fail_over = can_fail_over
+        self._is_continuation = progress.events > 0
+        self._deadline = deadline
+        self._target_wait = target_wait
         self._on_answering = on_answering
+        self._on_head = on_head
         self._is_answering = False
 
     @property
@@ -154,29 +167,43 @@
     async def run(self, client: HttpClient) -> AttemptOutcome:
         """Run the attempt until it ends or is cancelled; return its outcome."""
         may_have_run_before = self._progress.may_have_run
-        # Set before sending, so that it holds as well if the caller disconnects and
-        # the attempt is cancelled before its outcome is known.
-        self._progress.may_have_run = True
-        outcome = await self._send(client)
+        try:
+            outcome = await self._send(client)
+        finally:
+            self._target_wait.close()
         if outcome is AttemptOutcome.DELIVERED:
             self._record_answering()
         if outcome.is_certainly_not_run:
             self._progress.may_have_run = may_have_run_before
         return outcome
 
+    def _record_sending(self) -> None:
+        # Set before the first byte is sent, so that it holds as well if the caller
+        # disconnects and the attempt is cancelled before its outcome is known.
+        self._progress.may_have_run = True
+
+    async def relay_failure(self) -> None:
+        """Write the error response of the target to the caller."""
+        await self._write(self._writer.send(self.failure_response))
+
     async def _send(self, client: HttpClient) -> AttemptOutcome:
         request = self._codec.write_call(self._call)
         # The target may close an idle connection while the request is being sent,
         # which leaves unknown whether it ran. Requests that must not run twice are
         # therefore sent on a new connection.
-        exchange = client.stream(request, is_fresh=not self._call.route.is_repeatable)
+        exchange = client.stream(
+            request,
+            is_fresh=not self._call.route.is_repeatable,
+            on_sending=self._record_sending,
+            exchange_id=self._call.request.attempt_id,
+        )
         first_deadline = trio.current_time() + self._head_wait_s()
         try:
             async with contextlib.AsyncExitStack() as stack:
-                with self._wait_until(first_deadline) as wait:
+                with self._target_wait.until_silent(first_deadline) as wait:
                     response = await stack.enter_async_context(exchange)
                 if wait.cancelled_caught:
-                    return AttemptOutcome.SILENT
+                    return self._unanswered()
                 return await self._handle_response(response, first_deadline)
         except InvalidAnswerError as error:
             self.invalid_answer = error
@@ -198,6 +225,8 @@
     ) -> AttemptOutcome:
         self.status = response.status
         head = self._codec.read_answer(response.status, response.headers)
+        self.is_turned_away = head.asks_pause
+        self._on_head(head)
         if head.attempt_id != self._call.request.attempt_id:
             raise InvalidAnswerError(InvalidCause.OTHER_ATTEMPT)
         if head.is_not_run:
@@ -215,24 +244,25 @@
     async def _relay_buffered(
         self, head: AnswerHead, response: StreamedResponse, deadline: float
     ) -> AttemptOutcome:
+        if self._writer.started:
+            # The caller has already received part of another target's stream.
+            return AttemptOutcome.FAILED
         body = bytearray()
-        with self._wait_until(deadline) as wait:
+        with self._target_wait.until_silent(deadline) as wait:
             async for chunk in response.chunks():
                 body += chunk
                 if len(body) > ANSWER_BYTES_LIMIT:
                     raise InvalidAnswerError(InvalidCause.TOO_LONG)
         if wait.cancelled_caught:
-            return AttemptOutcome.SILENT
+            return self._unanswered()
         answer = HttpResponse(
             status=head.status, headers=_relayed_headers(head), body=bytes(body)
         )
-        if self._writer.started:
-            # The caller has already received part of another target's stream.
-            return AttemptOutcome.FAILED
         if head.is_success:
             self._progress.first_byte_at = trio.current_time()
-            await self._writer.send(answer)
-            return AttemptOutcome.DELIVERED
+            if await self._write(self._writer.send(answer)):
+                return AttemptOutcome.DELIVERED
+            return AttemptOutcome.TIMED_OUT
         if head.status not in NOT_RUN_STATUSES:
             self.failure_response = answer
         return AttemptOutcome.FAILED
@@ -247,31 +277,71 @@
             # Only the read is limited, not the write to the caller: events that are
             # counted as relayed must be written completely. A wait that has passed
             # while the process was suspended doesn't cancel what follows the read.
-            with self._wait_until(deadline) as wait:
+            with self._target_wait.until_silent(deadline) as wait:
                 chunk = await anext(chunks, None)
             if wait.cancelled_caught:
-                return AttemptOutcome.SILENT
+                return self._unanswered()
             if chunk is None:
                 break
             try:
                 events = splitter.feed(chunk)
-            except EventTooLongError as error:
-                raise InvalidAnswerError(InvalidCause.TOO_LONG) from error
+            except InvalidEventError as error:
+                raise InvalidAnswerError(InvalidCause.EVENT, str(error)) from error
             if events is not None:
-                await self._write_events(head, events)
-            deadline = trio.current_time() + self._event_wait_s()
+                if not self._follows_relayed(events):
+                    return AttemptOutcome.FAILED
+                if not await self._write_events(head, events):
+                    return AttemptOutcome.TIMED_OUT
+                # Bytes without a complete event don't show that the target goes on.
+                deadline = trio.current_time() + self._event_wait_s()
         if splitter.has_partial_event:
             return AttemptOutcome.LOST
-        if not self._writer.started:
-            await self._writer.start(head.status, _relayed_headers(head))
-        await self._writer.finish()
-        return AttemptOutcome.DELIVERED
-
-    async def _write_events(self, head: AnswerHead, events: CompleteEvents) -> None:
-        if not self._writer.started:
-            await self._writer.start(head.status, _relayed_headers(head))
+        if self._is_continuation and not self._has_relayed_ids:
+            # A target that can't resume the stream may answer without any event; the
+            # caller would take the broken stream for a complete one.
+            return AttemptOutcome.FAILED
+        if await self._start(head) and await self._write(self._writer.finish()):
+            return AttemptOutcome.DELIVERED
+        return AttemptOutcome.TIMED_OUT
+
+    def _follows_relayed(self, events: CompleteEvents) -> bool:
+        """Return whether these events may follow those of an earlier attempt.
+
+        A target that can't resume a stream begins it again.
+        """
+        last_id = self._progress.last_event_id
+        if not self._is_continuation or last_id is None or events.first_id is None:
+            return True
+        return is_later_id(events.first_id, last_id)
+
+    @property
+    def _has_relayed_ids(self) -> bool:
+        """Whether any event with an id was relayed in this attempt."""
+        return self._progress.last_event_id != self._call.last_event_id
+
+    async def _write_events(self, head: AnswerHead, events: CompleteEvents) -> bool:
+        if not await self._start(head):
+            return False
         self._record_events(events)
-        await self._writer.write(events.data)
+        return await self._write(self._writer.write(events.data))
+
+    async def _start(self, head: AnswerHead) -> bool:
+        if self._writer.started:
+            return True
+        return await self._write(
+            self._writer.start(head.status, _relayed_headers(head))
+        )
+
+    async def _write(self, write: Awaitable[None]) -> bool:
+        """Write to the caller; return False if the caller reads too slowly.
+
+        The time that a write has isn't over before it begins, so that an answer that
+        is ready late, after a suspension, is delivered as well.
+        """
+        begun_at = max(trio.current_time(), self._deadline)
+        with trio.move_on_at(begun_at + WRITE_GRACE_S) as scope:
+            await write
+        return not scope.cancelled_caught
 
     def _record_events(self, events: CompleteEvents) -> None:
         now = trio.current_time()
@@ -287,9 +357,11 @@
             self._is_answering = True
             self._on_answering()
 
-    def _wait_until(self, deadline: float) -> trio.CancelScope:
-        """Return a scope that limits a wait if another target can take over."""
-        return trio.CancelScope(deadline=deadline if self._can_fail_over else math.inf)
+    def _unanswered(self) -> AttemptOutcome:
+        """Return the outcome after a wait that was cancelled."""
+        if self._target_wait.is_taken_over:
+            return AttemptOutcome.SILENT
+        return AttemptOutcome.TIMED_OUT
 
     def _head_wait_s(self) -> float:
         return max(
@@ -301,6 +373,14 @@
         return max(EVENT_WAIT_MIN_S, EVENT_WAIT_FACTOR * limit_s)
 
 
+def can_be_continued(route: Route, progress: RelayProgress) -> bool:
+    """Return whether another target can continue an answer that was relayed in part.
+
+    Without event ids a target would begin the answer again.
+    """
+    return route.is_resumable and progress.last_event_id is not None
+
+
 def _is_event_stream(head: AnswerHead) -> bool:
     return any(
         name == "content-type" and value.startswith(EVENT_STREAM_TYPE)
--- a/src/lavenderfold/direct/_events.py
+++ b/src/lavenderfold/direct/_events.py
@@ -4,20 +4,26 @@
 
 EVENT_SEPARATOR = b"\n\n"
 EVENT_BYTES_LIMIT = 1024 * 1024
+# Each part costs processor time, however short it is.
+EVENT_PARTS_LIMIT = 16 * 1024
+# No line of an event begins like the status line of an HTTP response.
+STATUS_LINE_PREFIX = b"HTTP/1."
 
 
-class EventTooLongError(Exception):
-    """An event of a target is longer than EVENT_BYTES_LIMIT."""
+class InvalidEventError(Exception):
+    """A target sent bytes that can't be an event, or too much without its end."""
 
 
 class CompleteEvents(msgspec.Struct, frozen=True):
     """One or more complete events in their encoded form.
 
-    ``last_id`` is the last event id among them, or None if no event has an id.
+    ``first_id`` and ``last_id`` are the first and the last event id among them, or
+    None if no event has an id.
     """
 
     data: bytes
     count: int
+    first_id: str | None
     last_id: str | None
 
 
@@ -28,10 +34,11 @@
     event if the target's connection breaks.
     """
 
-    __slots__ = ("_partial_event",)
+    __slots__ = ("_partial_event", "_parts")
 
     def __init__(self):
-        self._partial_event = b""
+        self._partial_event = bytearray()
+        self._parts = 0
 
     @property
     def has_partial_event(self) -> bool:
@@ -40,31 +47,61 @@
 
     def feed(self, data: bytes) -> CompleteEvents | None:
         """Add received bytes; return the events that they complete, if any."""
-        buffer = self._partial_event + data
-        end = buffer.rfind(EVENT_SEPARATOR)
+        buffer = self._partial_event
+        # Only the new bytes are searched, or a long event in short parts would take
+        # time by the square of its length. The separator may have begun before them.
+        start = max(0, len(buffer) - len(EVENT_SEPARATOR) + 1)
+        buffer += data
+        end = buffer.rfind(EVENT_SEPARATOR, start)
         if end < 0:
-            if len(buffer) > EVENT_BYTES_LIMIT:
-                raise EventTooLongError(
-                    f"{len(buffer)} bytes received without the end of the event"
+            self._parts += 1
+            if len(buffer) > EVENT_BYTES_LIMIT or self._parts > EVENT_PARTS_LIMIT:
+                raise InvalidEventError(
+                    f"{len(buffer)} bytes in {self._parts} parts without the end of "
+                    "the event"
                 )
-            self._partial_event = buffer
             return None
+        self._parts = 0
         end += len(EVENT_SEPARATOR)
-        complete, self._partial_event = buffer[:end], buffer[end:]
+        complete = bytes(buffer[:end])
+        del buffer[:end]
+        if _has_status_line(complete):
+            raise InvalidEventError("a response head stands between the events")
         return CompleteEvents(
             data=complete,
             count=complete.count(EVENT_SEPARATOR),
+            first_id=_first_event_id(complete),
             last_id=_last_event_id(complete),
         )
 
 
+def _has_status_line(events: bytes) -> bool:
+    return events.startswith(STATUS_LINE_PREFIX) or b"\n" + STATUS_LINE_PREFIX in events
+
+
+def _first_event_id(events: bytes) -> str | None:
+    start = 0 if events.startswith(b"id:") else events.find(b"\nid:") + 1
+    return _read_id(events, start)
+
+
 def _last_event_id(events: bytes) -> str | None:
-    start = events.rfind(b"\nid:")
-    if start >= 0:
-        start += 4
-    elif events.startswith(b"id:"):
-        start = 3
-    else:
+    return _read_id(events, events.rfind(b"\nid:") + 1)
+
+
+def _read_id(events: bytes, start: int) -> str | None:
+    """Return the id in the line that begins at ``start``, or None if it has none."""
+    if not events.startswith(b"id:", start):
         return None
     end = events.find(b"\n", start)
-    return events[start:end].strip().decode("latin-1")
+    return events[start + len(b"id:") : end].strip().decode("latin-1")
+
+
+def is_later_id(event_id: str, earlier_id: str) -> bool:
+    """Return whether an event comes after another one of its stream.
+
+    Ids that aren't numbers have no order; they only have to differ.
+    """
+    if not (event_id.isdecimal() and earlier_id.isdecimal()):
+        return event_id != earlier_id
+    number, earlier_number = event_id.lstrip("0"), earlier_id.lstrip("0")
+    return (len(number), number) > (len(earlier_number), earlier_number)
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -5,7 +5,7 @@
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
 from lavenderfold.escrow import LocalBalanceState
-from lavenderfold.http import HttpRequest, HttpResponse, ResponseWriter
+from lavenderfold.http import CloseReason, HttpRequest, HttpResponse, ResponseWriter
 from lavenderfold.quarantine import QuarantineSnapshot
 from lavenderfold.shared import StoreCall
 
@@ -16,13 +16,17 @@
 
 
 class RouterSnapshot(msgspec.Struct, frozen=True, kw_only=True):
-    """State of a router at the time its metrics are read. Ages are in seconds."""
+    """State of a router at the time its metrics are read. Ages are in seconds.
+
+    ``targets_by_notice`` counts the listed targets that leave or pause.
+    """
 
     active: int
     balances: list[LocalBalanceState]
     log_lines_left_out: int
     quarantine: QuarantineSnapshot
     states: frozenset[str]
+    targets_by_notice: dict[str, int]
     watch_age_by_prefix: dict[str, float]
 
 
@@ -37,12 +41,36 @@
             ["end"],
             registry=self._registry,
         )
+        self._answers = Counter(
+            "lavenderfold_answers",
+            "Requests by how much of an answer was written: whole, cut or none.",
+            ["state"],
+            registry=self._registry,
+        )
+        self._closed_connections = Counter(
+            "lavenderfold_closed_connections",
+            "Callers' connections that ended, by the reason.",
+            ["reason"],
+            registry=self._registry,
+        )
         self._attempts = Counter(
             "lavenderfold_attempts",
             "Attempts at targets by outcome.",
             ["outcome"],
             registry=self._registry,
         )
+        self._targets = Gauge(
+            "lavenderfold_targets",
+            "Listed targets that get no request: leaving or pausing, as they said.",
+            ["state"],
+            registry=self._registry,
+        )
+        self._target_pauses = Counter(
+            "lavenderfold_target_pauses",
+            "Pauses in targets' answers by their value: valid, too_long or invalid.",
+            ["value"],
+            registry=self._registry,
+        )
         self._invalid_answers = Counter(
             "lavenderfold_invalid_answers",
             "Attempts whose target sent bytes that are no answer to them, by cause.",
@@ -121,17 +149,31 @@
     def record_attempt(self, outcome: str) -> None:
         self._attempts.labels(outcome).inc()
 
+    def record_pause(self, value: str) -> None:
+        """Count a pause in a target's answer by the kind of its value."""
+        self._target_pauses.labels(value).inc()
+
     def record_invalid_answer(self, cause: str) -> None:
         self._invalid_answers.labels(cause).inc()
 
     def record_store_call(self, call: StoreCall) -> None:
         self._store_calls.labels(call.kind, call.purpose, call.result).inc()
 
+    def record_closed_connection(self, reason: CloseReason) -> None:
+        self._closed_connections.labels(reason.value).inc()
+
     def record_request(
-        self, end: str, *, first_s: float | None, pause_s: float, total_s: float
+        self,
+        end: str,
+        *,
+        answer: str,
+        first_s: float | None,
+        pause_s: float,
+        total_s: float,
     ) -> None:
         """Record a request; ``first_s`` is None if nothing was relayed."""
         self._requests.labels(end).inc()
+        self._answers.labels(answer).inc()
         self._request_time.observe(total_s)
         if first_s is not None:
             self._first_byte_time.observe(first_s)
@@ -153,6 +195,8 @@
             self._watch_age.labels(prefix).set(age_s)
         for name in ROUTER_STATES:
             self._states.labels(name).set(name in snapshot.states)
+        for state, count in snapshot.targets_by_notice.items():
+            self._targets.labels(state).set(count)
         quarantine = snapshot.quarantine
         self._prompts.labels("suspected").set(quarantine.suspected)
         self._prompts.labels("quarantined").set(quarantine.quarantined)
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -1,84 +1,55 @@
 """Execution of one request: budget reservation, attempts, answer, settlement."""
 
-from collections.abc import Callable
+from functools import partial
 
-import msgspec
 import trio
 import xxhash
 
-from lavenderfold.direct._attempt import Attempt, AttemptOutcome, RelayProgress
-from lavenderfold.direct._choice import choose_target
-from lavenderfold.direct._connections import TargetClients, has_crashed
-from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
-from lavenderfold.direct._load import LoadTracker
-from lavenderfold.direct._metrics import RouterMetrics
-from lavenderfold.direct._reachability import Reachability
+from lavenderfold.direct._attempt import (
+    Attempt,
+    AttemptOutcome,
+    RelayProgress,
+    can_be_continued,
+)
+from lavenderfold.direct._crash_check import record_crash
+from lavenderfold.direct._pauses import pause_retry_after_s, pause_wait_limit
 from lavenderfold.direct._refusals import (
+    DEFAULT_RETRY_AFTER_S,
     Refusal,
     may_have_run,
     not_run,
     refusal_response,
 )
-from lavenderfold.direct._request_log import RequestLog, RequestResult
-from lavenderfold.direct._requests import CallerRequest, PlatformCodec, TargetCall
-from lavenderfold.escrow import BalanceManager, Funding
+from lavenderfold.direct._request_log import (
+    RequestLog,
+    RequestResult,
+    answer_state,
+)
+from lavenderfold.direct._requests import CallerRequest, TargetCall
+from lavenderfold.direct._reservation import Reservation
+from lavenderfold.direct._router_services import RouterServices
+from lavenderfold.direct._target_selection import TargetSelection
+from lavenderfold.direct._target_wait import TargetWait
 from lavenderfold.fleet import (
     Organisation,
     Route,
     RouteTable,
     Target,
-    TargetDirectory,
 )
 from lavenderfold.http import ResponseWriter
 from lavenderfold.outcomes import Reason
-from lavenderfold.quarantine import (
-    CrashKey,
-    LostPrompt,
-    PromptQuarantine,
-    Verdict,
-)
+from lavenderfold.quarantine import Verdict
 from lavenderfold.routing import RetryBudget
-from lavenderfold.timers import TimerService
 
-# How long a request waits for its reservation. A grant takes about 30 ms from the
-# other region; a broken path to the store is detected and replaced within 0.6 s.
-FUNDING_WAIT_S = 0.7
 # A target that can't be connected to doesn't count as an attempt, because nothing
 # ran, but each failed connection takes time. Give up after this many.
 MAX_CONNECTION_FAILURES = 3
-DEFAULT_RETRY_AFTER_S = 0.25
-BUDGET_RETRY_AFTER_S = 0.3
 # Lower bound of the remaining time that a target is told; with less than this it
 # can't answer any more.
 MIN_REMAINING_S = 0.005
-
-# Outcomes after which the router itself may be cut off from the network.
-UNREACHABLE_OUTCOMES = (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.SILENT)
+# Silence is recorded when it is noticed, and a timeout is no fault of the target.
+RECORDED_OUTCOMES = (AttemptOutcome.SILENT, AttemptOutcome.TIMED_OUT)
 BALANCE_REASONS = (Reason.BUDGET_SPENT.value, Reason.BUDGET_UNAVAILABLE.value)
-SIZE_MISSING = Refusal(status=400, reason="size_missing", outcome="not_run")
-
-
-class RouterServices(msgspec.Struct, kw_only=True):
-    """Services that all requests of one router share.
-
-    ``domain`` is the failure domain of the router.
-    """
-
-    balance_manager: BalanceManager
-    load_tracker: LoadTracker
-    clients: TargetClients
-    codec: PlatformCodec
-    directory: TargetDirectory
-    metrics: RouterMetrics
-    quarantine: PromptQuarantine
-    event_loop_monitor: EventLoopMonitor
-    reachability: Reachability
-    timers: TimerService
-    new_retry_budget: Callable[[], RetryBudget]
-    domain: str
-    retry_budget_by_service: dict[str, RetryBudget] = msgspec.field(
-        default_factory=dict
-    )
 
 
 class RequestExecution:
@@ -106,12 +77,23 @@
         self._caller_deadline = self._started_at + caller_timeout_s
         self._service_name = pick_service(route, request.attempt_id)
         self._progress = RelayProgress()
-        self._reserved_tokens = 0
-        self._funded_at: float | None = None
+        self._reservation = Reservation(
+            balance_manager=services.balance_manager,
+            timers=services.timers,
+            request=request,
+            organisation=organisation,
+            service=table.service(self._service_name),
+        )
         self._sent_attempts = 0
         self._last_outcome: AttemptOutcome | None = None
         self._log = RequestLog(request=request, metrics=services.metrics)
         self._choice_reason = ""
+        self._not_repeated: str | None = None
+        self._selection = TargetSelection(
+            services=services, service_name=self._service_name, request=request
+        )
+        self._silent_ids: set[str] = set()
+        self._has_reserved_retry = False
 
     async def run(self) -> None:
         """Answer the request and settle its reservation.
@@ -121,63 +103,48 @@
         refusal = None
         self._retry_budget.record_request()
         try:
-            refusal = self._refuse_quarantined() or await self._reserve_budget()
+            refusal = self._refuse_quarantined() or await self._reservation.reserve()
             if refusal is None:
-                refusal = await self._attempt_until_deadline()
+                refusal = await self._attempt_targets()
             if refusal is not None:
                 await self._refuse(refusal)
         finally:
-            self._settle()
-            self._write_result(refusal)
-
-    async def _reserve_budget(self) -> Refusal | None:
-        tokens = self._request.tokens
-        organisation = self._organisation
-        if organisation is None or organisation.limit_tokens is None:
-            return None
-        if tokens is None:
-            service = self._table.service(self._service_name)
-            # The tokens of a generation can't be reserved if its size isn't stated.
-            return SIZE_MISSING if service and service.is_model else None
-        worst_case = tokens.worst_case
-        until = self._services.timers.now() + FUNDING_WAIT_S
-        funding = await self._services.balance_manager.reserve(
-            organisation.name, worst_case, until=until
-        )
-        if funding is Funding.SPENT:
-            return not_run(Reason.BUDGET_SPENT)
-        if funding is Funding.UNAVAILABLE:
-            return not_run(
-                Reason.BUDGET_UNAVAILABLE, retry_after_s=BUDGET_RETRY_AFTER_S
+            if self._has_reserved_retry:
+                self._retry_budget.release()
+            self._reservation.settle(
+                may_have_run=self._progress.may_have_run, events=self._progress.events
             )
-        self._reserved_tokens = worst_case
-        self._funded_at = trio.current_time()
-        return None
+            self._write_result(refusal)
 
-    async def _attempt_until_deadline(self) -> Refusal | None:
-        with trio.move_on_at(self._deadline):
-            return await self._attempt_targets()
+    def _refuse_at_deadline(self) -> Refusal:
         if self._progress.may_have_run or self._sent_attempts:
             return may_have_run(Reason.DEADLINE_PASSED)
-        return not_run(Reason.OVERLOADED, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        return not_run(Reason.CONNECTION_FAILED, retry_after_s=DEFAULT_RETRY_AFTER_S)
 
     async def _attempt_targets(self) -> Refusal | None:
-        avoid: set[str] = set()
         failed_connections = 0
         while True:
             # Other routers may have seen the prompt crash a target meanwhile.
             await self._wait_for_decision()
+            if trio.current_time() >= self._deadline:
+                return self._refuse_at_deadline()
             refusal = self._refuse_quarantined()
             if refusal is not None:
                 return refusal
-            target = self._choose(frozenset(avoid))
-            if target is None:
+            choice = self._selection.choose()
+            if choice is None:
+                if await self._wait_for_pause_end():
+                    continue
                 return self._refuse_without_target()
+            target = choice.target
+            self._choice_reason = choice.reason
             attempt = self._new_attempt(target)
             outcome = await self._run_attempt(attempt, target)
             if outcome is AttemptOutcome.DELIVERED:
                 return None
-            avoid.add(target.id)
+            if outcome is AttemptOutcome.TIMED_OUT:
+                return self._refuse_at_deadline()
+            self._selection.record_failure(target)
             failed_connections += outcome is AttemptOutcome.NOT_CONNECTED
             self._sent_attempts += outcome is not AttemptOutcome.NOT_CONNECTED
             if failed_connections >= MAX_CONNECTION_FAILURES or not self._may_repeat(
@@ -185,6 +152,16 @@
             ):
                 return await self._give_up(attempt, outcome)
 
+    async def _wait_for_pause_end(self) -> bool:
+        """Wait until a pause is over; return False if that isn't surely in time."""
+        limit = pause_wait_limit(
+            self._route,
+            self._progress,
+            started_at=self._started_at,
+            deadline=self._deadline,
+        )
+        return await self._selection.wait_for_pause_end(limit)
+
     async def _wait_for_decision(self) -> None:
         quarantine = self._services.quarantine
         wait_s = quarantine.decision_wait_s(self._request.shared_part_ids)
@@ -202,20 +179,6 @@
             Reason.PROMPT_QUARANTINED, retry_after_s=quarantine.remaining_s(part_ids)
         )
 
-    def _choose(self, avoid: frozenset[str]) -> Target | None:
-        choice = choose_target(
-            self._services.directory.usable(self._service_name),
-            self._services.load_tracker,
-            self._request,
-            avoid=avoid,
-            failure_domain=self._services.domain,
-            now=self._services.timers.now(),
-        )
-        if choice is None:
-            return None
-        self._choice_reason = choice.reason
-        return choice.target
-
     def _new_attempt(self, target: Target) -> Attempt:
         now = trio.current_time()
         call = TargetCall(
@@ -226,20 +189,55 @@
             remaining_s=max(MIN_REMAINING_S, self._deadline - now),
             last_event_id=self._progress.last_event_id or self._request.last_event_id,
         )
-        can_fail_over = (
-            self._route.is_repeatable
-            and self._sent_attempts + 1 < self._route.attempt_limit
-            and len(self._services.directory.usable(self._service_name)) > 1
-        )
         return Attempt(
             call=call,
             codec=self._services.codec,
             writer=self._writer,
             progress=self._progress,
-            can_fail_over=can_fail_over,
+            deadline=self._deadline,
+            target_wait=self._new_target_wait(target),
             on_answering=self._record_answer,
+            on_head=partial(
+                self._services.notices.record,
+                target,
+                request_id=self._request.attempt_id,
+            ),
+        )
+
+    def _new_target_wait(self, target: Target) -> TargetWait:
+        can_repeat = (
+            self._route.is_repeatable
+            and self._sent_attempts + 1 < self._route.attempt_limit
+        )
+        return TargetWait(
+            timers=self._services.timers,
+            deadline=self._deadline,
+            try_take_over=partial(self._try_take_over, target) if can_repeat else None,
         )
 
+    def _try_take_over(self, silent: Target) -> bool:
+        """Reserve an attempt at another target than a silent one, if there is one.
+
+        The silent target may go on, so it is given up only if the request can certainly
+        be sent to another target, and one that hasn't failed lately.
+        """
+        if silent.id not in self._silent_ids:
+            self._silent_ids.add(silent.id)
+            self._record_silence(silent)
+        if not (self._is_prompt_sound and self._can_go_on_elsewhere):
+            return False
+        choice = self._selection.choose(instead_of=silent)
+        if choice is None or choice.is_last_resort:
+            return False
+        if not self._has_reserved_retry:
+            self._has_reserved_retry = self._retry_budget.try_acquire()
+        return self._has_reserved_retry
+
+    def _record_silence(self, target: Target) -> None:
+        services = self._services
+        services.reachability.record_failure()
+        services.load_tracker.record_failure(target, now=services.timers.now())
+
     def _record_answer(self) -> None:
         self._services.quarantine.record_answer(self._request.shared_part_ids)
 
@@ -261,72 +259,89 @@
             self._log.write_invalid_answer(attempt, target)
         if outcome is AttemptOutcome.LOST:
             self._log.write_lost_attempt(attempt, target, sent_at=sent_at)
-            if attempt.is_before_answer and self._request.shared_part_ids:
-                await self._record_crash(attempt, target, sent_at)
-        if outcome in UNREACHABLE_OUTCOMES:
+            await record_crash(
+                self._services.quarantine,
+                self._services.timers,
+                request=self._request,
+                attempt=attempt,
+                target=target,
+                sent_at=sent_at,
+            )
+        if outcome in RECORDED_OUTCOMES:
+            return outcome
+        if outcome is AttemptOutcome.NOT_CONNECTED:
             self._services.reachability.record_failure()
         elif outcome is not AttemptOutcome.LOST:
             self._services.reachability.record_answer()
         if outcome is AttemptOutcome.DELIVERED:
             load_tracker.record_success(target)
-        elif outcome is not AttemptOutcome.REJECTED:
+        elif outcome is not AttemptOutcome.REJECTED and not attempt.is_turned_away:
             load_tracker.record_failure(target, now=self._services.timers.now())
         return outcome
 
-    async def _record_crash(
-        self, attempt: Attempt, target: Target, sent_at: float
-    ) -> None:
-        """Record the prompt if the target has crashed, which it may have caused."""
-        quarantine = self._services.quarantine
-        lost_at = self._services.timers.unix_time()
-        earlier_crashes = quarantine.earlier_crashes(
-            age_s=trio.current_time() - sent_at
-        )
-        if not await has_crashed(target):
-            return
-        lost = LostPrompt(
-            crash=CrashKey(target.id, target.born),
-            at=lost_at,
-            part_ids=self._request.shared_part_ids,
-            is_begun=attempt.is_begun,
-            earlier_crashes=earlier_crashes,
-        )
-        quarantine.record_loss(lost)
-
     def _may_repeat(self, outcome: AttemptOutcome) -> bool:
         """Return whether another target may be tried after this outcome."""
         if not outcome.is_certainly_not_run and not self._route.is_repeatable:
+            self._not_repeated = "not_repeatable"
+            return False
+        if not self._can_go_on_elsewhere:
+            self._not_repeated = "not_resumable"
             return False
         if outcome is AttemptOutcome.NOT_CONNECTED:
             return True
         if self._sent_attempts >= self._route.attempt_limit:
+            self._not_repeated = "attempt_limit"
             return False
-        part_ids = self._request.shared_part_ids
-        if (
-            not outcome.is_certainly_not_run
-            and self._services.quarantine.verdict(part_ids) is not Verdict.SOUND
-        ):
+        if not outcome.is_certainly_not_run and not self._is_prompt_sound:
             # It may crash the next target as well.
+            self._not_repeated = "prompt_suspected"
+            return False
+        if self._has_reserved_retry:
+            self._has_reserved_retry = False
+        elif not self._retry_budget.try_acquire():
+            self._not_repeated = "retry_budget"
             return False
-        return self._retry_budget.try_acquire()
+        return True
+
+    @property
+    def _can_go_on_elsewhere(self) -> bool:
+        """Whether another target may answer after what the caller has received."""
+        return not self._writer.started or can_be_continued(self._route, self._progress)
+
+    @property
+    def _is_prompt_sound(self) -> bool:
+        part_ids = self._request.shared_part_ids
+        return self._services.quarantine.verdict(part_ids) is Verdict.SOUND
 
     async def _give_up(
         self, attempt: Attempt, outcome: AttemptOutcome
     ) -> Refusal | None:
         if attempt.failure_response is not None and not self._writer.started:
-            await self._writer.send(attempt.failure_response)
+            await attempt.relay_failure()
             return None
         if self._progress.may_have_run:
             return may_have_run(Reason.TARGET_FAILED)
         reason = Reason.OVERLOADED
         if outcome is AttemptOutcome.NOT_CONNECTED:
             reason = Reason.CONNECTION_FAILED
-        return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        return self._refuse_not_run(reason)
 
     def _refuse_without_target(self) -> Refusal:
+        self._not_repeated = "no_target"
         if self._progress.may_have_run:
             return may_have_run(Reason.TARGET_FAILED)
-        return not_run(Reason.NO_TARGET, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        return self._refuse_not_run(Reason.NO_TARGET)
+
+    def _refuse_not_run(self, reason: Reason) -> Refusal:
+        """Refuse; the reason is another one if all targets that are left pause."""
+        pause_left_s = self._selection.pause_left_s()
+        if pause_left_s is None:
+            return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        caller_left_s = self._caller_deadline - trio.current_time()
+        return not_run(
+            Reason.TARGETS_PAUSED,
+            retry_after_s=pause_retry_after_s(pause_left_s, caller_left_s),
+        )
 
     async def _refuse(self, refusal: Refusal) -> None:
         if self._writer.started:
@@ -336,22 +351,6 @@
         headers = self._services.codec.answer_headers(self._request.attempt_id)
         await self._writer.send(refusal_response(refusal, headers))
 
-    def _settle(self) -> None:
-        if not self._reserved_tokens:
-            return
-        used = 0
-        if self._progress.may_have_run:
-            service = self._table.service(self._service_name)
-            tokens_per_event = service.tokens_per_event if service else 0
-            output = min(
-                self._request.tokens.output_limit,
-                self._progress.events * tokens_per_event,
-            )
-            used = self._request.tokens.prompt + output
-        self._services.balance_manager.settle(
-            self._organisation.name, reserved=self._reserved_tokens, used=used
-        )
-
     @property
     def _retry_budget(self) -> RetryBudget:
         retry_budget = self._services.retry_budget_by_service.get(self._service_name)
@@ -374,10 +373,12 @@
             choice=self._choice_reason,
             refusal=refusal,
             outcome=self._last_outcome,
-            reserved_tokens=self._reserved_tokens,
+            answer=answer_state(self._writer),
+            not_repeated=self._not_repeated,
+            reserved_tokens=self._reservation.tokens,
             progress=self._progress,
             started_at=self._started_at,
-            funded_at=self._funded_at,
+            funded_at=self._reservation.funded_at,
             caller_deadline=self._caller_deadline,
             balance=balance,
         )
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -8,13 +8,15 @@
 import trio
 
 from lavenderfold.direct._caller_api import CallerApi
+from lavenderfold.direct._caller_limits import CallerLimitHistory
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
 from lavenderfold.direct._load import LoadTracker
 from lavenderfold.direct._metrics import RouterMetrics, RouterSnapshot
+from lavenderfold.direct._notices import TargetNotices
 from lavenderfold.direct._reachability import Reachability
-from lavenderfold.direct._request_execution import RouterServices
 from lavenderfold.direct._requests import PlatformCodec
+from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.direct._sinks import ConfigSink, RecordReader, TargetSink
 from lavenderfold.escrow import BalanceManager
 from lavenderfold.fleet import PrefixFollower, RouteTable, Target
@@ -22,7 +24,6 @@
     HttpRequest,
     HttpResponse,
     ResponseWriter,
-    ServerLimits,
     ServerOptions,
     serve,
 )
@@ -40,6 +41,8 @@
 # Part of the grace period that is reserved for handing grants back.
 HAND_BACK_RESERVE_S = 1.0
 HAND_BACK_TIMEOUT_S = 0.5
+# Part of the grace period that is reserved for the end of the process.
+EXIT_RESERVE_S = 0.2
 EXPIRY_PERIOD_S = 0.2
 CLEANUP_PERIOD_S = 2.0
 REPORT_PERIOD_S = 4.0
@@ -94,6 +97,8 @@
         self._log_lines_left_out = log_lines_left_out
         self._holder = f"{options.name}/{secrets.token_hex(HOLDER_ID_BYTES)}"
         self._draining = trio.Event()
+        self._stop_requested = trio.Event()
+        self._stopped_serving = trio.Event()
         self._metrics = RouterMetrics()
         self.reachability = Reachability(timers=timers)
         self.event_loop_monitor = EventLoopMonitor()
@@ -136,9 +141,13 @@
             wait_s=options.watch_wait_s,
             on_answer=self.reachability.record_answer,
         )
+        load_tracker = LoadTracker()
         self._services = RouterServices(
             balance_manager=self._balance_manager,
-            load_tracker=LoadTracker(),
+            load_tracker=load_tracker,
+            notices=TargetNotices(
+                load_tracker=load_tracker, metrics=self._metrics, timers=timers
+            ),
             clients=TargetClients(),
             codec=codec,
             directory=self._targets.directory,
@@ -151,7 +160,7 @@
             domain=options.domain,
         )
         self._caller_api = CallerApi(services=self._services, config=self._config)
-        self._limits = ServerLimits()
+        self._limits = CallerLimitHistory()
         self.listen_address: Address | None = None
         self.metrics_address: Address | None = None
 
@@ -233,9 +242,11 @@
 
     async def _start_servers(self, nursery: trio.Nursery) -> None:
         options = ServerOptions(
-            limits=lambda: self._limits,
+            limits=lambda: self._limits.in_force(self._timers.now()),
             is_closing=self._is_closing,
             cancels_on_disconnect=True,
+            on_closed=self._metrics.record_closed_connection,
+            stop_requested=self._stop_requested,
         )
 
         async def serve_callers(task_status) -> None:
@@ -245,6 +256,7 @@
                 options=options,
                 task_status=task_status,
             )
+            self._stopped_serving.set()
 
         async def serve_readiness(task_status) -> None:
             await serve(
@@ -289,6 +301,9 @@
             log_lines_left_out=self._log_lines_left_out(),
             quarantine=self._quarantine.snapshot(),
             states=frozenset(name for name, holds in is_true_by_state.items() if holds),
+            targets_by_notice=self._services.load_tracker.count_by_notice(
+                self._targets.directory.targets(), now=now
+            ),
             watch_age_by_prefix={
                 options.config_prefix: now - self._config_follower.answered_at,
                 options.targets_prefix: now - self._target_follower.answered_at,
@@ -296,20 +311,26 @@
         )
 
     async def _finish(self) -> None:
+        grace_ends_at = trio.current_time() + self._options.grace_period_s
         with trio.move_on_after(self._options.grace_period_s - HAND_BACK_RESERVE_S):
             await trio.sleep(DRAIN_ACCEPT_S)
             self._caller_api.is_closed = True
             await self._caller_api.wait_idle()
         with trio.move_on_after(HAND_BACK_TIMEOUT_S):
             await self._balance_manager.return_all()
+        # Requests that are still being read are refused when they are complete.
+        with trio.move_on_at(grace_ends_at - EXIT_RESERVE_S):
+            self._stop_requested.set()
+            await self._stopped_serving.wait()
 
     async def _clean_up_periodically(self) -> None:
         while True:
             await trio.sleep(CLEANUP_PERIOD_S)
             self._update_retry_limits()
-            targets = self._known_targets()
-            self._services.load_tracker.keep_only(targets)
-            await self._services.clients.keep_only(targets)
+            self._services.load_tracker.keep_only(
+                self._targets.directory.targets(), now=self._timers.now()
+            )
+            await self._services.clients.keep_only(self._known_targets())
 
     @property
     def _retry_reserve(self) -> float:
@@ -334,13 +355,7 @@
 
     def _apply_config(self, table: RouteTable) -> None:
         self._metrics.set_config_version(table.version)
-        limits = table.config.limits
-        self._limits = ServerLimits(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
-            idle_timeout_s=limits.idle_timeout_s,
-            read_timeout_s=limits.header_timeout_s,
-        )
+        self._limits.set(table.config.limits, now=self._timers.now())
         limit_by_organisation = {
             each.name: each.limit_tokens
             for each in table.config.organisations
--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -18,15 +18,24 @@
     json_response,
 )
 from lavenderfold.http._peer_client import CallFailedError, PeerClient
-from lavenderfold.http._server import ResponseWriter, ServerLimits, ServerOptions, serve
+from lavenderfold.http._server import (
+    IDLE_GRACE_S,
+    CloseReason,
+    ResponseWriter,
+    ServerLimits,
+    ServerOptions,
+    serve,
+)
 
 __all__ = [
     "BodyTooLargeError",
     "CallFailedError",
+    "CloseReason",
     "HttpClient",
     "HttpClientError",
     "HttpRequest",
     "HttpResponse",
+    "IDLE_GRACE_S",
     "MalformedRequestError",
     "MalformedResponseError",
     "MixedHeadError",
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -7,7 +7,7 @@
 import re
 import socket
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import h11
@@ -24,11 +24,18 @@
 RECEIVE_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
 IDLE_CONNECTIONS_LIMIT = 32
+# A peer that repeats an answer does so soon after the original; older ids would only
+# take memory on connections that are kept for long.
+RECENT_EXCHANGES_LIMIT = 64
+# A response is preceded by a few interim responses (1xx) at most.
+INTERIM_RESPONSES_LIMIT = 16
 # A longer body may fill the peer's receive window, so that sending it blocks until
 # the peer reads it.
 SEND_FIRST_LIMIT_BYTES = 8192
 METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD"))
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
 async def _open_stream(address: Address) -> trio.SocketStream:
@@ -70,23 +77,36 @@
 class StreamedResponse:
     """A response whose body is read incrementally with ``chunks``."""
 
-    __slots__ = ("status", "headers", "_connection")
+    __slots__ = ("status", "headers", "_connection", "_ends_with_connection")
 
-    def __init__(self, *, head: h11.Response, connection: "_ClientConnection"):
+    def __init__(
+        self, *, head: h11.Response, connection: "_ClientConnection", method: str
+    ):
         self.status = head.status_code
         self.headers = decode_headers(head.headers)
         self._connection = connection
+        self._ends_with_connection = (
+            method != "HEAD"
+            and head.status_code not in STATUSES_WITHOUT_BODY
+            and not any(name in FRAMING_HEADERS for name, _ in head.headers)
+        )
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive.
 
-        Raises ResponseLostError if the body ends early.
+        Raises ResponseLostError if the body ends early. A body that ends with its
+        connection and has no byte counts as such: the peer may have stopped after
+        the head.
         """
+        is_empty = True
         while True:
             event = await self._connection.next_event()
             if isinstance(event, h11.Data):
+                is_empty = False
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                if is_empty and self._ends_with_connection:
+                    raise ResponseLostError(self._connection.address, "no body came")
                 return
             else:
                 raise ResponseLostError(self._connection.address, "body was cut")
@@ -102,7 +122,14 @@
 class _ClientConnection:
     """A connection that carries one request at a time."""
 
-    __slots__ = ("address", "stream", "protocol", "is_request_sent", "is_broken")
+    __slots__ = (
+        "address",
+        "stream",
+        "protocol",
+        "is_request_sent",
+        "is_broken",
+        "exchange_ids",
+    )
 
     def __init__(self, *, address: Address, stream: trio.SocketStream):
         self.address = address
@@ -110,6 +137,7 @@
         self.protocol = h11.Connection(h11.CLIENT)
         self.is_request_sent = False
         self.is_broken = False
+        self.exchange_ids: deque[str] = deque(maxlen=RECENT_EXCHANGES_LIMIT)
 
     async def exchange(self, request: HttpRequest) -> h11.Response:
         """Send a request and return the head of its response.
@@ -189,7 +217,7 @@
             raise ResponseLostError(self.address, error) from error
 
     async def response_head(self) -> h11.Response:
-        while True:
+        for _ in range(INTERIM_RESPONSES_LIMIT + 1):
             event = await self.next_event()
             if not isinstance(event, (h11.Response, h11.InformationalResponse)):
                 raise ResponseLostError(self.address, "connection closed")
@@ -198,6 +226,7 @@
                 raise MixedHeadError(self.address, cause)
             if isinstance(event, h11.Response):
                 return event
+        raise ResponseLostError(self.address, "too many interim responses")
 
     def is_stale(self) -> bool:
         """Return whether the peer has closed this connection or written to it.
@@ -246,17 +275,32 @@
 
     @asynccontextmanager
     async def stream(
-        self, request: HttpRequest, *, is_fresh: bool = False
+        self,
+        request: HttpRequest,
+        *,
+        is_fresh: bool = False,
+        on_sending: Callable[[], None] | None = None,
+        exchange_id: str | None = None,
     ) -> AsyncIterator[StreamedResponse]:
         """Send a request and yield its response before its body is complete.
 
         With ``is_fresh`` a new connection is opened. The peer may drop an idle
         connection without notice, and a request lost with it may have been run.
+        ``exchange_id`` is the id that the peer repeats in its response. An earlier
+        response with the same id may arrive again, so a connection that lately
+        carried this id isn't used. ``on_sending`` is called right before the first
+        byte is sent.
         """
-        connection = await (self._connect() if is_fresh else self._acquire())
+        connection = await (self._connect() if is_fresh else self._acquire(exchange_id))
+        if exchange_id is not None:
+            connection.exchange_ids.append(exchange_id)
+        if on_sending is not None:
+            on_sending()
         try:
             head = await connection.exchange(request)
-            yield StreamedResponse(head=head, connection=connection)
+            yield StreamedResponse(
+                head=head, connection=connection, method=request.method
+            )
         finally:
             await self._release(connection)
 
@@ -265,9 +309,12 @@
         while self._idle_connections:
             await trio.aclose_forcefully(self._idle_connections.pop().stream)
 
-    async def _acquire(self) -> _ClientConnection:
+    async def _acquire(self, exchange_id: str | None) -> _ClientConnection:
         while self._idle_connections:
             connection = self._idle_connections.pop()
+            if exchange_id in connection.exchange_ids:
+                self._idle_connections.append(connection)
+                break
             if not connection.is_stale():
                 return connection
             await trio.aclose_forcefully(connection.stream)
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -1,5 +1,6 @@
 """HTTP server with one trio task per connection; h11 implements the protocol."""
 
+import enum
 import logging
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -17,6 +18,7 @@
     encode_headers,
     json_response,
 )
+from lavenderfold.http._stop import IdleConnections, accept_waiting, duplicate_sockets
 from lavenderfold.settings import Address
 
 RECEIVE_BYTES = 65536
@@ -24,12 +26,24 @@
 BODY_BYTES_LIMIT = 4 * 1024 * 1024
 IDLE_TIMEOUT_S = 75.0
 REQUEST_READ_TIMEOUT_S = 20.0
+# Callers may learn of a lowered idle timeout this much later than the server, and of
+# a raised one that much sooner.
+IDLE_GRACE_S = 3.0
+# Bounds what h11 buffers for a head, if the limit in force is lower.
+HEAD_BUFFER_BYTES = 65536
+# How long a stopping server waits for the requests of callers that have just connected.
+LAST_REQUESTS_S = 0.2
+# The part of an answer that a caller must take within the idle timeout.
+WRITE_BYTES = 16384
 
 logger = logging.getLogger(__name__)
 
 
 class ServerLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """Limits on the size of a request and on the time that it may take to arrive."""
+    """Limits on the size of a request and on the time that it may take to arrive.
+
+    A caller that reads nothing of a response counts as idle as well.
+    """
 
     header_bytes: int = HEADER_BYTES_LIMIT
     body_bytes: int = BODY_BYTES_LIMIT
@@ -37,18 +51,41 @@
     read_timeout_s: float = REQUEST_READ_TIMEOUT_S
 
 
+class CloseReason(enum.Enum):
+    """Why the connection of a caller ended.
+
+    IDLE: no request came within the idle timeout.
+    LEFT: the caller closed it.
+    ANSWERED: it was closed after a whole answer.
+    CUT: it was closed without a whole answer to a request.
+    """
+
+    IDLE = "idle"
+    LEFT = "left"
+    ANSWERED = "answered"
+    CUT = "cut"
+
+
+def _ignore_close(reason: CloseReason) -> None:
+    """Ignore the end of a connection."""
+
+
 class ServerOptions(msgspec.Struct, kw_only=True):
     """Options of a server.
 
     ``limits`` is called for each request and returns the limits in force.
     ``is_closing`` returns whether responses should close their connections. With
     ``cancels_on_disconnect`` a handler is cancelled when its caller closes the
-    connection.
+    connection. ``on_closed`` is called with the reason when a connection ends. When
+    ``stop_requested`` is set, the server accepts no more connections, closes those
+    that are idle, answers the requests that have begun to arrive, and ends.
     """
 
     limits: Callable[[], ServerLimits] = ServerLimits
     is_closing: Callable[[], bool] = bool
     cancels_on_disconnect: bool = False
+    on_closed: Callable[[CloseReason], None] = _ignore_close
+    stop_requested: trio.Event = msgspec.field(default_factory=trio.Event)
 
 
 class ResponseWriter:
@@ -60,7 +97,14 @@
     complete one.
     """
 
-    __slots__ = ("_connection", "_stream", "_is_closing", "started", "finished")
+    __slots__ = (
+        "_connection",
+        "_stream",
+        "_is_closing",
+        "_idle_timeout_s",
+        "started",
+        "finished",
+    )
 
     def __init__(
         self,
@@ -68,10 +112,12 @@
         connection: h11.Connection,
         stream: trio.SocketStream,
         is_closing: Callable[[], bool] = bool,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
     ):
         self._connection = connection
         self._stream = stream
         self._is_closing = is_closing
+        self._idle_timeout_s = idle_timeout_s
         self.started = False
         self.finished = False
 
@@ -105,9 +151,24 @@
         return [("connection", "close")] if self._is_closing() else []
 
     async def _send_events(self, *events: h11.Event) -> None:
+        # A write that is cancelled before its first byte leaves the response as it
+        # was, so that another one can be sent.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self.started = True
         data = b"".join(self._connection.send(event) or b"" for event in events)
-        await self._stream.send_all(data)
+        await self._write_data(data)
+
+    async def _write_data(self, data: bytes) -> None:
+        """Write in parts that each have the idle timeout.
+
+        A slow caller takes them in time; for one that stops reading, or reads only a
+        byte now and then, BrokenResourceError is raised.
+        """
+        for start in range(0, len(data), WRITE_BYTES):
+            with trio.move_on_after(self._idle_timeout_s) as scope:
+                await self._stream.send_all(data[start : start + WRITE_BYTES])
+            if scope.cancelled_caught:
+                raise trio.BrokenResourceError("the caller doesn't read the response")
 
 
 def _response_head(status: int, headers: list[tuple[str, str]]) -> h11.Response:
@@ -121,48 +182,65 @@
     """Reads requests from one connection and calls the handler for each."""
 
     def __init__(
-        self, *, stream: trio.SocketStream, handler: Handler, options: ServerOptions
+        self,
+        *,
+        stream: trio.SocketStream,
+        handler: Handler,
+        options: ServerOptions,
+        idle_connections: IdleConnections,
     ):
+        self._idle_connections = idle_connections
         self._stream = stream
         self._handler = handler
         self._options = options
         self._limits = options.limits()
         # _check_head enforces the limit in force for each request. h11's own limit is
-        # fixed for the life of the connection, so it is set to twice the first one.
+        # fixed for the life of the connection, so it is higher than the first one.
+        buffer_bytes = max(HEAD_BUFFER_BYTES, 2 * self._limits.header_bytes)
         self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=2 * self._limits.header_bytes
+            h11.SERVER, max_incomplete_event_size=buffer_bytes
         )
         self._is_caller_disconnected = False
+        self._close_reason = CloseReason.LEFT
 
     async def run(self) -> None:
-        async with self._stream:
-            try:
+        try:
+            async with self._stream:
                 while await self._serve_one():
                     self._connection.start_next_cycle()
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self._close_reason = CloseReason.LEFT
+        finally:
+            self._options.on_closed(self._close_reason)
 
     async def _serve_one(self) -> bool:
         """Serve one request and return whether the connection can be used again."""
-        self._limits = self._options.limits()
+        self._close_reason = CloseReason.LEFT
         writer = ResponseWriter(
             connection=self._connection,
             stream=self._stream,
             is_closing=self._options.is_closing,
+            idle_timeout_s=self._limits.idle_timeout_s,
         )
         try:
             request = await self._read_request()
         except (h11.RemoteProtocolError, MalformedRequestError) as error:
             await self._send_error(writer, error)
+            self._close_reason = CloseReason.ANSWERED
             return False
         if request is None:
             return False
+        self._close_reason = CloseReason.CUT
         if self._options.cancels_on_disconnect:
             await self._handle_until_disconnect(request, writer)
         else:
             await self._handle(request, writer)
-        if not writer.finished or self._is_caller_disconnected:
+        if self._is_caller_disconnected:
+            self._close_reason = CloseReason.LEFT
             return False
+        if not writer.finished:
+            return False
+        self._close_reason = CloseReason.ANSWERED
         states = (self._connection.our_state, self._connection.their_state)
         return states == (h11.DONE, h11.DONE)
 
@@ -225,17 +303,47 @@
         """Return the next request head, or None if the idle timeout expired first."""
         event = self._connection.next_event()
         if event is not h11.NEED_DATA:
+            self._limits = self._options.limits()
             return event
-        data = None
-        with trio.move_on_after(self._limits.idle_timeout_s):
-            data = await self._stream.receive_some(RECEIVE_BYTES)
-        if data is None:
+        if not self._connection.trailing_data[0] and not await self._receive_first():
+            self._close_reason = CloseReason.IDLE
             return None
-        self._connection.receive_data(data)
+        self._limits = self._options.limits()
         with trio.move_on_after(self._limits.read_timeout_s):
             return await self._next_event()
         raise MalformedRequestError("the head took too long", status=408)
 
+    async def _receive_first(self) -> bool:
+        """Receive the first bytes of the next request; return False if none came."""
+        is_received = False
+        with self._idle_connections.waiting():
+            is_received = await self._receive_after_idling()
+        if not is_received and self._stream.socket.is_readable():
+            # A request has arrived just when the wait ended.
+            self._connection.receive_data(
+                await self._stream.receive_some(RECEIVE_BYTES)
+            )
+            return True
+        return is_received
+
+    async def _receive_after_idling(self) -> bool:
+        """Receive bytes unless the idle timeout passes first; return whether any came.
+
+        The longest idle timeout that was in force meanwhile counts, as callers rely
+        on the one that they know.
+        """
+        idle_since = trio.current_time()
+        timeout_s = self._options.limits().idle_timeout_s
+        while True:
+            with trio.move_on_at(idle_since + timeout_s + IDLE_GRACE_S):
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+                self._connection.receive_data(data)
+                return True
+            latest_timeout_s = self._options.limits().idle_timeout_s
+            if latest_timeout_s <= timeout_s:
+                return False
+            timeout_s = latest_timeout_s
+
     async def _read_body(self, head: h11.Request) -> HttpRequest:
         if any(name == b"expect" for name, _ in head.headers):
             interim = h11.InformationalResponse(status_code=100, headers=[])
@@ -305,23 +413,41 @@
     options: ServerOptions | None = None,
     task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve HTTP on ``address`` until cancelled.
+    """Serve HTTP on ``address`` until cancelled or stopped.
 
     Reports the bound address to ``task_status``, which tells the port if 0 was given.
     """
     options = options or ServerOptions()
+    idle_connections = IdleConnections()
 
     async def serve_connection(stream: trio.SocketStream) -> None:
-        connection = _ServerConnection(stream=stream, handler=handler, options=options)
+        connection = _ServerConnection(
+            stream=stream,
+            handler=handler,
+            options=options,
+            idle_connections=idle_connections,
+        )
         try:
             await connection.run()
         except (OSError, h11.LocalProtocolError) as error:
             logger.info("connection_failed", extra={"cause": repr(error)})
 
-    async with trio.open_nursery() as nursery:
-        start_listening = partial(
-            trio.serve_tcp, serve_connection, address.port, host=address.host
-        )
-        listeners = await nursery.start(start_listening)
-        host, port = listeners[0].socket.getsockname()[:2]
-        task_status.started(Address(host=host, port=port))
+    async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as listening:
+            start_listening = partial(
+                trio.serve_tcp,
+                serve_connection,
+                address.port,
+                host=address.host,
+                handler_nursery=connections,
+            )
+            listeners = await listening.start(start_listening)
+            host, port = listeners[0].socket.getsockname()[:2]
+            task_status.started(Address(host=host, port=port))
+            await options.stop_requested.wait()
+            sockets = duplicate_sockets(listeners)
+            listening.cancel_scope.cancel()
+        for stream in accept_waiting(sockets):
+            connections.start_soon(serve_connection, stream)
+        await trio.sleep(LAST_REQUESTS_S)
+        idle_connections.close()
--- /dev/null
+++ b/src/lavenderfold/http/_stop.py
@@ -0,0 +1,63 @@
+"""Parts of the stop of a server that loses no request which has arrived."""
+
+import os
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+
+import trio
+
+
+class IdleConnections:
+    """Ends the waits for a request of all connections at once."""
+
+    __slots__ = ("_is_closed", "_scopes")
+
+    def __init__(self):
+        self._is_closed = False
+        self._scopes: set[trio.CancelScope] = set()
+
+    @contextmanager
+    def waiting(self) -> Iterator[None]:
+        """Enclose a connection's wait for a request, which ``close`` cancels."""
+        scope = trio.CancelScope()
+        if self._is_closed:
+            scope.cancel()
+        self._scopes.add(scope)
+        try:
+            with scope:
+                yield
+        finally:
+            self._scopes.discard(scope)
+
+    def close(self) -> None:
+        """Cancel all waits, also those that begin later."""
+        self._is_closed = True
+        for scope in self._scopes:
+            scope.cancel()
+
+
+def duplicate_sockets(listeners: list[trio.SocketListener]) -> list[socket.socket]:
+    """Return second handles of listening sockets.
+
+    With these the connections that wait to be accepted outlast the listeners; closing
+    the last handle of a listening socket resets them. Listeners that were closed
+    already, by a cancellation in the same turn, are left out.
+    """
+    descriptors = [listener.socket.fileno() for listener in listeners]
+    return [socket.socket(fileno=os.dup(each)) for each in descriptors if each >= 0]
+
+
+def accept_waiting(sockets: list[socket.socket]) -> list[trio.SocketStream]:
+    """Close listening sockets; return the connections that waited to be accepted.
+
+    Nothing is awaited here, so that no more arrive between the last one and the close.
+    """
+    streams = []
+    for listening in sockets:
+        with listening, suppress(OSError):
+            listening.setblocking(False)
+            while True:
+                accepted = trio.socket.from_stdlib_socket(listening.accept()[0])
+                streams.append(trio.SocketStream(accepted))
+    return streams
--- a/tests/test_early_bytes.py
+++ b/tests/test_early_bytes.py
@@ -170,7 +170,7 @@
         address = Address(host="127.0.0.1", port=1)
         connection = _ClientConnection(address=address, stream=stream)
         head = await connection.exchange(LONG_REQUEST)
-        response = StreamedResponse(head=head, connection=connection)
+        response = StreamedResponse(head=head, connection=connection, method="POST")
         with pytest.raises(ResponseLostError):
             await response.read()
 
@@ -185,7 +185,7 @@
         stream = ResetStream(OWN_ANSWER)
         connection = _ClientConnection(address=address, stream=stream)
         head = await connection.exchange(LONG_REQUEST)
-        response = StreamedResponse(head=head, connection=connection)
+        response = StreamedResponse(head=head, connection=connection, method="POST")
         assert (await response.read()).body == b"own"
 
     trio.run(main)
