Don't extend a stop for answers that have used up their grace period

A router with long streams stopped 0.75 s later than before (25.06 s -> 25.81 s), since the wait for requests that are being read also waited for those streams, and its successor started as much later. The wait is 0.3 s in that case now.

--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -43,6 +43,8 @@
 HAND_BACK_TIMEOUT_S = 0.5
 # Part of the grace period that is reserved for the end of the process.
 EXIT_RESERVE_S = 0.2
+# How long requests that are being read are waited for, if answers take all their time.
+LAST_REQUESTS_S = 0.3
 EXPIRY_PERIOD_S = 0.2
 CLEANUP_PERIOD_S = 2.0
 REPORT_PERIOD_S = 4.0
@@ -318,8 +320,12 @@
             await self._caller_api.wait_idle()
         with trio.move_on_after(HAND_BACK_TIMEOUT_S):
             await self._balance_manager.return_all()
-        # Requests that are still being read are refused when they are complete.
-        with trio.move_on_at(grace_ends_at - EXIT_RESERVE_S):
+        # Requests that are still being read are refused when they are complete. If
+        # answers have used up their time, those that arrive late don't get more.
+        ends_at = grace_ends_at - EXIT_RESERVE_S
+        if self._caller_api.active:
+            ends_at = trio.current_time() + LAST_REQUESTS_S
+        with trio.move_on_at(ends_at):
             self._stop_requested.set()
             await self._stopped_serving.wait()
 
