Ask the store at once if a hub doesn't respond while a router starts

A hub that accepts no connection is gone; one that starts together with the router refuses. The store is asked at once in the first case. The new test failed before (no call of the store).

--- a/src/lavenderfold/fleet/_hub_listing.py
+++ b/src/lavenderfold/fleet/_hub_listing.py
@@ -49,8 +49,8 @@
     async def list_items(self, prefix: str, wait: ListingWait) -> Listing:
         """Return the listing of a hub.
 
-        Raises SharedStoreError if all hubs have failed lately, or none had a listing
-        within ``wait.timeout_s``.
+        Raises SharedStoreError if all hubs have failed lately, one doesn't respond at
+        all, or none had a listing within ``wait.timeout_s``.
         """
         started_at = trio.current_time()
         while trio.current_time() - started_at < wait.timeout_s:
@@ -63,6 +63,10 @@
                 self._hubs.record_failure(hub)
                 fields = {"address": str(hub.address), "cause": str(error)}
                 logger.info("hub_failed", extra={"prefix": prefix, **fields})
+                if isinstance(error.__cause__, trio.TooSlowError):
+                    # Its VM is gone, as when routers are restarted one by one. Hubs
+                    # that start together with this router refuse connections instead.
+                    raise SharedStoreError(f"hub {hub.address} is gone") from error
             else:
                 self._hubs.record_success(hub)
                 if answer is not None:
--- a/tests/test_hub_start.py
+++ b/tests/test_hub_start.py
@@ -4,6 +4,9 @@
 store, over a link that all of them share.
 """
 
+import socket
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
 from functools import partial
 
 import msgspec
@@ -204,3 +207,48 @@
         assert changes.revision == region.fallback_store.revision
 
     run_at_start(scenario, listing_s=0.0)
+
+
+@contextmanager
+def silent_address_before(relay: Relay) -> Iterator[Address]:
+    """Yield an address that neither accepts nor refuses connections.
+
+    It is preferred to ``relay``.
+    """
+    with ExitStack() as stack:
+        for number in range(2, 255):
+            listener = stack.enter_context(socket.socket())
+            listener.bind((f"127.0.0.{number}", 0))
+            listener.listen(0)
+            address = Address(
+                host=listener.getsockname()[0], port=listener.getsockname()[1]
+            )
+            if rank("hub", address) < rank("hub", relay.address):
+                break
+        # The queue of the listener is full from here on.
+        for _ in range(4):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        yield address
+
+
+def test_store_is_asked_at_once_if_a_hub_does_not_respond():
+    """A restarted router wasn't ready for 1.3 s, as two VMs of relays were gone."""
+
+    async def scenario(region):
+        await region.start()
+        store = region.router_store()
+        directory = store._hubs._directory
+        relay = directory.relays[0]
+        with silent_address_before(relay) as address:
+            gone = Relay(address, relay.domain, "gone", relay.region)
+            directory.relays.append(gone)
+            await trio.sleep(0.05)
+            assert store._hubs.best().incarnation == "gone"
+            started_at = trio.current_time()
+            await store.list_items(CONFIG, wait=ListingWait(timeout_s=8.0))
+            assert region.fallback_store.calls == 1
+            assert trio.current_time() - started_at < 1.0
+
+    run_at_start(scenario, listing_s=0.0)
