Keep a whole answer whose run is cancelled while its connection closes

Callers saw sign-offs that had run, with their whole answer received, reported as perhaps not run, and model answers cut off at their end. The agent closes the target's connection inside the run's cancel scope. Closing is a checkpoint, so that a run limit that had passed by then replaced the outcome. The same happened while the agent told an engine to stop that had exceeded max_tokens.

--- a/src/lavenderfold/agent/_engine.py
+++ b/src/lavenderfold/agent/_engine.py
@@ -13,6 +13,7 @@
     CompleteAnswer,
     TargetCaller,
     TargetResult,
+    close_shielded,
     connection_failed,
     connection_lost,
 )
@@ -120,7 +121,7 @@
         body=msgspec.json.encode(body),
     )
     try:
-        async with client.stream(request) as response:
+        async with close_shielded(client.stream(request)) as response:
             return await _relay_events(client, order, response, progress)
     except RequestNotSentError as error:
         return connection_failed(error)
@@ -147,8 +148,10 @@
                 return ANSWER_TOO_LONG
             case AppendResult.TOKEN_LIMIT_REACHED:
                 # The engine exceeded max_tokens. The excess was cut off, so that the
-                # caller doesn't pay for it.
-                await cancel_at_engine(client, order)
+                # caller doesn't pay for it. The answer is complete even if the run is
+                # cancelled from here on.
+                with trio.CancelScope(shield=True):
+                    await cancel_at_engine(client, order)
                 return CompleteAnswer(OK_STATUS, ANSWER_CONTENT_TYPE)
     return MayHaveRun(Reason.CONNECTION_LOST, "the stream ended without its end event")
 
--- a/src/lavenderfold/agent/_target.py
+++ b/src/lavenderfold/agent/_target.py
@@ -4,10 +4,12 @@
 results in ``MayHaveRun``, even if the target answers that it didn't run the request.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
 import h11
 import msgspec
+import trio
 
 from lavenderfold.agent._runs import AppendResult
 from lavenderfold.http import (
@@ -49,6 +51,21 @@
     return MayHaveRun(Reason.CONNECTION_LOST, str(error))
 
 
+@asynccontextmanager
+async def close_shielded(
+    exchange: AbstractAsyncContextManager[StreamedResponse],
+) -> AsyncIterator[StreamedResponse]:
+    """Yield the response of ``exchange``, whose end isn't cancelled after the body's.
+
+    Closing a connection is a checkpoint. A run that is cancelled there would lose the
+    answer that it has already received.
+    """
+    with trio.CancelScope() as scope:
+        async with exchange as response:
+            yield response
+            scope.shield = True
+
+
 def response_content_type(response: StreamedResponse) -> str:
     """Return a response's content type, empty if it has none."""
     return dict(response.headers).get("content-type", "")
@@ -67,7 +84,7 @@
         # unknown outcomes.
         client = pooled_client if order.idempotent else HttpClient(address=address)
         try:
-            async with client.stream(request) as response:
+            async with close_shielded(client.stream(request)) as response:
                 return await _relay_response(response, sink)
         except RequestNotSentError as error:
             return connection_failed(error)
@@ -75,7 +92,8 @@
             return connection_lost(error)
         finally:
             if client is not pooled_client:
-                await client.close()
+                with trio.CancelScope(shield=True):
+                    await client.close()
 
     return call
 
