Read what arrived before a run is stopped at its limit

Callers of a plain service got "may have run" although the agent's sockets held the whole answer: after a suspension, or when the event loop was late, the agent's tick stopped runs in the turn in which it could have read their answers. Only the part that one read returns was kept.

A run is now stopped at the second tick after its limit passed, so that all reads that are due at the first one happen before. The same holds for runs without a subscriber, whose router may have asked for them meanwhile.

--- a/src/lavenderfold/agent/_agent.py
+++ b/src/lavenderfold/agent/_agent.py
@@ -101,6 +101,7 @@
         self._flush_scheduled = False
         self._scope_by_run_id: dict[str, trio.CancelScope] = {}
         self._abort_by_run_id: dict[str, Abort] = {}
+        self._overdue_run_ids: set[str] = set()
         self._nursery: trio.Nursery | None = None
 
     async def run(
@@ -396,8 +397,12 @@
             scope.cancel()
 
     def _tick(self, now: float) -> None:
-        for abort in self._run_table.expire(now=now):
-            self._abort_run(abort)
+        # A tick may come late, after a suspension of the process. What targets and
+        # routers sent meanwhile is read before the next tick, which stops the runs.
+        overdue = {abort.run_id: abort for abort in self._run_table.expire(now=now)}
+        for run_id in overdue.keys() & self._overdue_run_ids:
+            self._abort_run(overdue[run_id])
+        self._overdue_run_ids = set(overdue)
         self._start_runs()
         self._report_due_usage()
         self._flush_replies()
