Take each loan into the pool while its message is handled

Requests were refused or waited although another router had lent tokens: if the grant opened while the next lender was asked, the borrowing was cancelled with the loans that had arrived in a local list, and neither the lender nor the borrower could spend them any more. An answer could also be lost between the channel it was put into and the cancelled task that read from it.

An answer of a peer is now given to a function in the call that handles its message, so that no time limit or cancellation comes between. Loans go straight to the pool.

--- a/src/lavenderfold/router/_grants.py
+++ b/src/lavenderfold/router/_grants.py
@@ -402,15 +402,18 @@
 
     async def _borrow_after_delay(self, key: BudgetKey, demand: BudgetDemand) -> None:
         """Borrow while an order has no answer, for example in a store outage."""
+
+        def take(loan: Loan) -> None:
+            self.pool.add_loan(loan)
+            demand.wake()
+
         if self._ledger.store_available:
             await trio.sleep(LOAN_DELAY_S)
         while True:
             request_added = demand.request_added
             if demand.waiting:
                 wanted = demand.waiting_tokens * LOAN_FACTOR
-                for loan in await self._peers.request_loans(key, wanted):
-                    self.pool.add_loan(loan)
-                demand.wake()
+                await self._peers.request_loans(key, wanted, take)
             with trio.move_on_after(LOAN_RETRY_S):
                 await request_added.wait()
 
--- a/src/lavenderfold/router/_peers.py
+++ b/src/lavenderfold/router/_peers.py
@@ -1,6 +1,7 @@
 """Links to other routers, for loans, hand-backs, ledger writes and configuration."""
 
 import logging
+import math
 import random
 import uuid
 from collections.abc import Awaitable, Callable, Iterable
@@ -104,7 +105,7 @@
         self._hello = hello
         self._handlers = handlers
         self._peers: list[Peer] = []
-        self._answer_channel_by_id: dict[object, trio.MemorySendChannel] = {}
+        self._take_answer_by_id: dict[object, Callable[[Any], None]] = {}
         self._lender_by_loan_id: dict[str, int] = {}
         self._pending_returns: list[LoanReturn] = []
 
@@ -149,23 +150,30 @@
             and peer.post(HandBackRequest(key=key))
         ]
         returned = 0
+
+        def count(answer: HandBackDone) -> None:
+            nonlocal returned
+            returned += answer.tokens
+
         with trio.move_on_after(self._settings.limits.hand_back_wait_s):
             for peer in asked_peers:
-                answer = await self._wait_for_answer((peer.hello.incarnation, key))
-                returned += answer.tokens
+                await self._take_answers(
+                    [(peer.hello.incarnation, key)], count, wait_s=math.inf
+                )
         return returned
 
-    async def request_loans(self, key: BudgetKey, tokens: int) -> list[Loan]:
-        """Borrow up to ``tokens`` in total from peers, asking the nearest first."""
-        loans: list[Loan] = []
+    async def request_loans(
+        self, key: BudgetKey, tokens: int, take: Callable[[Loan], None]
+    ) -> None:
+        """Borrow up to ``tokens`` in total from peers, asking the nearest first.
+
+        ``take`` is called with each loan when it arrives, so that it isn't lost if
+        the caller is cancelled.
+        """
         for peer in self.connected()[:LENDERS_ASKED_LIMIT]:
             if tokens <= 0:
                 break
-            loan = await self._ask_loan(peer, key, tokens)
-            if loan is not None and loan.tokens > 0:
-                tokens -= loan.tokens
-                loans.append(loan)
-        return loans
+            tokens -= await self._ask_loan(peer, key, tokens, take)
 
     def return_loans(self, returned: list[LoanReturn]) -> None:
         """Return unused parts of loans; keep those whose lender isn't connected."""
@@ -196,40 +204,66 @@
             peer.hello.failure_domain != self._settings.failure_domain,
         )
 
-    async def _ask_loan(self, peer: Peer, key: BudgetKey, tokens: int) -> Loan | None:
+    async def _ask_loan(
+        self, peer: Peer, key: BudgetKey, tokens: int, take: Callable[[Loan], None]
+    ) -> int:
+        """Ask a peer for a loan; return how many tokens it lent."""
         loan_id = uuid.uuid4().hex
         self._lender_by_loan_id[loan_id] = peer.hello.incarnation
         request = LoanRequest(loan_id=loan_id, key=key, tokens=tokens)
         if not peer.post(request):
-            return None
-        with trio.move_on_after(LOAN_ANSWER_WAIT_S):
-            loan = await self._wait_for_answer(loan_id)
+            return 0
+        lent = 0
+
+        def take_loan(loan: Loan) -> None:
+            nonlocal lent
+            lent = loan.tokens
             log_event(
                 logger,
                 "loan_received",
                 budget=key,
                 lender=peer.hello.router,
                 loan=loan_id,
-                tokens=loan.tokens,
+                tokens=lent,
             )
-            return loan
-        return None
+            if lent > 0:
+                take(loan)
+
+        await self._take_answers([loan_id], take_loan, wait_s=LOAN_ANSWER_WAIT_S)
+        return lent
+
+    async def _take_answers(
+        self, answer_ids: list[object], take: Callable[[Any], None], *, wait_s: float
+    ) -> None:
+        """Call ``take`` with each answer at its arrival; wait until all have arrived.
+
+        An answer is taken while its message is handled. If it were passed on to this
+        task, the time limit or a cancellation could drop it in between.
+        """
+        missing = set(answer_ids)
+        all_arrived = trio.Event()
+
+        def take_one(answer_id: object, answer: Any) -> None:
+            take(answer)
+            missing.discard(answer_id)
+            if not missing:
+                all_arrived.set()
 
-    async def _wait_for_answer(self, answer_id: object) -> Any:
-        """Wait for the answer with this id, as passed to ``_resolve``."""
-        send, receive = trio.open_memory_channel(1)
-        self._answer_channel_by_id[answer_id] = send
+        take_by_id = {each: partial(take_one, each) for each in answer_ids}
+        self._take_answer_by_id |= take_by_id
         try:
-            return await receive.receive()
+            with trio.move_on_after(wait_s):
+                await all_arrived.wait()
         finally:
-            if self._answer_channel_by_id.get(answer_id) is send:
-                del self._answer_channel_by_id[answer_id]
+            for answer_id, own in take_by_id.items():
+                if self._take_answer_by_id.get(answer_id) is own:
+                    del self._take_answer_by_id[answer_id]
 
     def _resolve(self, answer_id: object, answer: Any) -> bool:
-        waiting = self._answer_channel_by_id.pop(answer_id, None)
-        if waiting is None:
+        take = self._take_answer_by_id.pop(answer_id, None)
+        if take is None:
             return False
-        waiting.send_nowait(answer)
+        take(answer)
         return True
 
     async def _keep_open(self, address: Address) -> None:
--- a/tests/test_late_grant.py
+++ b/tests/test_late_grant.py
@@ -37,8 +37,8 @@
 
 
 class NoPeers:
-    async def request_loans(self, key, tokens):
-        return []
+    async def request_loans(self, key, tokens, take):
+        pass
 
 
 def test_grant_that_opens_after_its_incarnation_was_fenced_is_handed_back():
--- /dev/null
+++ b/tests/test_lost_loans.py
@@ -0,0 +1,114 @@
+"""Loans between routers whose messages arrive late or are lost with their link."""
+
+import pytest
+import trio
+import trio.testing
+from result import Ok
+from trio.testing import MockClock
+
+from lavenderfold.budgets import Done, GrantOpened, GrantPool, OpenGrant
+from lavenderfold.config import Budget, FleetConfig, Organisation
+from lavenderfold.identifiers import BudgetKey, RequestKey, make_request_id
+from lavenderfold.messages import Loan, LoanRequest, LoanReturn
+from lavenderfold.metrics import NullMetrics
+from lavenderfold.router._grants import GrantManager
+from lavenderfold.timers import TimerService
+from tests.peer_support import make_peers
+
+KEY = BudgetKey("regina", "main")
+
+
+class SlowLedger:
+    """Opens a grant when ``released`` is set."""
+
+    store_available = True
+
+    def __init__(self):
+        self.released = trio.Event()
+
+    async def submit(self, operation, *, timeout_s=None):
+        if not isinstance(operation, OpenGrant):
+            return Ok(Done())
+        await self.released.wait()
+        return Ok(GrantOpened(operation.amount, 100_000))
+
+
+@pytest.mark.parametrize("opens_after_s", [0.1, 0.8])
+def test_loan_that_arrived_is_kept_or_returned_if_the_grant_opens_meanwhile(
+    opens_after_s,
+):
+    """Guards against tokens that neither the lender nor the borrower can spend.
+
+    The grant's answer cancels the borrowing while the next lender is asked. A loan
+    that the first lender has sent was only in a local list. After 0.8 s the second
+    lender isn't waited for any more.
+    """
+
+    async def main():
+        links, (first, second) = make_peers(2, 3)
+        ledger = SlowLedger()
+        budget = Budget(prepaid={"first": 100_000})
+        organisation = Organisation(budgets={KEY.budget: budget})
+        config = FleetConfig(organisations={KEY.organisation: organisation})
+        async with trio.open_nursery() as nursery:
+            pool = GrantPool(incarnation=1)
+            manager = GrantManager(
+                pool=pool,
+                ledger=ledger,
+                peers=links,
+                timers=TimerService(clock=trio.current_time),
+                metrics=NullMetrics(),
+                nursery=nursery,
+                config=lambda: config,
+                revision=lambda: 1,
+                on_own_fenced=lambda payer: None,
+            )
+            added = []
+            add_loan = pool.add_loan
+            pool.add_loan = lambda loan: (added.append(loan), add_loan(loan))
+            request = RequestKey(KEY, make_request_id(unix_time=1.0, random_bits=1))
+
+            async def reserve():
+                await manager.reserve(request, 100, deadline=60.0)
+
+            nursery.start_soon(reserve)
+            await trio.sleep(0.55)
+            (asked,) = [
+                each for each in first.link.posted if isinstance(each, LoanRequest)
+            ]
+            loan = Loan(
+                loan_id=asked.loan_id, key=KEY, grant_id="g", payer=2, tokens=50
+            )
+            links._handle(first, loan)
+            await trio.sleep(opens_after_s)
+            assert any(isinstance(each, LoanRequest) for each in second.link.posted)
+            ledger.released.set()
+            await trio.sleep(5.0)
+            links.return_loans(pool.return_loans(KEY))
+            returned = [
+                each for each in first.link.posted if isinstance(each, LoanReturn)
+            ]
+            assert added or returned
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_loan_that_arrives_in_the_turn_of_a_cancellation_is_kept():
+    """Guards against tokens that are dropped between their message and their task."""
+
+    async def main():
+        links, (peer,) = make_peers(2)
+        taken = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(links.request_loans, KEY, 100, taken.append)
+            await trio.testing.wait_all_tasks_blocked()
+            loan_id = peer.link.posted[-1].loan_id
+            loan = Loan(loan_id=loan_id, key=KEY, grant_id="g", payer=2, tokens=50)
+            nursery.cancel_scope.cancel()
+            links._handle(peer, loan)
+        returned = [each for each in peer.link.posted if isinstance(each, LoanReturn)]
+        assert taken == [loan]
+        assert not returned
+
+    trio.run(main)
--- a/tests/test_review_router.py
+++ b/tests/test_review_router.py
@@ -1,172 +1,23 @@
 """Cancelled and late steps of the router and the agent, as found in a review."""
 
-from types import SimpleNamespace
-
-import pytest
 import trio
 import trio.testing
-from result import Ok
 from trio.testing import MockClock
 
-from lavenderfold.budgets import Done, GrantOpened, GrantPool, OpenGrant
-from lavenderfold.config import Budget, FleetConfig, Organisation
-from lavenderfold.identifiers import BudgetKey, RequestKey, make_request_id
+from lavenderfold.identifiers import BudgetKey, RequestKey
 from lavenderfold.links import LinkClosedError
 from lavenderfold.messages import (
     HandBackDone,
     HandBackRequest,
     Heartbeat,
-    Loan,
-    LoanRequest,
     LoanReturn,
-    PeerHello,
 )
-from lavenderfold.metrics import NullMetrics
 from lavenderfold.router._answers import AnswerAssembler, AnswerPipe
 from lavenderfold.router._attempt import Attempt
-from lavenderfold.router._grants import GrantManager
-from lavenderfold.router._peers import Peer, PeerHandlers, PeerLinks
-from lavenderfold.timers import TimerService
+from lavenderfold.router._peers import Peer
+from tests.peer_support import HAND_BACK_WAIT_S, FakeLink, hello, make_peers
 
 KEY = BudgetKey("regina", "main")
-HAND_BACK_WAIT_S = 2.0
-
-
-class FakeLink:
-    """The router's end of a link to a peer; keeps what was posted."""
-
-    closed = False
-
-    def __init__(self):
-        self.posted = []
-
-    def post(self, message):
-        self.posted.append(message)
-
-    def close(self):
-        self.closed = True
-
-
-def hello(incarnation):
-    return PeerHello(
-        router=f"r{incarnation}",
-        incarnation=incarnation,
-        region="s",
-        failure_domain="f",
-        revision=0,
-    )
-
-
-def make_peers(*incarnations, returned=None):
-    """Return peer links of router 1 to these other incarnations, and the peers."""
-    ignored = dict.fromkeys(
-        (
-            "lend",
-            "accept_loan_return",
-            "hand_back_for_peer",
-            "snapshot",
-            "take_snapshot",
-            "commit",
-            "handle_answer",
-            "link_lost",
-        ),
-        lambda *_: None,
-    )
-    handlers = PeerHandlers(tokens_returned=lambda _: None, **ignored)
-    settings = SimpleNamespace(
-        region="s",
-        failure_domain="f",
-        limits=SimpleNamespace(hand_back_wait_s=HAND_BACK_WAIT_S),
-    )
-    links = PeerLinks(
-        settings=settings,
-        timers=TimerService(clock=trio.current_time),
-        hello=lambda: hello(1),
-        handlers=handlers,
-    )
-    peers = []
-    for incarnation in incarnations:
-        peer = Peer(link=FakeLink(), now=0.0)
-        peer.hello = hello(incarnation)
-        links._peers.append(peer)
-        peers.append(peer)
-    return links, peers
-
-
-class SlowLedger:
-    """Opens a grant when ``released`` is set."""
-
-    store_available = True
-
-    def __init__(self):
-        self.released = trio.Event()
-
-    async def submit(self, operation, *, timeout_s=None):
-        if not isinstance(operation, OpenGrant):
-            return Ok(Done())
-        await self.released.wait()
-        return Ok(GrantOpened(operation.amount, 100_000))
-
-
-@pytest.mark.parametrize("opens_after_s", [0.1, 0.8])
-def test_loan_that_arrived_is_kept_or_returned_if_the_grant_opens_meanwhile(
-    opens_after_s,
-):
-    """Guards against tokens that neither the lender nor the borrower can spend.
-
-    The grant's answer cancels the borrowing while the next lender is asked. A loan
-    that the first lender has sent was only in a local list. After 0.8 s the second
-    lender isn't waited for any more.
-    """
-
-    async def main():
-        links, (first, second) = make_peers(2, 3)
-        ledger = SlowLedger()
-        budget = Budget(prepaid={"first": 100_000})
-        organisation = Organisation(budgets={KEY.budget: budget})
-        config = FleetConfig(organisations={KEY.organisation: organisation})
-        async with trio.open_nursery() as nursery:
-            pool = GrantPool(incarnation=1)
-            manager = GrantManager(
-                pool=pool,
-                ledger=ledger,
-                peers=links,
-                timers=TimerService(clock=trio.current_time),
-                metrics=NullMetrics(),
-                nursery=nursery,
-                config=lambda: config,
-                revision=lambda: 1,
-                on_own_fenced=lambda payer: None,
-            )
-            added = []
-            add_loan = pool.add_loan
-            pool.add_loan = lambda loan: (added.append(loan), add_loan(loan))
-            request = RequestKey(KEY, make_request_id(unix_time=1.0, random_bits=1))
-
-            async def reserve():
-                await manager.reserve(request, 100, deadline=60.0)
-
-            nursery.start_soon(reserve)
-            await trio.sleep(0.55)
-            (asked,) = [
-                each for each in first.link.posted if isinstance(each, LoanRequest)
-            ]
-            loan = Loan(
-                loan_id=asked.loan_id, key=KEY, grant_id="g", payer=2, tokens=50
-            )
-            links._handle(first, loan)
-            await trio.sleep(opens_after_s)
-            assert any(isinstance(each, LoanRequest) for each in second.link.posted)
-            ledger.released.set()
-            await trio.sleep(5.0)
-            links.return_loans(pool.return_loans(KEY))
-            returned = [
-                each for each in first.link.posted if isinstance(each, LoanReturn)
-            ]
-            assert added or returned
-            nursery.cancel_scope.cancel()
-
-    trio.run(main, clock=MockClock(autojump_threshold=0))
 
 
 def test_hand_back_that_arrives_before_that_of_an_earlier_peer_counts():
