Count hand-backs in the order in which they arrive

Requests for a nearly spent budget were refused or waited the whole hand_back_wait_s although a holder had handed tokens back. The holders were asked at once, but waited for one after another: an answer that came before that of an earlier holder found nobody waiting.

The answers of all holders are expected from the moment when they are asked.

Failed before: test_hand_back_that_arrives_before_that_of_an_earlier_peer_counts.

--- a/src/lavenderfold/router/_peers.py
+++ b/src/lavenderfold/router/_peers.py
@@ -1,7 +1,6 @@
 """Links to other routers, for loans, hand-backs, ledger writes and configuration."""
 
 import logging
-import math
 import random
 import uuid
 from collections.abc import Awaitable, Callable, Iterable
@@ -155,11 +154,11 @@
             nonlocal returned
             returned += answer.tokens
 
-        with trio.move_on_after(self._settings.limits.hand_back_wait_s):
-            for peer in asked_peers:
-                await self._take_answers(
-                    [(peer.hello.incarnation, key)], count, wait_s=math.inf
-                )
+        await self._take_answers(
+            [(peer.hello.incarnation, key) for peer in asked_peers],
+            count,
+            wait_s=self._settings.limits.hand_back_wait_s,
+        )
         return returned
 
     async def request_loans(
@@ -253,7 +252,8 @@
         self._take_answer_by_id |= take_by_id
         try:
             with trio.move_on_after(wait_s):
-                await all_arrived.wait()
+                if missing:
+                    await all_arrived.wait()
         finally:
             for answer_id, own in take_by_id.items():
                 if self._take_answer_by_id.get(answer_id) is own:
