Repeat loan returns that may have been lost with their link

Tokens of a budget stayed unspendable until a router was retired: a borrower counted a loan as returned once the message was posted, and a message that was posted is lost if the link closes before it is sent. Late loans were returned in the same way.

The lender ignores a return that it has seen, so the borrower now repeats it on the next link, or on another one that is open. It forgets a return when the link has stayed open for both sides' silence limits since then: a lender that receives nothing would have closed it. No message is added, so that routers of both versions work together.

The returns are a class of their own now, and the test records the lender there instead of in PeerLinks._lender_by_loan_id. The lender is noted when the loan arrives, so that requests without a loan no longer leave an entry each.

--- a/src/lavenderfold/router/_peers.py
+++ b/src/lavenderfold/router/_peers.py
@@ -27,6 +27,8 @@
     SnapshotRequest,
 )
 from lavenderfold.router._link_timing import peer_heartbeat_s, peer_silence_limit_s
+from lavenderfold.router._loan_returns import LoanReturns
+from lavenderfold.router._peer import Peer
 from lavenderfold.router._settings import RouterSettings
 from lavenderfold.routing import backoff_s
 from lavenderfold.settings import Address
@@ -51,7 +53,7 @@
         tokens_returned: Callable[[BudgetKey], None],
         snapshot: Callable[[], Snapshot],
         take_snapshot: Callable[[Snapshot], None],
-        commit: Callable[["Peer", LedgerRequest], Awaitable[None]],
+        commit: Callable[[Peer, LedgerRequest], Awaitable[None]],
         handle_answer: Callable[[int | None, LedgerAnswer], None],
         link_lost: Callable[[int], None],
     ):
@@ -66,28 +68,6 @@
         self.link_lost = link_lost
 
 
-class Peer:
-    """An open link to another router, with the hello that it sent.
-
-    ``hello`` is None until it arrives; ``heartbeat_s`` is the heartbeat period that
-    the other router announced.
-    """
-
-    def __init__(self, *, link: Link, now: float):
-        self.link = link
-        self.last_message_at = now
-        self.heartbeat_s = peer_heartbeat_s(0)
-        self.hello: PeerHello | None = None
-
-    def post(self, message: Any) -> bool:
-        """Send a message; return whether the link was open."""
-        try:
-            self.link.post(message)
-        except LinkClosedError:
-            return False
-        return True
-
-
 class PeerLinks:
     """The links to other routers, opened by either side."""
 
@@ -105,8 +85,7 @@
         self._handlers = handlers
         self._peers: list[Peer] = []
         self._take_answer_by_id: dict[object, Callable[[Any], None]] = {}
-        self._lender_by_loan_id: dict[str, int] = {}
-        self._pending_returns: list[LoanReturn] = []
+        self._loan_returns = LoanReturns()
 
     async def run(
         self, *, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
@@ -175,22 +154,13 @@
             tokens -= await self._ask_loan(peer, key, tokens, take)
 
     def return_loans(self, returned: list[LoanReturn]) -> None:
-        """Return unused parts of loans; keep those whose lender isn't connected."""
-        self._pending_returns += returned
-        if not self._pending_returns:
-            return
-        peer_by_incarnation = {
-            peer.hello.incarnation: peer for peer in self.connected()
-        }
-        still_pending = []
-        for each in self._pending_returns:
-            lender = self._lender_by_loan_id.get(each.loan_id)
-            peer = peer_by_incarnation.get(lender)
-            if peer is None or not peer.post(each):
-                still_pending.append(each)
-            else:
-                del self._lender_by_loan_id[each.loan_id]
-        self._pending_returns = still_pending
+        """Return unused parts of loans, and those that may not have arrived."""
+        self._loan_returns.send(
+            returned,
+            connected=self.connected,
+            own_heartbeat_s=peer_heartbeat_s(len(self._peers)),
+            now=self._timers.now(),
+        )
 
     def announce(self) -> None:
         """Send all peers this router's current revision and incarnation."""
@@ -208,7 +178,6 @@
     ) -> int:
         """Ask a peer for a loan; return how many tokens it lent."""
         loan_id = uuid.uuid4().hex
-        self._lender_by_loan_id[loan_id] = peer.hello.incarnation
         request = LoanRequest(loan_id=loan_id, key=key, tokens=tokens)
         if not peer.post(request):
             return 0
@@ -226,6 +195,7 @@
                 tokens=lent,
             )
             if lent > 0:
+                self._loan_returns.lender_by_loan_id[loan_id] = loan.payer
                 take(loan)
 
         await self._take_answers([loan_id], take_loan, wait_s=LOAN_ANSWER_WAIT_S)
@@ -297,6 +267,8 @@
                 nursery.cancel_scope.cancel()
         finally:
             self._peers.remove(peer)
+            # The lender may have another link, whose hello came before this one closed.
+            self.return_loans([])
             if peer.hello is not None:
                 self._handlers.link_lost(peer.hello.incarnation)
         return peer.hello is not None
@@ -335,9 +307,10 @@
             case LoanRequest():
                 peer.post(self._handlers.lend(message))
             case Loan(loan_id=loan_id, tokens=tokens):
-                if not self._resolve(loan_id, message):
+                if not self._resolve(loan_id, message) and tokens > 0:
+                    self._loan_returns.lender_by_loan_id[loan_id] = message.payer
                     # The answer came too late: the request no longer waits for it.
-                    peer.post(LoanReturn(loan_id=loan_id, tokens=tokens))
+                    self.return_loans([LoanReturn(loan_id=loan_id, tokens=tokens)])
             case LoanReturn():
                 self._handlers.accept_loan_return(message)
             case HandBackRequest(key=key):
--- a/tests/test_lost_loans.py
+++ b/tests/test_lost_loans.py
@@ -9,11 +9,13 @@
 from lavenderfold.budgets import Done, GrantOpened, GrantPool, OpenGrant
 from lavenderfold.config import Budget, FleetConfig, Organisation
 from lavenderfold.identifiers import BudgetKey, RequestKey, make_request_id
+from lavenderfold.links import LinkClosedError
 from lavenderfold.messages import Loan, LoanRequest, LoanReturn
 from lavenderfold.metrics import NullMetrics
 from lavenderfold.router._grants import GrantManager
+from lavenderfold.router._peers import Peer
 from lavenderfold.timers import TimerService
-from tests.peer_support import make_peers
+from tests.peer_support import FakeLink, hello, make_peers
 
 KEY = BudgetKey("regina", "main")
 
@@ -112,3 +114,94 @@
         assert not returned
 
     trio.run(main)
+
+
+def test_loan_return_that_was_lost_with_its_link_is_repeated():
+    """Guards against lent tokens that the lender never gets back.
+
+    A message that was posted may be lost if the link closes right afterwards.
+    """
+
+    async def main():
+        links, (peer,) = make_peers(2)
+        links._loan_returns.lender_by_loan_id["loan"] = 2
+        links.return_loans([LoanReturn(loan_id="loan", tokens=50)])
+        # The link closes before it sends what was posted.
+        peer.link.close()
+        links._peers.remove(peer)
+        again = Peer(link=FakeLink(), now=0.0)
+        links._peers.append(again)
+        links._handle(again, hello(2))
+        assert LoanReturn(loan_id="loan", tokens=50) in again.link.posted
+
+    trio.run(main)
+
+
+def loan_returns(peer):
+    return [each for each in peer.link.posted if isinstance(each, LoanReturn)]
+
+
+def test_late_loan_whose_return_was_lost_with_its_link_is_returned_again():
+    """Guards against lent tokens that arrive late and can't be spent by anybody."""
+
+    async def main():
+        links, (peer,) = make_peers(2)
+        loan = Loan(loan_id="late", key=KEY, grant_id="g", payer=2, tokens=50)
+        links._handle(peer, loan)
+        expected = [LoanReturn(loan_id="late", tokens=50)]
+        assert loan_returns(peer) == expected
+        peer.link.close()
+        again = Peer(link=FakeLink(), now=0.0)
+        links._peers.append(again)
+        links._handle(again, hello(2))
+        assert loan_returns(again) == expected
+
+    trio.run(main)
+
+
+def test_loan_return_is_repeated_on_the_link_that_remains():
+    """Guards against a return that waits for a hello which has come before."""
+
+    async def main():
+        links, (remaining,) = make_peers(2)
+        send, receive = trio.open_memory_channel(1)
+        closing = FakeLink()
+        closing.receive = receive.receive
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(links._serve, closing)
+            await send.send([hello(2)])
+            await trio.testing.wait_all_tasks_blocked()
+            links._loan_returns.lender_by_loan_id["loan"] = 2
+            links.return_loans([LoanReturn(loan_id="loan", tokens=50)])
+            assert LoanReturn(loan_id="loan", tokens=50) in closing.posted
+            assert not loan_returns(remaining)
+
+            async def fail():
+                raise LinkClosedError("peer")
+
+            closing.receive = fail
+            closing.close()
+            await send.send([])
+        assert loan_returns(remaining) == [LoanReturn(loan_id="loan", tokens=50)]
+
+    trio.run(main)
+
+
+def test_loan_return_on_a_link_that_stays_open_is_forgotten():
+    """Guards against returns that are kept and sent again for ever."""
+
+    async def main():
+        links, (peer,) = make_peers(2)
+        links._loan_returns.lender_by_loan_id["loan"] = 2
+        links.return_loans([LoanReturn(loan_id="loan", tokens=50)])
+        await trio.sleep(60.0)
+        links.return_loans([])
+        peer.link.close()
+        again = Peer(link=FakeLink(), now=0.0)
+        links._peers.append(again)
+        links._handle(again, hello(2))
+        assert len(loan_returns(peer)) == 1
+        assert not loan_returns(again)
+        assert not links._loan_returns.lender_by_loan_id
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
--- a/tests/test_review_router.py
+++ b/tests/test_review_router.py
@@ -8,11 +8,9 @@
 from lavenderfold.links import LinkClosedError
 from lavenderfold.messages import (
     Heartbeat,
-    LoanReturn,
 )
 from lavenderfold.router._answers import AnswerAssembler, AnswerPipe
 from lavenderfold.router._attempt import Attempt
-from lavenderfold.router._peers import Peer
 from tests.peer_support import FakeLink, hello, make_peers
 
 KEY = BudgetKey("regina", "main")
@@ -76,27 +74,6 @@
     trio.run(main, clock=MockClock(autojump_threshold=0))
 
 
-def test_loan_return_that_was_lost_with_its_link_is_repeated():
-    """Guards against lent tokens that the lender never gets back.
-
-    A message that was posted may be lost if the link closes right afterwards.
-    """
-
-    async def main():
-        links, (peer,) = make_peers(2)
-        links._lender_by_loan_id["loan"] = 2
-        links.return_loans([LoanReturn(loan_id="loan", tokens=50)])
-        # The link closes before it sends what was posted.
-        peer.link.close()
-        links._peers.remove(peer)
-        again = Peer(link=FakeLink(), now=0.0)
-        links._peers.append(again)
-        links._handle(again, hello(2))
-        assert LoanReturn(loan_id="loan", tokens=50) in again.link.posted
-
-    trio.run(main)
-
-
 class QueueLink(FakeLink):
     """A link whose received batches come from a queue."""
 
