Count only the time without a link as lost, per loss and not from the first

Callers got "may have run" for runs that went on at an agent whose link was open again. The limit for all losses of a link was a point in time, set at the first loss and cleared only by a message about the run. A run whose agent had no output to send was given up at once if its link was lost much later. The same happened if the limit passed while the router was suspended and the agent's hello waited to be read.

The limit is now a budget of time without a link, and starts anew once the link has been open for as long as the limit. A link that fails again and again still ends the run.

--- a/src/lavenderfold/router/_attempt.py
+++ b/src/lavenderfold/router/_attempt.py
@@ -43,7 +43,7 @@
         self._link = link
         self._pipe = pipe
         self._relink_wait_s = relink_wait_s
-        self._relink_deadline: float | None = None
+        self._relink_left_s = relink_wait_s
         self._subscriptions = [run_id]
         self._changed = trio.Event()
         self._is_link_lost = False
@@ -140,18 +140,31 @@
 
         All losses of the link share one time limit until a message about the run
         arrives, so that a link that fails repeatedly can't block the run forever.
+        The time on an open link doesn't count, and once it has been open for as
+        long as the limit, the limit starts anew.
         """
-        if self._relink_deadline is None:
-            self._relink_deadline = trio.current_time() + self._relink_wait_s
-        with trio.move_on_at(self._relink_deadline):
-            while True:
-                await self._link.connected.wait()
-                self._is_link_lost = False
-                if self._request_resume():
-                    return True
-                await trio.sleep(RESUME_PERIOD_S)
+        lost_at = trio.current_time()
+        if lost_at - self._resumed_at >= self._relink_wait_s:
+            self._relink_left_s = self._relink_wait_s
+        # The limit may pass while the router is suspended. The end of it is a wait of
+        # its own, which lets the router read what the agent sent meanwhile.
+        last_wait_s = min(RESUME_PERIOD_S, self._relink_left_s / 2)
+        for wait_s in (self._relink_left_s - last_wait_s, last_wait_s):
+            with trio.move_on_after(wait_s):
+                await self._resume_when_connected()
+                waited_s = trio.current_time() - lost_at
+                self._relink_left_s = max(0.0, self._relink_left_s - waited_s)
+                return True
         return False
 
+    async def _resume_when_connected(self) -> None:
+        while True:
+            await self._link.connected.wait()
+            self._is_link_lost = False
+            if self._request_resume():
+                return
+            await trio.sleep(RESUME_PERIOD_S)
+
     async def _resume(self) -> None:
         wait_s = self._resumed_at + RESUME_PERIOD_S - trio.current_time()
         if wait_s > 0:
@@ -188,7 +201,7 @@
 
     def _mark_replied(self) -> None:
         self.has_replied.set()
-        self._relink_deadline = None
+        self._relink_left_s = self._relink_wait_s
 
     def _notify_changed(self) -> None:
         self._changed.set()
