Read the end of a run that waits when the router's limit for it passes

Callers got 504 with "may have run" for sign-offs whose whole answer the router had received but not read: after a suspension the limit of the run and the agent's messages are due together, and the wait for the run was cancelled first.

The end of the limit, 0.25 s, is a wait of its own as for lost links. After a suspension it begins when the router goes on, so that the agent's messages are read. An end that arrives in the turn in which the limit passes counts as well. No run is waited for longer than before unless the router was suspended.

--- a/src/lavenderfold/router/_attempt.py
+++ b/src/lavenderfold/router/_attempt.py
@@ -15,6 +15,18 @@
 # frames doesn't cause a burst of them.
 RESUME_PERIOD_S = 0.25
 RESUME_REPEAT_S = 1.0
+# The end of a limit that is waited for separately; several reads take less.
+LAST_WAIT_S = 0.25
+
+
+def _split_wait(limit_s: float) -> tuple[float, float]:
+    """Return two waits, one after the other, that take ``limit_s`` together.
+
+    The limit may pass while the router is suspended. The second wait begins after
+    that, and lets the router read what the agent sent meanwhile.
+    """
+    last_s = min(LAST_WAIT_S, limit_s / 2)
+    return limit_s - last_s, last_s
 
 
 class Attempt:
@@ -94,6 +106,13 @@
         for subscription in self._subscriptions:
             self._link.detach(subscription)
 
+    async def follow_for(self, limit_s: float) -> Outcome | None:
+        """Follow the run for ``limit_s``; return None if it has no outcome by then."""
+        for wait_s in _split_wait(limit_s):
+            with trio.move_on_after(wait_s):
+                return await self.follow()
+        return self._check_outcome()
+
     async def follow(self) -> Outcome:
         """Return the run's outcome once the whole answer is in the pipe."""
         while True:
@@ -146,10 +165,7 @@
         lost_at = trio.current_time()
         if lost_at - self._resumed_at >= self._relink_wait_s:
             self._relink_left_s = self._relink_wait_s
-        # The limit may pass while the router is suspended. The end of it is a wait of
-        # its own, which lets the router read what the agent sent meanwhile.
-        last_wait_s = min(RESUME_PERIOD_S, self._relink_left_s / 2)
-        for wait_s in (self._relink_left_s - last_wait_s, last_wait_s):
+        for wait_s in _split_wait(self._relink_left_s):
             with trio.move_on_after(wait_s):
                 await self._resume_when_connected()
                 waited_s = trio.current_time() - lost_at
--- a/src/lavenderfold/router/_request_execution.py
+++ b/src/lavenderfold/router/_request_execution.py
@@ -288,8 +288,9 @@
         self.is_placed.set()
         try:
             run_s = self.request.request_class.run_s
-            with trio.move_on_after(run.deadline_s + run_s + RUN_GRACE_S):
-                outcome = await attempt.follow()
+            limit_s = run.deadline_s + run_s + RUN_GRACE_S
+            outcome = await attempt.follow_for(limit_s)
+            if outcome is not None:
                 self.ended = attempt.ended
                 return outcome
             services.agents.post_if_connected(target, CancelRun(run_id=run.run_id))
