Don't count the process's own suspension as silence of its peers

Runs in progress lost their links, and with them up to the time to reconnect, after a suspension of a router or agent: the check of a peer's silence and the messages of the peer were due together, and in about half of the cases the check came first and closed the link.

The time by which a check is late no longer counts as silence, at the router's links to peers and to agents and at the agent's links to routers. A peer that is really silent is still closed by checks that are on time.

--- a/src/lavenderfold/agent/_agent.py
+++ b/src/lavenderfold/agent/_agent.py
@@ -97,6 +97,7 @@
         self._config_revision = 0
         self._highest_fencing_token = 0
         self._draining_since: float | None = None
+        self._tick_due_at: float | None = None
         self._drained = trio.Event()
         self._flush_scheduled = False
         self._scope_by_run_id: dict[str, trio.CancelScope] = {}
@@ -406,7 +407,8 @@
         self._start_runs()
         self._report_due_usage()
         self._flush_replies()
-        self._router_links.close_silent(now)
+        self._router_links.close_silent(now, check_due_at=self._tick_due_at)
+        self._tick_due_at = now + self._limits.report_period_s
         self._load_reporter.report_due(now)
         self._check_drained(now)
 
--- a/src/lavenderfold/agent/_router_links.py
+++ b/src/lavenderfold/agent/_router_links.py
@@ -4,7 +4,7 @@
 
 from lavenderfold.agent._observed_target import PREFIX_REPORT_PERIOD_S
 from lavenderfold.agent._usage import ConnectedRouter
-from lavenderfold.links import Link, LinkClosedError
+from lavenderfold.links import Link, LinkClosedError, exclude_own_delay
 from lavenderfold.messages import Heartbeat, MessageToRouter, RouterHello
 
 DEFAULT_REPORT_PERIOD_S = 0.25
@@ -127,9 +127,16 @@
         """Return all open links."""
         return list(self._by_number.values())
 
-    def close_silent(self, now: float) -> None:
-        """Close the links whose routers have stopped sending heartbeats."""
+    def close_silent(self, now: float, *, check_due_at: float | None = None) -> None:
+        """Close the links whose routers have stopped sending heartbeats.
+
+        If the check is due earlier than ``now``, the agent was suspended.
+        """
         for router in self._by_number.values():
+            if check_due_at is not None:
+                router.last_received_at = exclude_own_delay(
+                    router.last_received_at, check_due_at=check_due_at, now=now
+                )
             if router.is_silent(now):
                 router.link.close()
 
--- a/src/lavenderfold/router/_agents.py
+++ b/src/lavenderfold/router/_agents.py
@@ -8,7 +8,7 @@
 import trio
 
 from lavenderfold.config import FleetConfig, RouteKind, Target
-from lavenderfold.links import Link, LinkClosedError, connect
+from lavenderfold.links import Link, LinkClosedError, connect, exclude_own_delay
 from lavenderfold.logs import log_event
 from lavenderfold.messages import (
     AgentHello,
@@ -194,10 +194,13 @@
 
     async def _send_heartbeats(self, link: Link) -> None:
         """Send heartbeats, and close the link if the agent is silent for too long."""
-        due_at = self._timers.now()
+        due_at = check_due_at = self._timers.now()
         while not link.closed:
             now = self._timers.now()
             timing = self._timing()
+            self._last_message_at = exclude_own_delay(
+                self._last_message_at, check_due_at=check_due_at, now=now
+            )
             if now - self._last_message_at > timing.silence_limit_s:
                 link.close()
                 return
@@ -205,6 +208,7 @@
                 due_at = now + timing.heartbeat_period_s - timing.check_period_s
                 revision = self._hello().revision
                 link.post(Heartbeat(revision, period_s=timing.heartbeat_period_s))
+            check_due_at = now + timing.check_period_s
             await trio.sleep(timing.check_period_s)
 
     def _notify_link_lost(self) -> None:
--- a/src/lavenderfold/router/_peers.py
+++ b/src/lavenderfold/router/_peers.py
@@ -10,7 +10,13 @@
 import trio
 
 from lavenderfold.identifiers import BudgetKey
-from lavenderfold.links import Link, LinkClosedError, Listener, connect
+from lavenderfold.links import (
+    Link,
+    LinkClosedError,
+    Listener,
+    connect,
+    exclude_own_delay,
+)
 from lavenderfold.logs import log_event
 from lavenderfold.messages import (
     HandBackDone,
@@ -286,13 +292,18 @@
             return
 
     async def _send_heartbeats(self, peer: Peer) -> None:
+        due_at = self._timers.now()
         while True:
-            limit_s = peer_silence_limit_s(peer.heartbeat_s)
-            if self._timers.now() - peer.last_message_at > limit_s:
+            now = self._timers.now()
+            peer.last_message_at = exclude_own_delay(
+                peer.last_message_at, check_due_at=due_at, now=now
+            )
+            if now - peer.last_message_at > peer_silence_limit_s(peer.heartbeat_s):
                 peer.link.close()
                 return
             period_s = peer_heartbeat_s(len(self._peers))
             peer.post(Heartbeat(self._hello().revision, period_s=period_s))
+            due_at = now + period_s
             await trio.sleep(period_s)
 
     def _handle(self, peer: Peer, message: Any) -> None:
