Give back loans whose message was lost with its link

Tokens of a budget stayed set aside at a lender until it was retired if the link closed after it had lent them and before the loan arrived.

The borrower now returns the whole amount for each request that got no answer. If the loan still arrives it isn't used, as before, and its second return changes nothing. A lender that reads the return before the request, over another link, no longer gives the loan.

Returns that couldn't be sent are tried again when a link opens or closes, and no longer for each budget in each maintenance: with returns to a lender that is gone, that sorted all peers for each budget.

Failed before: test_loan_that_was_lost_with_its_link_is_given_back and test_loan_that_is_returned_before_it_is_asked_for_is_not_given.

--- a/src/lavenderfold/budgets/_pool.py
+++ b/src/lavenderfold/budgets/_pool.py
@@ -272,11 +272,15 @@
         return loan
 
     def accept_loan_return(self, loan_return: LoanReturn) -> None:
-        """Free the unused tokens of a returned loan; a repeat changes nothing."""
+        """Free the unused tokens of a returned loan; a repeat changes nothing.
+
+        A loan that is returned before it was asked for, which may happen if the two
+        messages come over different links, isn't given any more.
+        """
+        self._remember_ended_id(loan_return.loan_id)
         lent = self._lent_loan_by_id.pop(loan_return.loan_id, None)
         if lent is None:
             return
-        self._remember_ended_id(loan_return.loan_id)
         lent.holding.lent -= lent.loan.tokens
         lent.holding.free += min(max(0, loan_return.tokens), lent.loan.tokens)
         lent.account.drop_empty()
--- a/src/lavenderfold/router/_grants.py
+++ b/src/lavenderfold/router/_grants.py
@@ -229,8 +229,11 @@
                 continue
             self._start_ordering(key)
             await self.hand_backs.hand_back_surplus(key, budget)
-            if self._ledger.store_available:
-                self._peers.return_loans(self.pool.return_loans(key))
+            if not self._ledger.store_available:
+                continue
+            # Returns that couldn't be sent are tried again when a link opens or closes.
+            if returned := self.pool.return_loans(key):
+                self._peers.return_loans(returned)
 
     def tokens_returned(self, key: BudgetKey) -> None:
         """Wake waiting requests, because another router handed tokens back."""
--- a/src/lavenderfold/router/_peers.py
+++ b/src/lavenderfold/router/_peers.py
@@ -187,7 +187,7 @@
         request = LoanRequest(loan_id=loan_id, key=key, tokens=tokens)
         if not peer.post(request):
             return 0
-        lent = 0
+        lent: int | None = None
 
         def take_loan(loan: Loan) -> None:
             nonlocal lent
@@ -204,8 +204,20 @@
                 self._loan_returns.lender_by_loan_id[loan_id] = loan.payer
                 take(loan)
 
-        await self._take_answers([loan_id], take_loan, wait_s=LOAN_ANSWER_WAIT_S)
-        return lent
+        lender = peer.hello.incarnation
+        try:
+            await self._take_answers([loan_id], take_loan, wait_s=LOAN_ANSWER_WAIT_S)
+        finally:
+            if lent is None:
+                # The answer may be lost with the link, and the lender would keep the
+                # tokens set aside. A loan that comes later isn't used either.
+                self._return_loan(loan_id, lender, tokens)
+        return lent or 0
+
+    def _return_loan(self, loan_id: str, lender: int, tokens: int) -> None:
+        """Return a whole loan that doesn't get into the pool."""
+        self._loan_returns.lender_by_loan_id[loan_id] = lender
+        self.return_loans([LoanReturn(loan_id=loan_id, tokens=tokens)])
 
     async def _take_answers(
         self, answer_ids: list[object], take: Callable[[Any], None], *, wait_s: float
@@ -319,9 +331,8 @@
                 peer.post(self._handlers.lend(message))
             case Loan(loan_id=loan_id, tokens=tokens):
                 if not self._resolve(loan_id, message) and tokens > 0:
-                    self._loan_returns.lender_by_loan_id[loan_id] = message.payer
                     # The answer came too late: the request no longer waits for it.
-                    self.return_loans([LoanReturn(loan_id=loan_id, tokens=tokens)])
+                    self._return_loan(loan_id, message.payer, tokens)
             case LoanReturn():
                 self._handlers.accept_loan_return(message)
             case HandBackRequest(key=key):
--- a/tests/test_lost_loans.py
+++ b/tests/test_lost_loans.py
@@ -205,3 +205,42 @@
         assert not links._loan_returns.lender_by_loan_id
 
     trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_loan_that_was_lost_with_its_link_is_given_back():
+    """Guards against lent tokens that never arrived and that the lender keeps apart."""
+
+    async def main():
+        links, (peer,) = make_peers(2)
+        lender = GrantPool(incarnation=2)
+        lender.add_grant(KEY, "2-1", 50)
+        taken = []
+
+        async def borrow():
+            await links.request_loans(KEY, 400, taken.append)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(borrow)
+            await trio.testing.wait_all_tasks_blocked()
+            (asked,) = peer.link.posted
+            assert lender.lend(KEY, asked.tokens, asked.loan_id).tokens == 50
+            # The link closes before the loan arrives.
+            peer.link.close()
+        again = Peer(link=FakeLink(), now=0.0)
+        links._peers.append(again)
+        links._handle(again, hello(2))
+        for each in loan_returns(again):
+            lender.accept_loan_return(each)
+        assert not taken
+        assert lender.free(KEY) == 50
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_loan_that_is_returned_before_it_is_asked_for_is_not_given():
+    """Guards against a loan whose request is read after its return on another link."""
+    lender = GrantPool(incarnation=2)
+    lender.add_grant(KEY, "2-1", 50)
+    lender.accept_loan_return(LoanReturn(loan_id="late", tokens=400))
+    assert lender.lend(KEY, 400, "late").tokens == 0
+    assert lender.free(KEY) == 50
