--- a/src/lavenderfold/router/_attempt.py
+++ b/src/lavenderfold/router/_attempt.py
@@ -15,6 +15,18 @@
 # frames doesn't cause a burst of them.
 RESUME_PERIOD_S = 0.25
 RESUME_REPEAT_S = 1.0
+# The end of a limit that is waited for separately; several reads take less.
+LAST_WAIT_S = 0.25
+
+
+def _split_wait(limit_s: float) -> tuple[float, float]:
+    """Return two waits, one after the other, that take ``limit_s`` together.
+
+    The limit may pass while the router is suspended. The second wait begins after
+    that, and lets the router read what the agent sent meanwhile.
+    """
+    last_s = min(LAST_WAIT_S, limit_s / 2)
+    return limit_s - last_s, last_s
 
 
 class Attempt:
@@ -43,7 +55,7 @@
         self._link = link
         self._pipe = pipe
         self._relink_wait_s = relink_wait_s
-        self._relink_deadline: float | None = None
+        self._relink_left_s = relink_wait_s
         self._subscriptions = [run_id]
         self._changed = trio.Event()
         self._is_link_lost = False
@@ -94,6 +106,13 @@
         for subscription in self._subscriptions:
             self._link.detach(subscription)
 
+    async def follow_for(self, limit_s: float) -> Outcome | None:
+        """Follow the run for ``limit_s``; return None if it has no outcome by then."""
+        for wait_s in _split_wait(limit_s):
+            with trio.move_on_after(wait_s):
+                return await self.follow()
+        return self._check_outcome()
+
     async def follow(self) -> Outcome:
         """Return the run's outcome once the whole answer is in the pipe."""
         while True:
@@ -140,18 +159,28 @@
 
         All losses of the link share one time limit until a message about the run
         arrives, so that a link that fails repeatedly can't block the run forever.
+        The time on an open link doesn't count, and once it has been open for as
+        long as the limit, the limit starts anew.
         """
-        if self._relink_deadline is None:
-            self._relink_deadline = trio.current_time() + self._relink_wait_s
-        with trio.move_on_at(self._relink_deadline):
-            while True:
-                await self._link.connected.wait()
-                self._is_link_lost = False
-                if self._request_resume():
-                    return True
-                await trio.sleep(RESUME_PERIOD_S)
+        lost_at = trio.current_time()
+        if lost_at - self._resumed_at >= self._relink_wait_s:
+            self._relink_left_s = self._relink_wait_s
+        for wait_s in _split_wait(self._relink_left_s):
+            with trio.move_on_after(wait_s):
+                await self._resume_when_connected()
+                waited_s = trio.current_time() - lost_at
+                self._relink_left_s = max(0.0, self._relink_left_s - waited_s)
+                return True
         return False
 
+    async def _resume_when_connected(self) -> None:
+        while True:
+            await self._link.connected.wait()
+            self._is_link_lost = False
+            if self._request_resume():
+                return
+            await trio.sleep(RESUME_PERIOD_S)
+
     async def _resume(self) -> None:
         wait_s = self._resumed_at + RESUME_PERIOD_S - trio.current_time()
         if wait_s > 0:
@@ -188,7 +217,7 @@
 
     def _mark_replied(self) -> None:
         self.has_replied.set()
-        self._relink_deadline = None
+        self._relink_left_s = self._relink_wait_s
 
     def _notify_changed(self) -> None:
         self._changed.set()
--- a/src/lavenderfold/router/_grants.py
+++ b/src/lavenderfold/router/_grants.py
@@ -229,8 +229,11 @@
                 continue
             self._start_ordering(key)
             await self.hand_backs.hand_back_surplus(key, budget)
-            if self._ledger.store_available:
-                self._peers.return_loans(self.pool.return_loans(key))
+            if not self._ledger.store_available:
+                continue
+            # Returns that couldn't be sent are tried again when a link opens or closes.
+            if returned := self.pool.return_loans(key):
+                self._peers.return_loans(returned)
 
     def tokens_returned(self, key: BudgetKey) -> None:
         """Wake waiting requests, because another router handed tokens back."""
@@ -402,15 +405,18 @@
 
     async def _borrow_after_delay(self, key: BudgetKey, demand: BudgetDemand) -> None:
         """Borrow while an order has no answer, for example in a store outage."""
+
+        def take(loan: Loan) -> None:
+            self.pool.add_loan(loan)
+            demand.wake()
+
         if self._ledger.store_available:
             await trio.sleep(LOAN_DELAY_S)
         while True:
             request_added = demand.request_added
             if demand.waiting:
                 wanted = demand.waiting_tokens * LOAN_FACTOR
-                for loan in await self._peers.request_loans(key, wanted):
-                    self.pool.add_loan(loan)
-                demand.wake()
+                await self._peers.request_loans(key, wanted, take)
             with trio.move_on_after(LOAN_RETRY_S):
                 await request_added.wait()
 
--- a/src/lavenderfold/router/_peers.py
+++ b/src/lavenderfold/router/_peers.py
@@ -10,7 +10,13 @@
 import trio
 
 from lavenderfold.identifiers import BudgetKey
-from lavenderfold.links import Link, LinkClosedError, Listener, connect
+from lavenderfold.links import (
+    Link,
+    LinkClosedError,
+    Listener,
+    connect,
+    exclude_own_delay,
+)
 from lavenderfold.logs import log_event
 from lavenderfold.messages import (
     HandBackDone,
@@ -27,6 +33,8 @@
     SnapshotRequest,
 )
 from lavenderfold.router._link_timing import peer_heartbeat_s, peer_silence_limit_s
+from lavenderfold.router._loan_returns import LoanReturns
+from lavenderfold.router._peer import Peer
 from lavenderfold.router._settings import RouterSettings
 from lavenderfold.routing import backoff_s
 from lavenderfold.settings import Address
@@ -51,7 +59,7 @@
         tokens_returned: Callable[[BudgetKey], None],
         snapshot: Callable[[], Snapshot],
         take_snapshot: Callable[[Snapshot], None],
-        commit: Callable[["Peer", LedgerRequest], Awaitable[None]],
+        commit: Callable[[Peer, LedgerRequest], Awaitable[None]],
         handle_answer: Callable[[int | None, LedgerAnswer], None],
         link_lost: Callable[[int], None],
     ):
@@ -66,28 +74,6 @@
         self.link_lost = link_lost
 
 
-class Peer:
-    """An open link to another router, with the hello that it sent.
-
-    ``hello`` is None until it arrives; ``heartbeat_s`` is the heartbeat period that
-    the other router announced.
-    """
-
-    def __init__(self, *, link: Link, now: float):
-        self.link = link
-        self.last_message_at = now
-        self.heartbeat_s = peer_heartbeat_s(0)
-        self.hello: PeerHello | None = None
-
-    def post(self, message: Any) -> bool:
-        """Send a message; return whether the link was open."""
-        try:
-            self.link.post(message)
-        except LinkClosedError:
-            return False
-        return True
-
-
 class PeerLinks:
     """The links to other routers, opened by either side."""
 
@@ -104,9 +90,8 @@
         self._hello = hello
         self._handlers = handlers
         self._peers: list[Peer] = []
-        self._answer_channel_by_id: dict[object, trio.MemorySendChannel] = {}
-        self._lender_by_loan_id: dict[str, int] = {}
-        self._pending_returns: list[LoanReturn] = []
+        self._take_answer_by_id: dict[object, Callable[[Any], None]] = {}
+        self._loan_returns = LoanReturns()
 
     async def run(
         self, *, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
@@ -149,41 +134,39 @@
             and peer.post(HandBackRequest(key=key))
         ]
         returned = 0
-        with trio.move_on_after(self._settings.limits.hand_back_wait_s):
-            for peer in asked_peers:
-                answer = await self._wait_for_answer((peer.hello.incarnation, key))
-                returned += answer.tokens
+
+        def count(answer: HandBackDone) -> None:
+            nonlocal returned
+            returned += answer.tokens
+
+        await self._take_answers(
+            [(peer.hello.incarnation, key) for peer in asked_peers],
+            count,
+            wait_s=self._settings.limits.hand_back_wait_s,
+        )
         return returned
 
-    async def request_loans(self, key: BudgetKey, tokens: int) -> list[Loan]:
-        """Borrow up to ``tokens`` in total from peers, asking the nearest first."""
-        loans: list[Loan] = []
+    async def request_loans(
+        self, key: BudgetKey, tokens: int, take: Callable[[Loan], None]
+    ) -> None:
+        """Borrow up to ``tokens`` in total from peers, asking the nearest first.
+
+        ``take`` is called with each loan when it arrives, so that it isn't lost if
+        the caller is cancelled.
+        """
         for peer in self.connected()[:LENDERS_ASKED_LIMIT]:
             if tokens <= 0:
                 break
-            loan = await self._ask_loan(peer, key, tokens)
-            if loan is not None and loan.tokens > 0:
-                tokens -= loan.tokens
-                loans.append(loan)
-        return loans
+            tokens -= await self._ask_loan(peer, key, tokens, take)
 
     def return_loans(self, returned: list[LoanReturn]) -> None:
-        """Return unused parts of loans; keep those whose lender isn't connected."""
-        self._pending_returns += returned
-        if not self._pending_returns:
-            return
-        peer_by_incarnation = {
-            peer.hello.incarnation: peer for peer in self.connected()
-        }
-        still_pending = []
-        for each in self._pending_returns:
-            lender = self._lender_by_loan_id.get(each.loan_id)
-            peer = peer_by_incarnation.get(lender)
-            if peer is None or not peer.post(each):
-                still_pending.append(each)
-            else:
-                del self._lender_by_loan_id[each.loan_id]
-        self._pending_returns = still_pending
+        """Return unused parts of loans, and those that may not have arrived."""
+        self._loan_returns.send(
+            returned,
+            connected=self.connected,
+            own_heartbeat_s=peer_heartbeat_s(len(self._peers)),
+            now=self._timers.now(),
+        )
 
     def announce(self) -> None:
         """Send all peers this router's current revision and incarnation."""
@@ -196,40 +179,79 @@
             peer.hello.failure_domain != self._settings.failure_domain,
         )
 
-    async def _ask_loan(self, peer: Peer, key: BudgetKey, tokens: int) -> Loan | None:
+    async def _ask_loan(
+        self, peer: Peer, key: BudgetKey, tokens: int, take: Callable[[Loan], None]
+    ) -> int:
+        """Ask a peer for a loan; return how many tokens it lent."""
         loan_id = uuid.uuid4().hex
-        self._lender_by_loan_id[loan_id] = peer.hello.incarnation
         request = LoanRequest(loan_id=loan_id, key=key, tokens=tokens)
         if not peer.post(request):
-            return None
-        with trio.move_on_after(LOAN_ANSWER_WAIT_S):
-            loan = await self._wait_for_answer(loan_id)
+            return 0
+        lent: int | None = None
+
+        def take_loan(loan: Loan) -> None:
+            nonlocal lent
+            lent = loan.tokens
             log_event(
                 logger,
                 "loan_received",
                 budget=key,
                 lender=peer.hello.router,
                 loan=loan_id,
-                tokens=loan.tokens,
+                tokens=lent,
             )
-            return loan
-        return None
+            if lent > 0:
+                self._loan_returns.lender_by_loan_id[loan_id] = loan.payer
+                take(loan)
+
+        lender = peer.hello.incarnation
+        try:
+            await self._take_answers([loan_id], take_loan, wait_s=LOAN_ANSWER_WAIT_S)
+        finally:
+            if lent is None:
+                # The answer may be lost with the link, and the lender would keep the
+                # tokens set aside. A loan that comes later isn't used either.
+                self._return_loan(loan_id, lender, tokens)
+        return lent or 0
+
+    def _return_loan(self, loan_id: str, lender: int, tokens: int) -> None:
+        """Return a whole loan that doesn't get into the pool."""
+        self._loan_returns.lender_by_loan_id[loan_id] = lender
+        self.return_loans([LoanReturn(loan_id=loan_id, tokens=tokens)])
+
+    async def _take_answers(
+        self, answer_ids: list[object], take: Callable[[Any], None], *, wait_s: float
+    ) -> None:
+        """Call ``take`` with each answer at its arrival; wait until all have arrived.
 
-    async def _wait_for_answer(self, answer_id: object) -> Any:
-        """Wait for the answer with this id, as passed to ``_resolve``."""
-        send, receive = trio.open_memory_channel(1)
-        self._answer_channel_by_id[answer_id] = send
+        An answer is taken while its message is handled. If it were passed on to this
+        task, the time limit or a cancellation could drop it in between.
+        """
+        missing = set(answer_ids)
+        all_arrived = trio.Event()
+
+        def take_one(answer_id: object, answer: Any) -> None:
+            take(answer)
+            missing.discard(answer_id)
+            if not missing:
+                all_arrived.set()
+
+        take_by_id = {each: partial(take_one, each) for each in answer_ids}
+        self._take_answer_by_id |= take_by_id
         try:
-            return await receive.receive()
+            with trio.move_on_after(wait_s):
+                if missing:
+                    await all_arrived.wait()
         finally:
-            if self._answer_channel_by_id.get(answer_id) is send:
-                del self._answer_channel_by_id[answer_id]
+            for answer_id, own in take_by_id.items():
+                if self._take_answer_by_id.get(answer_id) is own:
+                    del self._take_answer_by_id[answer_id]
 
     def _resolve(self, answer_id: object, answer: Any) -> bool:
-        waiting = self._answer_channel_by_id.pop(answer_id, None)
-        if waiting is None:
+        take = self._take_answer_by_id.pop(answer_id, None)
+        if take is None:
             return False
-        waiting.send_nowait(answer)
+        take(answer)
         return True
 
     async def _keep_open(self, address: Address) -> None:
@@ -263,6 +285,8 @@
                 nursery.cancel_scope.cancel()
         finally:
             self._peers.remove(peer)
+            # The lender may have another link, whose hello came before this one closed.
+            self.return_loans([])
             if peer.hello is not None:
                 self._handlers.link_lost(peer.hello.incarnation)
         return peer.hello is not None
@@ -280,13 +304,18 @@
             return
 
     async def _send_heartbeats(self, peer: Peer) -> None:
+        due_at = self._timers.now()
         while True:
-            limit_s = peer_silence_limit_s(peer.heartbeat_s)
-            if self._timers.now() - peer.last_message_at > limit_s:
+            now = self._timers.now()
+            peer.last_message_at = exclude_own_delay(
+                peer.last_message_at, check_due_at=due_at, now=now
+            )
+            if now - peer.last_message_at > peer_silence_limit_s(peer.heartbeat_s):
                 peer.link.close()
                 return
             period_s = peer_heartbeat_s(len(self._peers))
             peer.post(Heartbeat(self._hello().revision, period_s=period_s))
+            due_at = now + period_s
             await trio.sleep(period_s)
 
     def _handle(self, peer: Peer, message: Any) -> None:
@@ -301,9 +330,9 @@
             case LoanRequest():
                 peer.post(self._handlers.lend(message))
             case Loan(loan_id=loan_id, tokens=tokens):
-                if not self._resolve(loan_id, message):
+                if not self._resolve(loan_id, message) and tokens > 0:
                     # The answer came too late: the request no longer waits for it.
-                    peer.post(LoanReturn(loan_id=loan_id, tokens=tokens))
+                    self._return_loan(loan_id, message.payer, tokens)
             case LoanReturn():
                 self._handlers.accept_loan_return(message)
             case HandBackRequest(key=key):
