End without an error if a server is cancelled as it stops

What was seen: a router ended with "Bad file descriptor" instead of regularly, if its tasks were cancelled in the moment in which its server was asked to stop (once in a run of the whole suite, in test_late_requests_while_draining_are_refused_and_open_ones_finish).

Cause: the cancelled task that accepts connections had closed its socket before the stop duplicated it.

A socket that is closed already is left out. Failed before: test_server_that_is_cancelled_as_it_stops_ends_without_an_error. test_connection_that_arrives_as_a_server_stops_is_answered_or_refused passed and stays.

--- a/src/lavenderfold/http/_stop.py
+++ b/src/lavenderfold/http/_stop.py
@@ -47,6 +47,9 @@
     """
     streams = []
     for listener in listeners:
+        if listener.socket.fileno() < 0:
+            # The server was cancelled in the same moment, which has closed it.
+            continue
         with socket.socket(fileno=os.dup(listener.socket.fileno())) as pending:
             listener.socket.close()
             pending.setblocking(False)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,10 +1,15 @@
 """Planned stops: what requests get that arrive while a router drains."""
 
+import socket
+from functools import partial
+
 import pytest
 import trio
+import trio.testing
 
+from lavenderfold.http import ServerOptions, serve
 from lavenderfold.settings import Address
-from tests.direct_support import answer_successfully, run_scenario
+from tests.direct_support import LOOPBACK, answer_successfully, run_scenario
 from tests.router_fleet import FakeAgent, Fleet, completion, run_fleet
 
 HEAD = (
@@ -185,3 +190,60 @@
             await fleet.router.finished.wait()
 
     run_fleet(check, FakeAgent("t1"))
+
+
+def test_connection_that_arrives_as_a_server_stops_is_answered_or_refused():
+    """Guards against an error of the task that accepts connections.
+
+    It was woken for a connection, and the socket was closed before it ran.
+    """
+
+    async def main():
+        for _ in range(30):
+            options = ServerOptions()
+
+            async def serve_answers(task_status, options=options):
+                await serve(
+                    answer_successfully,
+                    address=Address(host=LOOPBACK, port=0),
+                    options=options,
+                    task_status=task_status,
+                )
+
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(serve_answers)
+                await trio.testing.wait_all_tasks_blocked()
+                with trio.fail_after(5):
+                    async with connect_and_stop(address, options) as stream:
+                        await stream.send_all(REQUEST)
+                        assert await stream.receive_some(65536)
+
+    trio.run(main)
+
+
+def connect_and_stop(address: Address, options: ServerOptions) -> trio.SocketStream:
+    """Connect and request the stop of the server before any task runs."""
+    caller = socket.create_connection((address.host, address.port))
+    options.stop_requested.set()
+    return trio.SocketStream(trio.socket.from_stdlib_socket(caller))
+
+
+def test_server_that_is_cancelled_as_it_stops_ends_without_an_error():
+    """Guards against a failure of the process at the end of its grace period."""
+
+    async def main():
+        for _ in range(30):
+            options = ServerOptions()
+            start = partial(
+                serve,
+                answer_successfully,
+                address=Address(host=LOOPBACK, port=0),
+                options=options,
+            )
+            async with trio.open_nursery() as nursery:
+                await nursery.start(start)
+                # Tasks that are due at once run in any order.
+                options.stop_requested.set()
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
