--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,5 +1,6 @@
 """Planned stops: what requests get that arrive while a router drains."""
 
+import socket
 from functools import partial
 
 import pytest
@@ -8,7 +9,7 @@
 
 from lavenderfold.http import ServerOptions, serve
 from lavenderfold.settings import Address
-from tests.direct_support import answer_successfully, run_scenario
+from tests.direct_support import LOOPBACK, answer_successfully, run_scenario
 from tests.router_fleet import FakeAgent, Fleet, completion, run_fleet
 
 HEAD = (
@@ -167,30 +168,6 @@
     run_scenario(scenario, answer_successfully)
 
 
-def test_server_that_is_stopped_and_cancelled_at_once_ends():
-    """Guards against an error at the end of a router that is cancelled as it stops.
-
-    The listeners were closed by the cancellation before the stop looked at them.
-    """
-
-    async def main():
-        for _ in range(20):
-            stop_requested = trio.Event()
-            start = partial(
-                serve,
-                answer_successfully,
-                address=Address(host="127.0.0.1", port=0),
-                options=ServerOptions(stop_requested=stop_requested),
-            )
-            async with trio.open_nursery() as nursery:
-                await nursery.start(start)
-                await trio.testing.wait_all_tasks_blocked()
-                nursery.cancel_scope.cancel()
-                stop_requested.set()
-
-    trio.run(main)
-
-
 def test_agent_based_router_answers_a_request_that_it_is_reading_when_it_drains():
     """Guards against a closed connection instead of a refusal."""
     body = completion()
@@ -213,3 +190,65 @@
             await fleet.router.finished.wait()
 
     run_fleet(check, FakeAgent("t1"))
+
+
+def test_connection_that_arrives_as_a_server_stops_is_answered_or_refused():
+    """Guards against an error of the task that accepts connections.
+
+    It was woken for a connection, and the socket was closed before it ran.
+    """
+
+    async def main():
+        for _ in range(30):
+            options = ServerOptions()
+
+            async def serve_answers(task_status, options=options):
+                await serve(
+                    answer_successfully,
+                    address=Address(host=LOOPBACK, port=0),
+                    options=options,
+                    task_status=task_status,
+                )
+
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(serve_answers)
+                await trio.testing.wait_all_tasks_blocked()
+                with trio.fail_after(5):
+                    async with connect_and_stop(address, options) as stream:
+                        await stream.send_all(REQUEST)
+                        assert await stream.receive_some(65536)
+
+    trio.run(main)
+
+
+def connect_and_stop(address: Address, options: ServerOptions) -> trio.SocketStream:
+    """Connect and request the stop of the server before any task runs."""
+    caller = socket.create_connection((address.host, address.port))
+    options.stop_requested.set()
+    return trio.SocketStream(trio.socket.from_stdlib_socket(caller))
+
+
+@pytest.mark.parametrize("is_cancelled_first", [False, True])
+def test_server_that_is_stopped_and_cancelled_at_once_ends(is_cancelled_first):
+    """Guards against an error at the end of a router that is cancelled as it stops.
+
+    The listeners were closed by the cancellation before the stop looked at them.
+    """
+
+    async def main():
+        for _ in range(20):
+            stop_requested = trio.Event()
+            start = partial(
+                serve,
+                answer_successfully,
+                address=Address(host="127.0.0.1", port=0),
+                options=ServerOptions(stop_requested=stop_requested),
+            )
+            async with trio.open_nursery() as nursery:
+                await nursery.start(start)
+                await trio.testing.wait_all_tasks_blocked()
+                steps = [stop_requested.set, nursery.cancel_scope.cancel]
+                for step in reversed(steps) if is_cancelled_first else steps:
+                    step()
+
+    trio.run(main)
