--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -18,10 +18,10 @@
     json_response,
 )
 from lavenderfold.http._peer_client import CallFailedError, PeerClient
+from lavenderfold.http._response_writer import ResponseWriter
 from lavenderfold.http._server import (
     IDLE_GRACE_S,
     CloseReason,
-    ResponseWriter,
     ServerLimits,
     ServerOptions,
     serve,
--- /dev/null
+++ b/src/lavenderfold/http/_response_writer.py
@@ -0,0 +1,99 @@
+"""Writes one response of the HTTP server to its caller."""
+
+from collections.abc import Callable
+
+import h11
+import trio
+
+from lavenderfold.http._messages import HttpResponse, encode_headers
+
+IDLE_TIMEOUT_S = 75.0
+# The part of an answer that a caller must take within the idle timeout.
+WRITE_BYTES = 16384
+
+
+class ResponseWriter:
+    """Sends one response, either complete with ``send`` or in chunks.
+
+    A chunked response is sent with ``start``, ``write`` and ``finish``. If the
+    handler returns without calling ``finish``, the connection is closed without the
+    terminating chunk, so that the caller can't take a truncated response for a
+    complete one.
+    """
+
+    __slots__ = (
+        "_connection",
+        "_stream",
+        "_is_closing",
+        "_idle_timeout_s",
+        "started",
+        "finished",
+    )
+
+    def __init__(
+        self,
+        *,
+        connection: h11.Connection,
+        stream: trio.SocketStream,
+        is_closing: Callable[[], bool] = bool,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
+    ):
+        self._connection = connection
+        self._stream = stream
+        self._is_closing = is_closing
+        self._idle_timeout_s = idle_timeout_s
+        self.started = False
+        self.finished = False
+
+    async def send(self, response: HttpResponse) -> None:
+        """Send a complete response."""
+        length = ("content-length", str(len(response.body)))
+        headers = [*response.headers, length, *self._closing_headers()]
+        await self._send_events(
+            _response_head(response.status, headers),
+            h11.Data(data=response.body),
+            h11.EndOfMessage(),
+        )
+        self.finished = True
+
+    async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Send the status line and headers of a chunked response."""
+        framing = ("transfer-encoding", "chunked")
+        chunked = [*headers, framing, *self._closing_headers()]
+        await self._send_events(_response_head(status, chunked))
+
+    async def write(self, data: bytes) -> None:
+        """Send one chunk."""
+        await self._send_events(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """Send the terminating chunk."""
+        await self._send_events(h11.EndOfMessage())
+        self.finished = True
+
+    def _closing_headers(self) -> list[tuple[str, str]]:
+        return [("connection", "close")] if self._is_closing() else []
+
+    async def _send_events(self, *events: h11.Event) -> None:
+        # A write that is cancelled before its first byte leaves the response as it
+        # was, so that another one can be sent.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self.started = True
+        data = b"".join(self._connection.send(event) or b"" for event in events)
+        await self._write_data(data)
+
+    async def _write_data(self, data: bytes) -> None:
+        """Write in parts that each have the idle timeout.
+
+        A slow caller takes them in time; for one that stops reading, or reads only a
+        byte now and then, BrokenResourceError is raised.
+        """
+        for start in range(0, len(data), WRITE_BYTES):
+            with trio.move_on_after(self._idle_timeout_s) as scope:
+                await self._stream.send_all(data[start : start + WRITE_BYTES])
+            if scope.cancelled_caught:
+                raise trio.BrokenResourceError("the caller doesn't read the response")
+
+
+def _response_head(status: int, headers: list[tuple[str, str]]) -> h11.Response:
+    return h11.Response(status_code=status, headers=encode_headers(headers))
