Add a stand-in of the platform's replicas that leaves and pauses

Only the scripted targets of the tests knew both notices, with headers of their own. The stand-in speaks the platform's, so that the adapter's codec is tested through a router, and a load tool can switch both.

--- a/standins/target_common.py
+++ b/standins/target_common.py
@@ -31,6 +31,8 @@
     without an answer. ``frozen``: all calls and streams stop until it's switched
     off. ``report_lag_s``: overrides the configured lag of the load report and of
     the cache events. ``slow_factor``: multiplies the duration of each step.
+    ``leaving``: answers say that the target leaves. ``pause_s``: calls are turned away
+    for that long. Only the replica of the platform knows these two.
     """
 
     down: bool = False
@@ -41,6 +43,8 @@
     frozen: bool = False
     report_lag_s: float | None = None
     slow_factor: float = 1.0
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 class CallDroppedError(Exception):
