--- a/tests/test_first_listing.py
+++ b/tests/test_first_listing.py
@@ -23,6 +23,7 @@
 )
 from lavenderfold.timers import TimerService
 from standins.memory_store import MemoryStore
+from tests.test_restart_of_all import IgnoredItems
 
 PROCESSES = 68
 # Time in which the link sends one listing.
@@ -78,19 +79,6 @@
         raise SharedStoreError("no response in time")
 
 
-class IgnoredItems:
-    """A sink that keeps nothing."""
-
-    def put(self, item):
-        pass
-
-    def handle_removal(self, key, *, revision, is_certain):
-        pass
-
-    def known_keys(self):
-        return []
-
-
 def run(scenario) -> None:
     async def main():
         async with trio.open_nursery() as nursery:
--- a/tests/test_relinked_runs.py
+++ b/tests/test_relinked_runs.py
@@ -29,6 +29,18 @@
         pass
 
 
+def new_attempt(link: FakeAgentLink) -> Attempt:
+    """Return an attempt that follows a run of which nothing was answered yet."""
+    return Attempt(
+        run_id="a",
+        key=RequestKey(KEY, "request"),
+        link=link,
+        assembler=AnswerAssembler(start=0),
+        pipe=AnswerPipe(unread_bytes_limit=1000),
+        relink_wait_s=10.0,
+    )
+
+
 def test_run_is_followed_if_its_link_is_lost_a_second_time_much_later():
     """Guards against a run that is given up on a link that is connected again.
 
@@ -37,14 +49,7 @@
 
     async def main():
         link = FakeAgentLink()
-        attempt = Attempt(
-            run_id="a",
-            key=RequestKey(KEY, "request"),
-            link=link,
-            assembler=AnswerAssembler(start=0),
-            pipe=AnswerPipe(unread_bytes_limit=1000),
-            relink_wait_s=10.0,
-        )
+        attempt = new_attempt(link)
         outcomes = []
 
         async def follow():
@@ -76,14 +81,7 @@
     With ``clock`` the router is suspended for ``down_s`` in each loss.
     """
     link = FakeAgentLink()
-    attempt = Attempt(
-        run_id="a",
-        key=RequestKey(KEY, "request"),
-        link=link,
-        assembler=AnswerAssembler(start=0),
-        pipe=AnswerPipe(unread_bytes_limit=1000),
-        relink_wait_s=10.0,
-    )
+    attempt = new_attempt(link)
     outcomes = []
 
     async def follow():
