Write what the socket takes at once, and limit only the rest

A write that the socket takes whole, nearly each one, needs no limit; the idle timeout and the deadline apply to the rest. The deadline is the writer's now, so that refusals are bounded by it as well.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -30,6 +30,7 @@
     RequestNotSentError,
     ResponseLostError,
     ResponseWriter,
+    SlowCallerError,
     StreamedResponse,
 )
 from lavenderfold.quarantine import BEGINNING_S
@@ -43,8 +44,6 @@
 HEAD_WAIT_MIN_S = 0.6
 EVENT_WAIT_FACTOR = 3.0
 EVENT_WAIT_MIN_S = 0.6
-# Time for a write to the caller that isn't complete at the deadline of the request.
-WRITE_GRACE_S = 0.2
 # With one of these statuses a router guarantees that the request didn't run, so a
 # target's own answer with such a status isn't relayed.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -118,7 +117,7 @@
     An error response of the target is kept in ``failure_response``, so that it can
     be relayed if no other attempt follows; ``invalid_answer`` tells why its bytes are
     no answer. ``target_wait`` limits the waits for the target; what has arrived by
-    then is written also after ``deadline``, on the trio clock, if the caller reads it.
+    then is written also later, within the limits of ``writer``.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
     answer, ``on_head`` when the head of any answer was read. ``is_turned_away`` says
     whether the target asked for a pause. ``events`` counts those that this target
@@ -132,7 +131,6 @@
         codec: PlatformCodec,
         writer: ResponseWriter,
         progress: RelayProgress,
-        deadline: float,
         target_wait: TargetWait,
         on_answering: Callable[[], None],
         on_head: Callable[[AnswerHead], None],
@@ -148,7 +146,6 @@
         self._writer = writer
         self._progress = progress
         self._is_continuation = progress.events > 0
-        self._deadline = deadline
         self._target_wait = target_wait
         self._on_answering = on_answering
         self._on_head = on_head
@@ -333,15 +330,12 @@
         )
 
     async def _write(self, write: Awaitable[None]) -> bool:
-        """Write to the caller; return False if the caller reads too slowly.
-
-        The time that a write has isn't over before it begins, so that an answer that
-        is ready late, after a suspension, is delivered as well.
-        """
-        begun_at = max(trio.current_time(), self._deadline)
-        with trio.move_on_at(begun_at + WRITE_GRACE_S) as scope:
+        """Write to the caller; return False if the caller reads too slowly."""
+        try:
             await write
-        return not scope.cancelled_caught
+        except SlowCallerError:
+            return False
+        return True
 
     def _record_events(self, events: CompleteEvents) -> None:
         now = trio.current_time()
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -75,6 +75,7 @@
         caller_timeout_s = request.caller_timeout_s or route.timeout_s
         self._deadline = self._started_at + min(caller_timeout_s, route.timeout_s)
         self._caller_deadline = self._started_at + caller_timeout_s
+        writer.deadline = self._deadline
         self._service_name = pick_service(route, request.attempt_id)
         self._progress = RelayProgress()
         self._reservation = Reservation(
@@ -194,7 +195,6 @@
             codec=self._services.codec,
             writer=self._writer,
             progress=self._progress,
-            deadline=self._deadline,
             target_wait=self._new_target_wait(target),
             on_answering=self._record_answer,
             on_head=partial(
--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -18,7 +18,7 @@
     json_response,
 )
 from lavenderfold.http._peer_client import CallFailedError, PeerClient
-from lavenderfold.http._response_writer import ResponseWriter
+from lavenderfold.http._response_writer import ResponseWriter, SlowCallerError
 from lavenderfold.http._server import (
     IDLE_GRACE_S,
     CloseReason,
@@ -45,6 +45,7 @@
     "ResponseWriter",
     "ServerLimits",
     "ServerOptions",
+    "SlowCallerError",
     "StreamedResponse",
     "json_response",
     "refuses_connections",
--- a/src/lavenderfold/http/_response_writer.py
+++ b/src/lavenderfold/http/_response_writer.py
@@ -1,5 +1,7 @@
 """Writes one response of the HTTP server to its caller."""
 
+import math
+import os
 from collections.abc import Callable
 
 import h11
@@ -10,6 +12,12 @@
 IDLE_TIMEOUT_S = 75.0
 # The part of an answer that a caller must take within the idle timeout.
 WRITE_BYTES = 16384
+# Time for a write that isn't complete at the deadline of its response.
+WRITE_GRACE_S = 0.2
+
+
+class SlowCallerError(Exception):
+    """A caller didn't read a part of its answer until the deadline of the response."""
 
 
 class ResponseWriter:
@@ -18,7 +26,8 @@
     A chunked response is sent with ``start``, ``write`` and ``finish``. If the
     handler returns without calling ``finish``, the connection is closed without the
     terminating chunk, so that the caller can't take a truncated response for a
-    complete one.
+    complete one. ``deadline`` is when the response should be complete, on the trio
+    clock; a write that blocks longer raises SlowCallerError.
     """
 
     __slots__ = (
@@ -28,6 +37,7 @@
         "_idle_timeout_s",
         "started",
         "finished",
+        "deadline",
     )
 
     def __init__(
@@ -44,6 +54,7 @@
         self._idle_timeout_s = idle_timeout_s
         self.started = False
         self.finished = False
+        self.deadline = math.inf
 
     async def send(self, response: HttpResponse) -> None:
         """Send a complete response."""
@@ -83,14 +94,37 @@
         await self._write_data(data)
 
     async def _write_data(self, data: bytes) -> None:
+        sent_bytes = self._write_now(data)
+        if sent_bytes < len(data):
+            await self._write_rest(data[sent_bytes:])
+
+    def _write_now(self, data: bytes) -> int:
+        """Write what the socket takes at once; return how many bytes that is.
+
+        Nearly all writes end here, without the cost of limits on their time.
+        """
+        try:
+            return os.write(self._stream.socket.fileno(), data)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise trio.BrokenResourceError from error
+
+    async def _write_rest(self, data: bytes) -> None:
         """Write in parts that each have the idle timeout.
 
         A slow caller takes them in time; for one that stops reading, or reads only a
-        byte now and then, BrokenResourceError is raised.
+        byte now and then, BrokenResourceError is raised. The time after the deadline
+        isn't over before the write begins, so that an answer that is ready late is
+        written as well.
         """
+        limit = max(trio.current_time(), self.deadline) + WRITE_GRACE_S
         for start in range(0, len(data), WRITE_BYTES):
-            with trio.move_on_after(self._idle_timeout_s) as scope:
+            idle_at = trio.current_time() + self._idle_timeout_s
+            with trio.move_on_at(min(idle_at, limit)) as scope:
                 await self._stream.send_all(data[start : start + WRITE_BYTES])
+            if scope.cancelled_caught and limit < idle_at:
+                raise SlowCallerError
             if scope.cancelled_caught:
                 raise trio.BrokenResourceError("the caller doesn't read the response")
 
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -16,7 +16,11 @@
     decode_headers,
     json_response,
 )
-from lavenderfold.http._response_writer import IDLE_TIMEOUT_S, ResponseWriter
+from lavenderfold.http._response_writer import (
+    IDLE_TIMEOUT_S,
+    ResponseWriter,
+    SlowCallerError,
+)
 from lavenderfold.http._stop import IdleConnections, accept_waiting, duplicate_sockets
 from lavenderfold.settings import Address
 
@@ -195,6 +199,8 @@
             await self._send_error(writer, error)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             raise
+        except SlowCallerError:
+            logger.info("caller_too_slow", extra={"path": request.path})
         except Exception:
             logger.exception("request_failed", extra={"path": request.path})
             if not writer.started:
