Log large or late reads of followed prefixes, and count how late changes are

The lines said when a version was installed and when a hub failed, but not where the version came from, how many superseded versions came with it, nor how long the process had heard nothing.

The line prefix_read holds that for answers of 64 KB or more and for those 1.5 s after the answer before; the histogram lavenderfold_change_delay_seconds holds the time for all changes. Small, timely answers write none, so the volume stays bounded. No decision changes.

--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -107,6 +107,13 @@
             ["prefix"],
             registry=self._registry,
         )
+        self._change_delay = Histogram(
+            "lavenderfold_change_delay_seconds",
+            "Upper bound of the age of changes when they were read.",
+            ["prefix"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
         self._active = Gauge(
             "lavenderfold_active_requests",
             "Requests in progress.",
@@ -159,6 +166,9 @@
     def record_store_call(self, call: StoreCall) -> None:
         self._store_calls.labels(call.kind, call.purpose, call.result).inc()
 
+    def record_change_delay(self, prefix: str, delay_s: float) -> None:
+        self._change_delay.labels(prefix).observe(delay_s)
+
     def record_closed_connection(self, reason: CloseReason) -> None:
         self._closed_connections.labels(reason.value).inc()
 
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -122,6 +122,7 @@
             sink=self._config,
             wait_s=options.watch_wait_s,
             on_answer=self.reachability.record_answer,
+            on_changed=self._metrics.record_change_delay,
         )
         self._target_follower = PrefixFollower(
             store=store,
@@ -130,6 +131,7 @@
             sink=self._targets,
             wait_s=options.watch_wait_s,
             on_answer=self.reachability.record_answer,
+            on_changed=self._metrics.record_change_delay,
         )
         self._quarantine = PromptQuarantine(timers=timers)
         self._crash_evidence = EvidencePublisher(
@@ -142,6 +144,7 @@
             sink=self._crash_evidence,
             wait_s=options.watch_wait_s,
             on_answer=self.reachability.record_answer,
+            on_changed=self._metrics.record_change_delay,
         )
         load_tracker = LoadTracker()
         self._services = RouterServices(
--- a/src/lavenderfold/fleet/_follower.py
+++ b/src/lavenderfold/fleet/_follower.py
@@ -17,11 +17,16 @@
 )
 from lavenderfold.timers import TimerService
 
+MS_PER_S = 1000
 WATCH_WAIT_S = 1.0
 RETRY_PAUSE_S = 0.15
 # A key that is removed this soon after a failed call may be a registration that
 # expired only because the store was unavailable.
 OUTAGE_AFTERMATH_S = 2.0
+# Answers with changes are logged if they are as large as this, or follow the answer
+# before them after this time.
+LOGGED_READ_BYTES = 65536
+LOGGED_READ_DELAY_S = 1.5
 
 logger = logging.getLogger(__name__)
 
@@ -44,7 +49,9 @@
 
     It lists the prefix again if the store has dropped the history of changes. A
     connection that stopped responding is detected within one watch of ``wait_s``
-    seconds. ``on_answer`` is called after each answer of the store.
+    seconds. ``on_answer`` is called after each answer of the store. ``on_changed`` is
+    called with the prefix after each answer with changes, and with the seconds since
+    the answer before: none of the changes is older.
     """
 
     def __init__(
@@ -56,6 +63,7 @@
         sink: ItemSink,
         wait_s: float = WATCH_WAIT_S,
         on_answer: Callable[[], None] | None = None,
+        on_changed: Callable[[str, float], None] | None = None,
     ):
         self.is_listed = False
         # The revision of the last listing; removals before it were not all seen.
@@ -67,6 +75,7 @@
         self._sink = sink
         self._wait_s = wait_s
         self._on_answer = on_answer
+        self._on_changed = on_changed
         self._revision: int | None = None
         self._failed_at = -math.inf
         self._listing_waits = ListingWaits()
@@ -109,6 +118,8 @@
         if changes.keys is not None:
             self._remove_all_but(changes.keys, changes.revision)
         self._revision = max(self._revision, changes.revision)
+        items = [each.item for each in changes.changes if each.item is not None]
+        self._report_read(items, changes.source)
 
     async def _list(self) -> None:
         listing = await self._call_list()
@@ -117,6 +128,7 @@
         self._remove_all_but({item.key for item in listing.items}, listing.revision)
         self._revision = listing.revision
         self.listed_revision = listing.revision
+        self._report_read(listing.items, listing.source)
         self.is_listed = True
 
     async def _call_list(self) -> Listing:
@@ -134,6 +146,27 @@
         self._listing_waits = ListingWaits()
         return listing
 
+    def _report_read(self, items: list[Item], source: str) -> None:
+        """Report an answer with items, and log it if it was large or late."""
+        if not items:
+            return
+        delay_s = self._timers.now() - self.answered_at
+        if self._on_changed is not None and self.is_listed:
+            self._on_changed(self._prefix, delay_s)
+        size = sum(len(each.value) for each in items)
+        if size < LOGGED_READ_BYTES and delay_s < LOGGED_READ_DELAY_S:
+            return
+        fields = {
+            "prefix": self._prefix,
+            "source": source,
+            "revision": self._revision,
+            "items": len(items),
+            "superseded": len(items) - len({each.key for each in items}),
+            "bytes": size,
+            "delay_ms": round(delay_s * MS_PER_S),
+        }
+        logger.info("prefix_read", extra=fields)
+
     def _remove_all_but(self, keys: Collection[str], revision: int) -> None:
         for key in self._sink.known_keys():
             if key not in keys:
--- a/src/lavenderfold/fleet/_hub.py
+++ b/src/lavenderfold/fleet/_hub.py
@@ -17,6 +17,8 @@
 from lavenderfold.timers import TimerService
 
 HUB_PATH = "/hub/follow"
+# The source of answers that come from a hub, for log lines.
+HUB_SOURCE = "hub"
 # Status of the answer while the first listing of the prefix is in progress.
 LISTING_STATUS = 202
 # A hub that has had no answer from the store for this time refuses calls, so that
--- a/src/lavenderfold/fleet/_hub_listing.py
+++ b/src/lavenderfold/fleet/_hub_listing.py
@@ -13,6 +13,7 @@
 
 from lavenderfold.fleet._hub import (
     HUB_PATH,
+    HUB_SOURCE,
     LISTING_STATUS,
     FollowAnswer,
     FollowCall,
@@ -70,7 +71,9 @@
             else:
                 self._hubs.record_success(hub)
                 if answer is not None:
-                    return Listing(items=answer.items, revision=answer.revision)
+                    return Listing(
+                        items=answer.items, revision=answer.revision, source=HUB_SOURCE
+                    )
                 if trio.current_time() - started_at < HUB_LISTING_LIMIT_S:
                     wait.record_data()
             await trio.sleep(random.uniform(PAUSE_S, 2 * PAUSE_S))
--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -6,7 +6,12 @@
 import msgspec
 import trio
 
-from lavenderfold.fleet._hub import HUB_PATH, FollowAnswer, FollowCall
+from lavenderfold.fleet._hub import (
+    HUB_PATH,
+    HUB_SOURCE,
+    FollowAnswer,
+    FollowCall,
+)
 from lavenderfold.fleet._hub_listing import HubListing
 from lavenderfold.http import CallFailedError, PeerClient
 from lavenderfold.shared import (
@@ -59,7 +64,7 @@
         answer = await self._call_hub(FollowCall(prefix, 0, 0.0))
         if answer is None:
             return await self._store.list_items(prefix)
-        return Listing(items=answer.items, revision=answer.revision)
+        return Listing(items=answer.items, revision=answer.revision, source=HUB_SOURCE)
 
     async def _list_at_start(self, prefix: str, wait: ListingWait) -> Listing:
         with trio.move_on_after(RELAYS_TIMEOUT_S):
@@ -92,6 +97,7 @@
             changes=changes,
             revision=answer.revision,
             keys=None if answer.keys is None else frozenset(answer.keys),
+            source=HUB_SOURCE,
         )
 
     async def write(self, writes: list[ConditionalWrite]) -> int:
--- a/src/lavenderfold/shared/_store.py
+++ b/src/lavenderfold/shared/_store.py
@@ -6,6 +6,9 @@
 import msgspec
 import trio
 
+# The source of answers that come from the store itself.
+STORE_SOURCE = "store"
+
 
 class SharedStoreError(Exception):
     """A call to the store failed; the message gives the cause."""
@@ -55,10 +58,14 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """All items under a prefix; changes after ``revision`` may not be included."""
+    """All items under a prefix; changes after ``revision`` may not be included.
+
+    ``source`` names the process that answered, for log lines.
+    """
 
     items: list[Item]
     revision: int
+    source: str = STORE_SOURCE
 
 
 class ListingWait:
@@ -84,11 +91,13 @@
     """All changes up to ``revision``, in the order of their revisions.
 
     Removals may be missing if ``keys`` is given: the keys that exist at ``revision``.
+    ``source`` names the process that answered, for log lines.
     """
 
     changes: list[Change]
     revision: int
     keys: frozenset[str] | None = None
+    source: str = STORE_SOURCE
 
 
 class ConditionalWrite(msgspec.Struct, frozen=True):
