Don't give up a hub's answer that makes progress

Seen: routers with a narrow link, or behind a slow hub, had a total of 1.3 s for a hub's answer. With a large configuration they left the hub and asked the store for the same bytes, over the link between the regions that all of them share.

Cause: a limit on the whole call, unlike the calls to the store, which are given up only if no further part arrives. The call now ends 0.6 s after its last part, and 2.7 s after its start. The listing at the start of a router had code of its own for this; both use the new HubClient.

Test: test_large_answer_that_makes_progress_is_not_given_up; it failed before (the answer came from the store).

--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -3,17 +3,11 @@
 import logging
 import random
 
-import msgspec
 import trio
 
-from lavenderfold.fleet._hub import (
-    HUB_PATH,
-    HUB_SOURCE,
-    FollowAnswer,
-    FollowCall,
-)
+from lavenderfold.fleet._hub import HUB_SOURCE, FollowAnswer, FollowCall
+from lavenderfold.fleet._hub_client import HubCallLimits, HubClient, HubError
 from lavenderfold.fleet._hub_listing import HubListing
-from lavenderfold.http import CallFailedError, PeerClient
 from lavenderfold.shared import (
     Change,
     Changes,
@@ -25,9 +19,11 @@
     SharedStore,
 )
 
-CONNECT_TIMEOUT_S = 0.3
-# A hub must answer within this time after the wait that it was asked for.
+# A hub must begin its answer within this time after the wait that it was asked for,
+# and send each further part within it.
 ANSWER_MARGIN_S = 0.6
+# A hub must have sent a whole answer within this time after that wait.
+TRANSFER_LIMIT_S = 2.0
 # A hub that is paused is found by the end of this wait and the margin.
 MAX_HUB_WAIT_S = 0.7
 # A router that starts waits for the listing of the relays, so that it finds a hub and
@@ -52,9 +48,9 @@
     ):
         self._store = store
         self._hubs = hubs
-        self._hub_listing = HubListing(hubs=hubs)
+        self._client = HubClient()
+        self._hub_listing = HubListing(hubs=hubs, client=self._client)
         self._prefixes = prefixes
-        self._calls = PeerClient(connect_timeout_s=CONNECT_TIMEOUT_S)
 
     async def list_items(
         self, prefix: str, *, wait: ListingWait | None = None
@@ -108,18 +104,17 @@
         hub = self._hubs.best() if call.prefix in self._prefixes else None
         if hub is None:
             return None
+        limits = HubCallLimits(
+            first_s=call.wait_s + ANSWER_MARGIN_S,
+            next_s=ANSWER_MARGIN_S,
+            total_s=call.wait_s + TRANSFER_LIMIT_S,
+        )
         try:
-            body = await self._calls.post(
-                hub.address,
-                HUB_PATH,
-                msgspec.msgpack.encode(call),
-                timeout_s=call.wait_s + ANSWER_MARGIN_S,
-            )
-            answer = msgspec.msgpack.decode(body, type=FollowAnswer)
+            answer = await self._client.call(hub.address, call, limits)
             if answer.revision < call.after:
                 # The hub was paused, or its store call was, and knows less.
-                raise CallFailedError(f"{hub.address}: behind at {answer.revision}")
-        except (CallFailedError, msgspec.DecodeError) as error:
+                raise HubError(f"{hub.address}: behind at {answer.revision}")
+        except HubError as error:
             self._hubs.record_failure(hub)
             fields = {"address": str(hub.address), "cause": str(error)}
             logger.info("hub_failed", extra={"prefix": call.prefix, **fields})
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -7,7 +7,7 @@
 from lavenderfold.fleet._hub import MAX_STALENESS_S, FollowAnswer
 from lavenderfold.http import HttpResponse, serve
 from lavenderfold.settings import Address
-from lavenderfold.shared import Relay, RelayDirectory, RelaySelector, in_region
+from lavenderfold.shared import Item, Relay, RelayDirectory, RelaySelector, in_region
 from lavenderfold.timers import TimerService
 from standins.memory_store import MemoryStore
 
@@ -273,6 +273,32 @@
     run(scenario)
 
 
+def test_large_answer_that_makes_progress_is_not_given_up():
+    """Routers with a narrow link left the hub and fetched the same bytes again."""
+
+    async def scenario(region):
+        region.fallback_store.put(CONFIG, b"old")
+        answers = 0
+
+        async def answer_slowly(request, writer):
+            nonlocal answers
+            answers += 1
+            value = b"n" * 4000
+            body = msgspec.msgpack.encode(FollowAnswer([Item(CONFIG, value, 5)], 5))
+            await writer.start(200, [])
+            for start in range(0, len(body), 1000):
+                await trio.sleep(0.3)
+                await writer.write(body[start : start + 1000])
+            await writer.finish()
+
+        await region.serve(answer_slowly)
+        changes = await region.router_store().wait_changes(CONFIG, after=2, wait_s=0.1)
+        assert [each.revision for each in changes.changes] == [5]
+        assert (answers, region.fallback_store.calls) == (1, 0)
+
+    run(scenario)
+
+
 def test_invalid_answers_and_hubs_of_other_regions_are_not_used():
     async def scenario(region):
         async def garbage(request, writer):
