Keep a second hub ready in each region

Cause: only the hub that all routers used had listed the configuration. When it ended, each router asked the store, which sent every version once a router over the link that the region shares; the next hub listed over the same full link, didn't answer within 0.4 s, counted as failed, and so did the next ones, each with one more copy.

Each router now calls the second hub every 4 s, so that it follows the prefixes too, and asks it within the same call when the first one fails. The second hub is in another failure domain. It watches half as often as a hub that routers wait at.

The two new tests of test_hub failed before.

--- a/src/lavenderfold/fleet/_follower.py
+++ b/src/lavenderfold/fleet/_follower.py
@@ -65,6 +65,7 @@
         on_answer: Callable[[], None] | None = None,
         on_changed: Callable[[str, float], None] | None = None,
     ):
+        self.wait_s = wait_s
         self.is_listed = False
         # The revision of the last listing; removals before it were not all seen.
         self.listed_revision = 0
@@ -73,7 +74,6 @@
         self._timers = timers
         self._prefix = prefix
         self._sink = sink
-        self._wait_s = wait_s
         self._on_answer = on_answer
         self._on_changed = on_changed
         self._revision: int | None = None
@@ -108,7 +108,7 @@
             await self._list()
             return
         changes = await self._store.wait_changes(
-            self._prefix, after=self._revision, wait_s=self._wait_s
+            self._prefix, after=self._revision, wait_s=self.wait_s
         )
         for change in changes.changes:
             if change.item is not None:
--- a/src/lavenderfold/fleet/_hub.py
+++ b/src/lavenderfold/fleet/_hub.py
@@ -27,6 +27,8 @@
 MAX_WAIT_S = 10.0
 # Their sum limits how late a router learns that its hub is cut off.
 WATCH_WAIT_S = 0.7
+# The same while no router waits for changes, as at a standby.
+STANDBY_WATCH_WAIT_S = 1.4
 STALENESS_CHECK_S = 0.25
 # How long a call waits for the first listing of its prefix.
 FIRST_LISTING_TIMEOUT_S = 0.4
@@ -161,6 +163,8 @@
         followed = self._ensure_followed(call.prefix)
         if followed is None:
             return HttpResponse(status=503)
+        if call.wait_s:
+            followed.follower.wait_s = WATCH_WAIT_S
         followed.waiting_calls += 1
         try:
             with trio.move_on_after(FIRST_LISTING_TIMEOUT_S):
@@ -205,8 +209,10 @@
             nursery.start_soon(followed.follower.run)
             while True:
                 await trio.sleep(IDLE_TIMEOUT_S / 2)
-                idle_s = self._timers.now() - followed.last_call_at
-                if not followed.waiting_calls and idle_s >= IDLE_TIMEOUT_S:
+                if followed.waiting_calls:
+                    continue
+                followed.follower.wait_s = STANDBY_WATCH_WAIT_S
+                if self._timers.now() - followed.last_call_at >= IDLE_TIMEOUT_S:
                     break
             nursery.cancel_scope.cancel()
         del self._followed_by_prefix[prefix]
--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -1,12 +1,17 @@
 """A shared store that reads what all routers follow from a hub in the same region."""
 
 import logging
+import math
 import random
 
 import trio
 
 from lavenderfold.fleet._hub import HUB_SOURCE, FollowAnswer, FollowCall
-from lavenderfold.fleet._hub_client import HubCallLimits, HubClient, HubError
+from lavenderfold.fleet._hub_client import (
+    HubCallLimits,
+    HubClient,
+    HubError,
+)
 from lavenderfold.fleet._hub_listing import HubListing
 from lavenderfold.shared import (
     Change,
@@ -15,6 +20,7 @@
     FirstListing,
     Listing,
     ListingWait,
+    Relay,
     RelaySelector,
     SharedStore,
 )
@@ -26,6 +32,11 @@
 TRANSFER_LIMIT_S = 2.0
 # A hub that is paused is found by the end of this wait and the margin.
 MAX_HUB_WAIT_S = 0.7
+# Hubs that a call is sent to, one after the other, before the store is asked.
+HUBS_ASKED = 2
+# The second hub is called this often, so that it follows the prefix as well and can
+# answer at once when the first one fails.
+STANDBY_PERIOD_S = 4.0
 # A router that starts waits for the listing of the relays, so that it finds a hub and
 # large listings don't fill the link before the small one of the relays.
 RELAYS_TIMEOUT_S = 1.0
@@ -51,13 +62,15 @@
         self._client = HubClient()
         self._hub_listing = HubListing(hubs=hubs, client=self._client)
         self._prefixes = prefixes
+        self._standby_called_at_by_prefix: dict[str, float] = {}
 
     async def list_items(
         self, prefix: str, *, wait: ListingWait | None = None
     ) -> Listing:
         if wait is not None:
             return await self._list_at_start(prefix, wait)
-        answer = await self._call_hub(FollowCall(prefix, 0, 0.0))
+        call = FollowCall(prefix, 0, 0.0)
+        answer = await self._call_hubs(self._ranked_hubs(prefix), call)
         if answer is None:
             return await self._store.list_items(prefix)
         return Listing(items=answer.items, revision=answer.revision, source=HUB_SOURCE)
@@ -80,7 +93,8 @@
 
     async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Changes:
         call = FollowCall(prefix, after, min(wait_s, MAX_HUB_WAIT_S))
-        answer = await self._call_hub(call)
+        hubs = self._ranked_hubs(prefix)
+        answer = await self._call_hubs(hubs, call)
         if answer is None:
             return await self._store.wait_changes(prefix, after=after, wait_s=wait_s)
         changes = [Change(item.key, item.revision, item) for item in answer.items]
@@ -99,11 +113,40 @@
     async def write(self, writes: list[ConditionalWrite]) -> int:
         return await self._store.write(writes)
 
-    async def _call_hub(self, call: FollowCall) -> FollowAnswer | None:
-        """Return the hub's answer, or None if the store must be used instead."""
-        hub = self._hubs.best() if call.prefix in self._prefixes else None
-        if hub is None:
-            return None
+    def _ranked_hubs(self, prefix: str) -> list[Relay]:
+        """Return the hubs to ask, or none if the prefix isn't read from hubs."""
+        return self._hubs.ranked()[:HUBS_ASKED] if prefix in self._prefixes else []
+
+    async def _call_hubs(
+        self, hubs: list[Relay], call: FollowCall
+    ) -> FollowAnswer | None:
+        """Return the answer of the first hub that has one.
+
+        Only the first hub waits for changes. Meanwhile the last one is called as the
+        standby if that is due. Returns None if the store must be used instead.
+        """
+        answer = None
+        async with trio.open_nursery() as nursery:
+            if len(hubs) > 1 and self._is_standby_due(call.prefix):
+                nursery.start_soon(self._call_standby, hubs[-1], call)
+            for hub in hubs:
+                answer = await self._call_hub(hub, call)
+                if answer is not None:
+                    break
+                call = FollowCall(call.prefix, call.after, 0.0)
+            nursery.cancel_scope.cancel()
+        return answer
+
+    def _is_standby_due(self, prefix: str) -> bool:
+        called_at = self._standby_called_at_by_prefix.get(prefix, -math.inf)
+        return trio.current_time() - called_at >= STANDBY_PERIOD_S
+
+    async def _call_standby(self, hub: Relay, call: FollowCall) -> None:
+        await self._call_hub(hub, FollowCall(call.prefix, call.after, 0.0))
+        self._standby_called_at_by_prefix[call.prefix] = trio.current_time()
+
+    async def _call_hub(self, hub: Relay, call: FollowCall) -> FollowAnswer | None:
+        """Return the hub's answer, or None if it has none."""
         limits = HubCallLimits(
             first_s=call.wait_s + ANSWER_MARGIN_S,
             next_s=ANSWER_MARGIN_S,
--- a/src/lavenderfold/shared/_relay_selector.py
+++ b/src/lavenderfold/shared/_relay_selector.py
@@ -1,7 +1,9 @@
 """Selection of the same relay by all routers, except for relays that failed."""
 
+from collections import Counter
 from collections.abc import Callable
 
+from lavenderfold.settings import Address
 from lavenderfold.shared._relays import Relay, RelayDirectory, rank
 from lavenderfold.timers import TimerService
 
@@ -61,8 +63,8 @@
     """Selects among the known relays, in the same order at every router.
 
     ``purpose`` names what the relay is selected for; each purpose has another order
-    of the relays. ``keep`` returns those relays, out of the ones that haven't failed,
-    that are considered.
+    of the relays. ``keep`` returns those relays, out of the ones that haven't failed
+    and in the same order, that are considered.
     """
 
     def __init__(
@@ -78,15 +80,24 @@
         self._purpose = purpose
         self._keep = keep
         self._failures_by_incarnation: dict[str, _Failures] = {}
+        self._known: list[Relay] = []
+        self._ordered: list[Relay] = []
 
     def best(self) -> Relay | None:
         """Return the relay to use now, or None if none is usable."""
-        usable = [each for each in self._directory.relays if self._is_usable(each)]
-        return min(
-            self._keep(usable),
-            key=lambda relay: rank(self._purpose, relay.address),
-            default=None,
-        )
+        return next(iter(self.ranked()), None)
+
+    def ranked(self) -> list[Relay]:
+        """Return the usable relays in the order in which they are used.
+
+        The second one is in another failure domain than the first, and comes first
+        as long as that one has failed.
+        """
+        relays = self._directory.relays
+        if relays is not self._known:
+            self._known = relays
+            self._ordered = self._order(relays)
+        return self._keep([each for each in self._ordered if self._is_usable(each)])
 
     async def wait_listed(self) -> None:
         """Wait until the relays were listed, even if none is registered."""
@@ -105,6 +116,16 @@
         """Reset the failures of a relay that answered."""
         self._failures_by_incarnation.pop(relay.incarnation, None)
 
+    def _order(self, relays: list[Relay]) -> list[Relay]:
+        """Order by rank, the first of each failure domain before all second ones."""
+        by_rank = sorted(relays, key=lambda each: rank(self._purpose, each.address))
+        seen_by_domain: Counter[str] = Counter()
+        place_by_address: dict[Address, int] = {}
+        for relay in by_rank:
+            place_by_address[relay.address] = seen_by_domain[relay.domain]
+            seen_by_domain[relay.domain] += 1
+        return sorted(by_rank, key=lambda each: place_by_address[each.address])
+
     def _is_usable(self, relay: Relay) -> bool:
         failures = self._failures_by_incarnation.get(relay.incarnation)
         return failures is None or failures.may_retry(self._timers.now())
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -1,5 +1,7 @@
 """The hub, which follows the store for all routers of a region."""
 
+from functools import partial
+
 import msgspec
 import trio
 
@@ -19,16 +21,17 @@
 
 
 class Region:
-    """A hub on loopback, its store, and a store that routers fall back to."""
+    """Hubs on loopback, their store, and a store that routers fall back to."""
 
     def __init__(self, *, nursery: trio.Nursery):
         self.nursery = nursery
         self.hub_store = MemoryStore()
         self.fallback_store = MemoryStore()
         self.timers = TimerService()
-        self.address: Address | None = None
+        self.scope_by_address: dict[Address, trio.CancelScope] = {}
 
     async def start(self) -> None:
+        """Start a hub."""
         hub = PrefixHub(store=self.hub_store, timers=self.timers)
         self.nursery.start_soon(hub.run)
 
@@ -39,16 +42,25 @@
         await self.serve(handle)
 
     async def serve(self, handle) -> None:
+        """Serve what answers as a hub."""
+
         async def start(task_status):
-            await serve(handle, address=LISTEN, task_status=task_status)
+            with trio.CancelScope() as scope:
+                async with trio.open_nursery() as nursery:
+                    start_server = partial(serve, handle, address=LISTEN)
+                    address = await nursery.start(start_server)
+                    self.scope_by_address[address] = scope
+                    task_status.started()
 
-        self.address = await self.nursery.start(start)
+        await self.nursery.start(start)
 
     def router_store(self, *, region: str = "here") -> RegionalStore:
         relays = RelayDirectory(
             store=self.fallback_store, prefix="relays/", failure_domain="d"
         )
-        relays.relays = [Relay(self.address, "d", "incarnation", region)]
+        relays.relays = [
+            Relay(each, "d", str(each), region) for each in self.scope_by_address
+        ]
         hubs = RelaySelector(
             directory=relays,
             timers=self.timers,
@@ -82,6 +94,22 @@
     assert choice.best() is not None
 
 
+def test_second_relay_is_in_another_failure_domain_and_takes_over():
+    """A failure domain that loses power would take both with it."""
+    addresses = [Address(host=f"10.0.0.{each}", port=1) for each in range(1, 10)]
+    relays = RelayDirectory(store=MemoryStore(), prefix="relays/", failure_domain="d")
+    relays.relays = [
+        Relay(each, f"d{number % 3}", str(each))
+        for number, each in enumerate(addresses)
+    ]
+    selector = RelaySelector(directory=relays, timers=TimerService(), purpose="hub")
+    first, second = selector.ranked()[:2]
+    assert first == selector.best()
+    assert first.domain != second.domain
+    selector.record_failure(first)
+    assert selector.best() == second
+
+
 def run(scenario) -> None:
     async def main():
         with trio.fail_after(20):
@@ -299,6 +327,29 @@
     run(scenario)
 
 
+def test_standby_answers_at_once_when_its_hub_ends():
+    """All routers asked the store while the next hub listed."""
+
+    async def scenario(region):
+        region.hub_store.put(CONFIG, b"old")
+        region.fallback_store.put(CONFIG, b"old")
+        await region.start()
+        await region.start()
+        store = region.router_store()
+        used = store._hubs.best().address
+        await store.list_items(CONFIG)
+        await store.wait_changes(CONFIG, after=2, wait_s=0.3)
+        region.scope_by_address[used].cancel()
+        region.hub_store.put(CONFIG, b"new")
+        started_at = trio.current_time()
+        changes = await store.wait_changes(CONFIG, after=2, wait_s=2)
+        assert [each.item.value for each in changes.changes] == [b"new"]
+        assert trio.current_time() - started_at < 0.3
+        assert region.fallback_store.calls == 0
+
+    run(scenario)
+
+
 def test_invalid_answers_and_hubs_of_other_regions_are_not_used():
     async def scenario(region):
         async def garbage(request, writer):
