Return to a hub that was listing as soon as it has listed

A hub that is asked for the first time answers that it is listing. Routers took that for a failure, left it out for 3 s and asked the next one, which had to list as well: up to 30 copies of a large configuration over one link.

A hub that lists hasn't failed now.

Test: test_hub_that_was_listing_is_used_as_soon_as_it_has_listed; it failed before.

--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -11,6 +11,7 @@
     HubCallLimits,
     HubClient,
     HubError,
+    HubListingError,
 )
 from lavenderfold.fleet._hub_listing import HubListing
 from lavenderfold.shared import (
@@ -96,6 +97,9 @@
         hubs = self._ranked_hubs(prefix)
         answer = await self._call_hubs(hubs, call)
         if answer is None:
+            # While a hub is listing, the store is asked for a short time: otherwise
+            # it would send the next change to each router of the region.
+            wait_s = call.wait_s if hubs else wait_s
             return await self._store.wait_changes(prefix, after=after, wait_s=wait_s)
         changes = [Change(item.key, item.revision, item) for item in answer.items]
         changes += [
@@ -157,6 +161,14 @@
             if answer.revision < call.after:
                 # The hub was paused, or its store call was, and knows less.
                 raise HubError(f"{hub.address}: behind at {answer.revision}")
+        except HubListingError:
+            # It hasn't failed, and the routers that leave it would only make other
+            # hubs list the prefix as well.
+            logger.info(
+                "hub_listing",
+                extra={"prefix": call.prefix, "address": str(hub.address)},
+            )
+            return None
         except HubError as error:
             self._hubs.record_failure(hub)
             fields = {"address": str(hub.address), "cause": str(error)}
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -350,6 +350,30 @@
     run(scenario)
 
 
+def test_hub_that_was_listing_is_used_as_soon_as_it_has_listed():
+    """It counted as failed, and all routers made one hub after the other list."""
+
+    async def scenario(region):
+        region.fallback_store.put(CONFIG, b"v1")
+        list_now = region.hub_store.list_items
+
+        async def list_slowly(prefix, *, wait=None):
+            await trio.sleep(0.6)
+            return await list_now(prefix, wait=wait)
+
+        region.hub_store.list_items = list_slowly
+        region.hub_store.put(CONFIG, b"v1")
+        await region.start()
+        store = region.router_store()
+        await store.wait_changes(CONFIG, after=2, wait_s=2.0)
+        calls = region.fallback_store.calls
+        assert calls == 1
+        await store.wait_changes(CONFIG, after=2, wait_s=0.1)
+        assert region.fallback_store.calls == calls
+
+    run(scenario)
+
+
 def test_invalid_answers_and_hubs_of_other_regions_are_not_used():
     async def scenario(region):
         async def garbage(request, writer):
