Keep the revision of a follower whose history was lost

Seen: when the store drops its history, a hub lists again. Until then it answered its routers with revision 0, so they took it for a hub that knows less than themselves, left it for 3 s, and asked the store, which had no history either: each router listed the prefix over the link that the region shares.

The follower now keeps its revision until it has listed again.

Test: test_hub_that_lists_again_after_lost_history_stays_in_use; it failed before.

--- a/src/lavenderfold/fleet/_follower.py
+++ b/src/lavenderfold/fleet/_follower.py
@@ -66,6 +66,8 @@
         on_changed: Callable[[str, float], None] | None = None,
     ):
         self.wait_s = wait_s
+        # The revision up to which all changes were read; 0 before a listing.
+        self.revision = 0
         self.is_listed = False
         # The revision of the last listing; removals before it were not all seen.
         self.listed_revision = 0
@@ -76,17 +78,12 @@
         self._sink = sink
         self._on_answer = on_answer
         self._on_changed = on_changed
-        self._revision: int | None = None
+        self._must_list = True
         self._failed_at = -math.inf
         self._listing_waits = ListingWaits()
         self._is_history_lost = False
         self.is_reachable = True
 
-    @property
-    def revision(self) -> int:
-        """The revision up to which all changes were read; 0 before a listing."""
-        return self._revision or 0
-
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         while True:
@@ -94,7 +91,7 @@
                 await self._follow_once()
             except HistoryLostError:
                 logger.info("watch_history_lost", extra={"prefix": self._prefix})
-                self._revision = None
+                self._must_list = True
                 self._is_history_lost = True
                 continue
             except SharedStoreError as error:
@@ -104,11 +101,11 @@
             self._record_success()
 
     async def _follow_once(self) -> None:
-        if self._revision is None:
+        if self._must_list:
             await self._list()
             return
         changes = await self._store.wait_changes(
-            self._prefix, after=self._revision, wait_s=self.wait_s
+            self._prefix, after=self.revision, wait_s=self.wait_s
         )
         for change in changes.changes:
             if change.item is not None:
@@ -117,7 +114,7 @@
                 self._remove(change.key, change.revision, change.is_certain)
         if changes.keys is not None:
             self._remove_all_but(changes.keys, changes.revision)
-        self._revision = max(self._revision, changes.revision)
+        self.revision = max(self.revision, changes.revision)
         items = [each.item for each in changes.changes if each.item is not None]
         self._report_read(items, changes.source)
 
@@ -126,7 +123,8 @@
         for item in listing.items:
             self._sink.put(item)
         self._remove_all_but({item.key for item in listing.items}, listing.revision)
-        self._revision = listing.revision
+        self.revision = max(self.revision, listing.revision)
+        self._must_list = False
         self.listed_revision = listing.revision
         self._report_read(listing.items, listing.source)
         self.is_listed = True
@@ -159,7 +157,7 @@
         fields = {
             "prefix": self._prefix,
             "source": source,
-            "revision": self._revision,
+            "revision": self.revision,
             "items": len(items),
             "superseded": len(items) - len({each.key for each in items}),
             "bytes": size,
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -374,6 +374,33 @@
     run(scenario)
 
 
+def test_hub_that_lists_again_after_lost_history_stays_in_use():
+    """It answered as if it knew nothing, so all its routers left it together."""
+
+    async def scenario(region):
+        region.hub_store.put(CONFIG, b"old")
+        await region.start()
+        store = region.router_store()
+        revision = (await store.list_items(CONFIG)).revision
+        list_now = region.hub_store.list_items
+
+        async def list_slowly(prefix, *, wait=None):
+            await trio.sleep(1.0)
+            return await list_now(prefix, wait=wait)
+
+        region.hub_store.list_items = list_slowly
+        region.hub_store.put(CONFIG, b"new")
+        region.hub_store.forget_history()
+        changes = []
+        while not changes:
+            answer = await store.wait_changes(CONFIG, after=revision, wait_s=1.0)
+            changes, revision = answer.changes, answer.revision
+        assert changes[0].item.value == b"new"
+        assert region.fallback_store.calls == 0
+
+    run(scenario)
+
+
 def test_invalid_answers_and_hubs_of_other_regions_are_not_used():
     async def scenario(region):
         async def garbage(request, writer):
