List instead of watching after an answer full of superseded versions

Seen: a watch of the store returns each version of a key since its revision. If a large configuration changes faster than the link sends it, a follower fetched all versions, got more of them with each answer, and its routers ran on old ones for as long.

If the superseded versions of an answer have 64 KB or more, the follower reads a listing next, which has only the newest version, and watches from its revision.

--- a/src/lavenderfold/fleet/_follower.py
+++ b/src/lavenderfold/fleet/_follower.py
@@ -23,6 +23,9 @@
 # A key that is removed this soon after a failed call may be a registration that
 # expired only because the store was unavailable.
 OUTAGE_AFTERMATH_S = 2.0
+# A watch returns each version of a key. If those that were superseded have this size,
+# the next read is a listing, which has only the newest.
+SUPERSEDED_LIMIT_BYTES = 65536
 # Answers with changes are logged if they are as large as this, or follow the answer
 # before them after this time.
 LOGGED_READ_BYTES = 65536
@@ -81,7 +84,7 @@
         self._must_list = True
         self._failed_at = -math.inf
         self._listing_waits = ListingWaits()
-        self._is_history_lost = False
+        self._fails_fast = False
         self.is_reachable = True
 
     async def run(self) -> None:
@@ -91,8 +94,7 @@
                 await self._follow_once()
             except HistoryLostError:
                 logger.info("watch_history_lost", extra={"prefix": self._prefix})
-                self._must_list = True
-                self._is_history_lost = True
+                self._list_again()
                 continue
             except SharedStoreError as error:
                 self._record_failure(error)
@@ -117,6 +119,13 @@
         self.revision = max(self.revision, changes.revision)
         items = [each.item for each in changes.changes if each.item is not None]
         self._report_read(items, changes.source)
+        if _superseded_bytes(items) >= SUPERSEDED_LIMIT_BYTES:
+            # The link is slower than the changes, and more have come meanwhile.
+            self._list_again()
+
+    def _list_again(self) -> None:
+        self._must_list = True
+        self._fails_fast = True
 
     async def _list(self) -> None:
         listing = await self._call_list()
@@ -130,10 +139,10 @@
         self.is_listed = True
 
     async def _call_list(self) -> Listing:
-        if self._is_history_lost:
+        if self._fails_fast:
             # The process was served until now. The first attempt finds out as fast as
             # a watch whether the path to the store is broken.
-            self._is_history_lost = False
+            self._fails_fast = False
             return await self._store.list_items(self._prefix)
         wait = self._listing_waits.begin_attempt()
         try:
@@ -190,3 +199,10 @@
         if not self.is_reachable:
             self.is_reachable = True
             logger.info("store_regained", extra={"prefix": self._prefix})
+
+
+def _superseded_bytes(items: list[Item]) -> int:
+    """Return the size of the items that a later one of the same key replaces."""
+    newest_by_key = {each.key: each for each in items}
+    kept = sum(len(each.value) for each in newest_by_key.values())
+    return sum(len(each.value) for each in items) - kept
--- a/tests/test_large_configurations.py
+++ b/tests/test_large_configurations.py
@@ -242,3 +242,34 @@
         assert await region.longest_delay_s() < PROPAGATION_S
 
     run(scenario)
+
+
+def test_follower_behind_a_full_link_skips_superseded_versions():
+    """It fetched every version and fell behind further with each one."""
+
+    async def main():
+        store, sink = DistantStore(), SeenVersions()
+        store.write()
+        async with trio.open_nursery() as nursery:
+            start_store = partial(serve, store.answer, address=LISTEN)
+            address = await nursery.start(start_store)
+            follower = PrefixFollower(
+                store=PlatformStore(address=address),
+                timers=TimerService(),
+                prefix=CONFIG,
+                sink=sink,
+            )
+            nursery.start_soon(follower.run)
+            for _ in range(60):
+                # Half of the time that the link needs for one.
+                await trio.sleep(0.03)
+                store.write()
+            await sink.wait_for(store.revision)
+            nursery.cancel_scope.cancel()
+        delays_s = [
+            seen - written
+            for written, seen in zip(store.written_at, sink.seen_at, strict=True)
+        ]
+        assert max(delays_s[1:]) < 1.0
+
+    trio.run(main)
