--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -57,7 +57,8 @@
 class RouterOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Options of a router. The prefixes are those of keys in the shared store.
 
-    ``crashes_key`` is the key of the crashes that all routers share.
+    ``config_key`` is the key of the configuration, ``crashes_key`` that of the crashes
+    that all routers share.
     ``watch_wait_s`` is how long a watch without changes stays open.
     ``retry_share`` is the fraction of its requests that a router may retry, and
     ``fleet_retry_reserve`` the number of retries beyond that in a burst, of all
@@ -73,7 +74,7 @@
     retry_share: float
     fleet_retry_reserve: float
     watch_wait_s: float
-    config_prefix: str
+    config_key: str
     targets_prefix: str
     ledger_prefix: str
     crashes_key: str
@@ -113,12 +114,14 @@
             prefix=options.ledger_prefix,
             relays=relays,
         )
-        self._config = ConfigSink(reader=reader, on_installed=self._apply_config)
+        self._config = ConfigSink(
+            key=options.config_key, reader=reader, on_installed=self._apply_config
+        )
         self._targets = TargetSink(reader=reader, timers=timers)
         self._config_follower = PrefixFollower(
             store=store,
             timers=timers,
-            prefix=options.config_prefix,
+            prefix=options.config_key,
             sink=self._config,
             wait_s=options.watch_wait_s,
             on_answer=self.reachability.record_answer,
@@ -310,7 +313,7 @@
                 self._targets.directory.targets(), now=now
             ),
             watch_age_by_prefix={
-                options.config_prefix: now - self._config_follower.answered_at,
+                options.config_key: now - self._config_follower.answered_at,
                 options.targets_prefix: now - self._target_follower.answered_at,
             },
         )
--- a/src/lavenderfold/direct/_sinks.py
+++ b/src/lavenderfold/direct/_sinks.py
@@ -28,12 +28,21 @@
 
 
 class ConfigSink:
-    """Keeps the configuration with the highest version."""
+    """Keeps the configuration with the highest version.
+
+    ``key`` is that of the configuration. A follower also reads the longer keys that
+    begin with it, which are ignored.
+    """
 
     def __init__(
-        self, *, reader: RecordReader, on_installed: Callable[[RouteTable], None]
+        self,
+        *,
+        key: str,
+        reader: RecordReader,
+        on_installed: Callable[[RouteTable], None],
     ):
         self.table: RouteTable | None = None
+        self._key = key
         self._reader = reader
         self._on_installed = on_installed
         self._installed = trio.Event()
@@ -45,6 +54,10 @@
         return self.table
 
     def put(self, item: Item) -> None:
+        if item.key != self._key:
+            fields = {"key": item.key, "revision": item.revision}
+            logger.warning("config_key_ignored", extra=fields)
+            return
         try:
             config = self._reader.read_config(item)
         except UnreadableItemError as error:
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -327,7 +327,7 @@
             retry_share=0.1,
             fleet_retry_reserve=320.0,
             watch_wait_s=1.0,
-            config_prefix="config",
+            config_key="config",
             targets_prefix="targets/",
             ledger_prefix="ledger/",
             crashes_key="crashes",
