Skip an odd entry among those of the targets, whatever it holds

A value nested 100,000 deep raised RecursionError, which nothing caught: the router ended.

decode_json turns all errors of a decoder into one, and stands where JSON of others is decoded, also for a caller's body in the agent-based router. Entries whose fields are out of range are unreadable. A log line that can't be formatted is dropped.

--- a/src/lavenderfold/agent/_platform.py
+++ b/src/lavenderfold/agent/_platform.py
@@ -9,6 +9,7 @@
 from lavenderfold.agent._fencing import MEMBER_RECORD_KEY, Gate, GateFactory
 from lavenderfold.agent._observed_target import CacheEvents, EngineLoad, ObservedTarget
 from lavenderfold.agent._settings import AgentSettings, TargetKind
+from lavenderfold.decoding import decode_json
 from lavenderfold.http import HttpClient, HttpClientError, HttpRequest
 from lavenderfold.logs import log_event
 from lavenderfold.settings import Address
@@ -128,7 +129,7 @@
         try:
             response = await client.request(HttpRequest(method="GET", target=path))
             if response.status == OK_STATUS:
-                return msgspec.json.decode(response.body, type=response_type)
+                return decode_json(response.body, response_type)
         except (HttpClientError, msgspec.MsgspecError):
             return None
     return None
--- a/src/lavenderfold/config/_stored_revisions.py
+++ b/src/lavenderfold/config/_stored_revisions.py
@@ -18,6 +18,7 @@
     RevisionError,
     RevisionsUnavailableError,
 )
+from lavenderfold.decoding import decode_json
 from lavenderfold.store import AnswerLostError, ConflictError, Store, StoreError
 
 HEAD_KEY = "config/head"
@@ -192,7 +193,7 @@
 
 def _decode(key: str, value: bytes, value_type: type[Decoded]):
     try:
-        return Ok(msgspec.json.decode(value, type=value_type))
+        return Ok(decode_json(value, value_type))
     except msgspec.DecodeError as error:
         return Err(CorruptRevisionError(key, error))
 
--- a/src/lavenderfold/logs.py
+++ b/src/lavenderfold/logs.py
@@ -90,7 +90,8 @@
             return
         try:
             line = self.format(record).encode("utf-8", "replace") + b"\n"
-        except (TypeError, ValueError):
+        except (ArithmeticError, RecursionError, TypeError, ValueError):
+            # A field that can't be written must not end what logs it.
             self.handleError(record)
             return
         self._pending.append(line)
--- a/src/lavenderfold/quarantine/_evidence.py
+++ b/src/lavenderfold/quarantine/_evidence.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from lavenderfold.decoding import decode_json
+
 # Prompts that are kept for a crash; a large batch is lost with a target.
 MAX_PROMPTS = 24
 
@@ -64,7 +66,7 @@
 
 def decode_evidence(data: bytes) -> CrashEvidence:
     """Decode evidence; raises msgspec.DecodeError if it is malformed."""
-    return msgspec.json.decode(data, type=CrashEvidence)
+    return decode_json(data, CrashEvidence)
 
 
 def encode_evidence(evidence: CrashEvidence) -> bytes:
--- a/src/lavenderfold/router/_reclaim.py
+++ b/src/lavenderfold/router/_reclaim.py
@@ -12,6 +12,7 @@
 
 from lavenderfold.budgets import LedgerClient, LedgerShard
 from lavenderfold.config import FleetConfig
+from lavenderfold.decoding import decode_json
 from lavenderfold.http import HttpClient, HttpClientError, HttpRequest
 from lavenderfold.logs import log_event
 from lavenderfold.members import MemberRecord, ReclaimPlan
@@ -257,7 +258,7 @@
         try:
             with trio.move_on_after(VM_LIST_WAIT_S):
                 response = await client.request(request)
-                listed = msgspec.json.decode(response.body, type=_VmList)
+                listed = decode_json(response.body, _VmList)
                 return {vm.name for vm in listed.vms if vm.state == VM_GONE}
         except (HttpClientError, msgspec.DecodeError) as error:
             log_event(logger, "vm_list_failed", cause=str(error))
--- a/src/lavenderfold/router/_requests.py
+++ b/src/lavenderfold/router/_requests.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lavenderfold.config import FleetConfig, RequestClass, Route, RouteKind
+from lavenderfold.decoding import decode_json
 from lavenderfold.http import HttpRequest
 from lavenderfold.identifiers import (
     BudgetKey,
@@ -103,8 +104,8 @@
         if http_request.method != "POST":
             raise request_error("use POST", status=405, kind="method_not_allowed")
         try:
-            body = msgspec.json.decode(http_request.body, type=CompletionBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            body = decode_json(http_request.body, CompletionBody)
+        except msgspec.DecodeError as error:
             raise request_error(f"body: {error}") from error
         route = find_route(config, budget, body.model, RouteKind.MODEL)
         if not 1 <= body.max_tokens <= route.max_tokens:
--- a/src/lavenderfold/settings.py
+++ b/src/lavenderfold/settings.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 SettingsType = TypeVar("SettingsType")
 
@@ -84,7 +85,8 @@
     """Parse an address in the form ``IP:PORT``; raises ValueError."""
     host, separator, port = text.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
-    if not separator or not port.isdecimal() or int(port) > MAX_PORT:
+    is_number = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    if not separator or not is_number or int(port) > MAX_PORT:
         raise ValueError(f"expected IP:PORT, got {text!r}")
     ipaddress.ip_address(host)
     return Address(host=host, port=int(port))
--- a/src/lavenderfold/shared/_relays.py
+++ b/src/lavenderfold/shared/_relays.py
@@ -7,6 +7,7 @@
 import trio
 import xxhash
 
+from lavenderfold.decoding import decode_json
 from lavenderfold.settings import Address, parse_address
 from lavenderfold.shared._listing import FIRST_LISTING_WAIT_S, FirstListing
 from lavenderfold.shared._store import (
@@ -112,7 +113,7 @@
         relay_by_address: dict[Address, Relay] = {}
         for item in listing.items:
             try:
-                record = msgspec.json.decode(item.value, type=RelayRecord)
+                record = decode_json(item.value, RelayRecord)
                 address = parse_address(record.address)
             except (msgspec.DecodeError, ValueError) as error:
                 fields = {"key": item.key, "cause": str(error)}
