Answer all requests of a planned stop, also within a short grace period

Report of other operators: in a planned stop of one machine requests that came late in the grace period were passed on, and cut with no answer at its end.

It could happen here in two ways. With a grace period of 3.5 s or less the router never began to refuse: the time for accepting requests was longer than the limit around it. And a request whose target was still silent at the end got a closed connection, also one that may run only once.

Requests are accepted for 2.5 s or 45% of the grace period, whichever is less. Before the process ends, a request of whose answer nothing was written gets 503 if it was sent to no target, else 502. The time for accepting is the same as before with 8 s.

Tests: the three new cases of test_planned_stop failed before.

--- a/src/lavenderfold/direct/_caller_api.py
+++ b/src/lavenderfold/direct/_caller_api.py
@@ -35,6 +35,7 @@
         self._services = services
         self._config = config
         self._idle = trio.Event()
+        self._executions: set[RequestExecution] = set()
 
     async def handle(self, http_request: HttpRequest, writer: ResponseWriter) -> None:
         """Serve one request; raises MalformedRequestError for bad input."""
@@ -53,6 +54,11 @@
             self._idle = trio.Event()
             await self._idle.wait()
 
+    def refuse_unanswered(self) -> None:
+        """Refuse the requests in progress of whose answers nothing was written."""
+        for execution in self._executions:
+            execution.stop_unless_answering()
+
     async def _serve(self, request: CallerRequest, writer: ResponseWriter) -> None:
         table = self._config.table
         if table is None:
@@ -91,7 +97,11 @@
             organisation=organisation,
             writer=writer,
         )
-        await execution.run()
+        self._executions.add(execution)
+        try:
+            await execution.run()
+        finally:
+            self._executions.discard(execution)
 
     async def _refuse(
         self, request: CallerRequest, refusal: Refusal, writer: ResponseWriter
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -3,7 +3,6 @@
 from functools import partial
 
 import trio
-import xxhash
 
 from lavenderfold.direct._attempt import (
     Attempt,
@@ -28,6 +27,7 @@
 from lavenderfold.direct._requests import CallerRequest, TargetCall
 from lavenderfold.direct._reservation import Reservation
 from lavenderfold.direct._router_services import RouterServices
+from lavenderfold.direct._service_choice import pick_service
 from lavenderfold.direct._target_selection import TargetSelection
 from lavenderfold.direct._target_wait import TargetWait
 from lavenderfold.fleet import (
@@ -95,6 +95,7 @@
         )
         self._silent_ids: set[str] = set()
         self._has_reserved_retry = False
+        self._stop_scope = trio.CancelScope()
 
     async def run(self) -> None:
         """Answer the request and settle its reservation.
@@ -104,9 +105,10 @@
         refusal = None
         self._retry_budget.record_request()
         try:
-            refusal = self._refuse_quarantined() or await self._reservation.reserve()
-            if refusal is None:
-                refusal = await self._attempt_targets()
+            with self._stop_scope:
+                refusal = await self._answer()
+            if self._stop_scope.cancelled_caught:
+                refusal = self._refuse_at_stop()
             if refusal is not None:
                 await self._refuse(refusal)
         finally:
@@ -117,6 +119,23 @@
             )
             self._write_result(refusal)
 
+    def stop_unless_answering(self) -> None:
+        """Refuse the request, unless a part of its answer was written already.
+
+        The router is about to end, and its caller would get nothing.
+        """
+        if not self._writer.started:
+            self._stop_scope.cancel()
+
+    async def _answer(self) -> Refusal | None:
+        refusal = self._refuse_quarantined() or await self._reservation.reserve()
+        return refusal or await self._attempt_targets()
+
+    def _refuse_at_stop(self) -> Refusal:
+        if self._progress.may_have_run:
+            return may_have_run(Reason.DRAINING)
+        return not_run(Reason.DRAINING, retry_after_s=DEFAULT_RETRY_AFTER_S)
+
     def _refuse_at_deadline(self) -> Refusal:
         if self._progress.may_have_run or self._sent_attempts:
             return may_have_run(Reason.DEADLINE_PASSED)
@@ -383,16 +402,3 @@
             balance=balance,
         )
         self._log.write_result(result)
-
-
-def pick_service(route: Route, attempt_id: str) -> str:
-    """Return the service for an attempt, chosen by the weights of the route."""
-    if len(route.shares) == 1:
-        return route.shares[0].service
-    total = sum(share.weight for share in route.shares)
-    remainder = xxhash.xxh64_intdigest(attempt_id.encode()) % max(1, total)
-    for share in route.shares:
-        remainder -= share.weight
-        if remainder < 0:
-            return share.service
-    return route.shares[-1].service
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -38,6 +38,8 @@
 # until the load balancer has seen two failed readiness checks. Later requests are
 # refused, because their answers might not end within the grace period.
 DRAIN_ACCEPT_S = 2.5
+# The same, at most, as a fraction of the grace period.
+DRAIN_ACCEPT_FRACTION = 0.45
 # Part of the grace period that is reserved for handing grants back.
 HAND_BACK_RESERVE_S = 1.0
 HAND_BACK_TIMEOUT_S = 0.5
@@ -319,10 +321,11 @@
         )
 
     async def _finish(self) -> None:
-        grace_ends_at = trio.current_time() + self._options.grace_period_s
-        with trio.move_on_after(self._options.grace_period_s - HAND_BACK_RESERVE_S):
-            await trio.sleep(DRAIN_ACCEPT_S)
-            self._caller_api.is_closed = True
+        grace_s = self._options.grace_period_s
+        grace_ends_at = trio.current_time() + grace_s
+        await trio.sleep(min(DRAIN_ACCEPT_S, DRAIN_ACCEPT_FRACTION * grace_s))
+        self._caller_api.is_closed = True
+        with trio.move_on_at(grace_ends_at - HAND_BACK_RESERVE_S):
             await self._caller_api.wait_idle()
         with trio.move_on_after(HAND_BACK_TIMEOUT_S):
             await self._balance_manager.return_all()
@@ -330,6 +333,7 @@
         # answers have used up their time, those that arrive late don't get more.
         ends_at = grace_ends_at - EXIT_RESERVE_S
         if self._caller_api.active:
+            self._caller_api.refuse_unanswered()
             ends_at = trio.current_time() + LAST_REQUESTS_S
         with trio.move_on_at(ends_at):
             self._stop_requested.set()
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -9,7 +9,7 @@
 from lavenderfold.direct._choice import choose_target
 from lavenderfold.direct._events import EventSplitter
 from lavenderfold.direct._load import LoadTracker
-from lavenderfold.direct._request_execution import pick_service
+from lavenderfold.direct._service_choice import pick_service
 from lavenderfold.fleet import RepeatPolicy, ServiceShare, Target
 from lavenderfold.logs import LINES_PER_S, BoundedLogHandler
 from tests.direct_support import make_route
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,13 +3,21 @@
 import socket
 from functools import partial
 
+import msgspec
 import pytest
 import trio
 import trio.testing
 
+from lavenderfold.fleet import RepeatPolicy
 from lavenderfold.http import ServerOptions, serve
 from lavenderfold.settings import Address
-from tests.direct_support import LOOPBACK, answer_successfully, run_scenario
+from tests.direct_support import (
+    LOOPBACK,
+    answer_successfully,
+    make_config,
+    make_route,
+    run_scenario,
+)
 from tests.router_fleet import FakeAgent, Fleet, completion, run_fleet
 
 HEAD = (
@@ -138,6 +146,55 @@
     run_scenario(scenario, answer_successfully)
 
 
+def test_late_requests_are_refused_also_within_a_short_grace_period():
+    """Guards against requests that are passed on until the process ends."""
+
+    async def answer_slowly(request, writer):
+        await trio.sleep(1.8)
+        await answer_successfully(request, writer)
+
+    async def scenario(fleet):
+        options = msgspec.structs.replace(fleet.router.options, grace_period_s=3.0)
+        fleet.router.reload(options)
+        fleet.router.drain()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.send_request, "/sign/x")
+            await trio.sleep(1.6)
+            late_answer = await fleet.send_request("/sign/x")
+        assert late_answer.status == 503
+        assert len(fleet.target_by_id["t0"].received) == 1
+
+    run_scenario(scenario, answer_slowly)
+
+
+@pytest.mark.parametrize(("path", "statuses"), [("/sign/x", [502]), ("/read/x", [502])])
+def test_request_that_its_target_does_not_answer_is_answered_before_the_end(
+    path, statuses
+):
+    """Guards against a closed connection at the end of the grace period."""
+
+    async def never_answer(request, writer):
+        await trio.sleep_forever()
+
+    async def scenario(fleet):
+        options = msgspec.structs.replace(fleet.router.options, grace_period_s=3.0)
+        fleet.router.reload(options)
+        fleet.router.drain()
+        await trio.sleep(0.9)
+        answer = await fleet.send_request(path, patience="9")
+        assert answer.status in statuses
+        assert b"draining" in answer.body
+
+    routes = tuple(
+        make_route(name, policy, timeout_s=9.0)
+        for name, policy in (
+            ("read", RepeatPolicy.IDEMPOTENT),
+            ("sign", RepeatPolicy.SINGLE_RUN),
+        )
+    )
+    run_scenario(scenario, never_answer, config=make_config(routes=routes))
+
+
 def test_kept_connection_is_answered_or_closed_unused_during_a_planned_stop():
     """Guards against closing a kept connection with a request on it."""
     answers = {}
