List the relays again soon after the start

Cause: routers and relays start together. A router away from the store listed the relays after about 60 ms, when only those beside the store had registered, and again after 30 s. It knew no hub of its region until then and watched the store itself: 9 watches of the configuration and 68 of the targets a router by 8 s, and no relay of that region followed anything (lines store_calls). So each change crossed the link between the regions once a router. The same happens after each loss of all power.

The first listings now follow each other after 1 s, 4 s, 16 s and then 30 s. The line relays_changed tells how many relays of each region a router knows.

Three more listings a router in its first 21 s replace its watches.

--- a/src/lavenderfold/shared/_relays.py
+++ b/src/lavenderfold/shared/_relays.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections import Counter
 
 import msgspec
 import trio
@@ -19,6 +20,10 @@
 
 LIST_PERIOD_S = 30.0
 LIST_RETRY_S = 1.0
+# Processes that start together list before all relays have registered, so the first
+# listings follow each other sooner: after LIST_RETRY_S, then after this many times the
+# pause before.
+LIST_BACK_OFF = 4
 # Without a known relay the listing is asked a second time over another connection
 # after this time, lengthened by a random part up to its double: no other path leads
 # around a connection that went silent, and the listing is small.
@@ -83,16 +88,18 @@
 
     async def run(self) -> None:
         """List the relays periodically until cancelled."""
+        next_pause_s = LIST_RETRY_S
         while True:
             self._refresh_requested = trio.Event()
-            pause_s = LIST_PERIOD_S
+            pause_s = LIST_RETRY_S
             try:
                 self.install(await self._list())
             except SharedStoreError as error:
                 logger.info("relays_not_listed", extra={"cause": str(error)})
-                pause_s = LIST_RETRY_S
-            if not self.relays:
-                pause_s = LIST_RETRY_S
+            else:
+                if self.relays:
+                    pause_s = next_pause_s
+                    next_pause_s = min(LIST_PERIOD_S, next_pause_s * LIST_BACK_OFF)
             await trio.sleep(min(pause_s, REFRESH_PAUSE_S))
             with trio.move_on_after(pause_s - REFRESH_PAUSE_S):
                 await self._refresh_requested.wait()
@@ -110,6 +117,7 @@
 
     def install(self, listing: Listing) -> None:
         """Replace the relays by those of a listing; known relays keep their order."""
+        known = {each.address for each in self.relays}
         relay_by_address: dict[Address, Relay] = {}
         for item in listing.items:
             try:
@@ -142,6 +150,9 @@
             relay_by_address[address] for address in known_addresses + new_addresses
         ]
         self.first_listed.set()
+        if set(relay_by_address) != known:
+            count_by_region = Counter(each.region for each in self.relays)
+            logger.info("relays_changed", extra={"by_region": dict(count_by_region)})
 
     def move_to_end(self, address: Address) -> None:
         """Move a relay that failed behind all others."""
