Ask the store for a short time only while a hub is listing

Cause: since hubs that list count as no failure, a router also asked the store for 0.7 s only when its hub had failed. Its later calls, without a usable hub, wait 1 s each. So it came back to the hub 3.7 s after the failure instead of 3.0 s, the pause of a failed hub, and the test allows about 3.9 s in all.

The short wait now holds for hubs that are listing only; what a failed hub causes is as before. HubError and HubListingError carry the difference instead of None.

--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -70,9 +70,9 @@
     ) -> Listing:
         if wait is not None:
             return await self._list_at_start(prefix, wait)
-        call = FollowCall(prefix, 0, 0.0)
-        answer = await self._call_hubs(self._ranked_hubs(prefix), call)
-        if answer is None:
+        try:
+            answer = await self._call_hubs(FollowCall(prefix, 0, 0.0))
+        except HubError:
             return await self._store.list_items(prefix)
         return Listing(items=answer.items, revision=answer.revision, source=HUB_SOURCE)
 
@@ -94,12 +94,14 @@
 
     async def wait_changes(self, prefix: str, *, after: int, wait_s: float) -> Changes:
         call = FollowCall(prefix, after, min(wait_s, MAX_HUB_WAIT_S))
-        hubs = self._ranked_hubs(prefix)
-        answer = await self._call_hubs(hubs, call)
-        if answer is None:
-            # While a hub is listing, the store is asked for a short time: otherwise
-            # it would send the next change to each router of the region.
-            wait_s = call.wait_s if hubs else wait_s
+        try:
+            answer = await self._call_hubs(call)
+        except HubListingError:
+            # The store would send the next change to each router of the region, so it
+            # isn't asked for longer than the hub would be.
+            wait_s = call.wait_s
+            return await self._store.wait_changes(prefix, after=after, wait_s=wait_s)
+        except HubError:
             return await self._store.wait_changes(prefix, after=after, wait_s=wait_s)
         changes = [Change(item.key, item.revision, item) for item in answer.items]
         changes += [
@@ -117,28 +119,31 @@
     async def write(self, writes: list[ConditionalWrite]) -> int:
         return await self._store.write(writes)
 
-    def _ranked_hubs(self, prefix: str) -> list[Relay]:
-        """Return the hubs to ask, or none if the prefix isn't read from hubs."""
-        return self._hubs.ranked()[:HUBS_ASKED] if prefix in self._prefixes else []
-
-    async def _call_hubs(
-        self, hubs: list[Relay], call: FollowCall
-    ) -> FollowAnswer | None:
+    async def _call_hubs(self, call: FollowCall) -> FollowAnswer:
         """Return the answer of the first hub that has one.
 
         Only the first hub waits for changes. Meanwhile the last one is called as the
-        standby if that is due. Returns None if the store must be used instead.
+        standby if that is due. Raises HubError if the store must be asked instead, and
+        HubListingError if a hub will soon have listed the prefix.
         """
+        hubs = self._hubs.ranked() if call.prefix in self._prefixes else []
+        hubs = hubs[:HUBS_ASKED]
         answer = None
+        failure = HubError("no usable hub is known")
         async with trio.open_nursery() as nursery:
             if len(hubs) > 1 and self._is_standby_due(call.prefix):
                 nursery.start_soon(self._call_standby, hubs[-1], call)
             for hub in hubs:
-                answer = await self._call_hub(hub, call)
-                if answer is not None:
+                try:
+                    answer = await self._call_hub(hub, call)
                     break
-                call = FollowCall(call.prefix, call.after, 0.0)
+                except HubListingError as error:
+                    failure = error
+                except HubError:
+                    call = FollowCall(call.prefix, call.after, 0.0)
             nursery.cancel_scope.cancel()
+        if answer is None:
+            raise failure
         return answer
 
     def _is_standby_due(self, prefix: str) -> bool:
@@ -146,33 +151,36 @@
         return trio.current_time() - called_at >= STANDBY_PERIOD_S
 
     async def _call_standby(self, hub: Relay, call: FollowCall) -> None:
-        await self._call_hub(hub, FollowCall(call.prefix, call.after, 0.0))
+        try:
+            await self._call_hub(hub, FollowCall(call.prefix, call.after, 0.0))
+        except HubError:
+            # Logged already; another relay is the standby from now on.
+            return
         self._standby_called_at_by_prefix[call.prefix] = trio.current_time()
 
-    async def _call_hub(self, hub: Relay, call: FollowCall) -> FollowAnswer | None:
-        """Return the hub's answer, or None if it has none."""
+    async def _call_hub(self, hub: Relay, call: FollowCall) -> FollowAnswer:
+        """Return the hub's answer; log and raise a HubError if it has none.
+
+        A hub that is listing hasn't failed: if it were left out for that, one hub after
+        the other would list the prefix.
+        """
         limits = HubCallLimits(
             first_s=call.wait_s + ANSWER_MARGIN_S,
             next_s=ANSWER_MARGIN_S,
             total_s=call.wait_s + TRANSFER_LIMIT_S,
         )
+        fields = {"prefix": call.prefix, "address": str(hub.address)}
         try:
             answer = await self._client.call(hub.address, call, limits)
             if answer.revision < call.after:
                 # The hub was paused, or its store call was, and knows less.
                 raise HubError(f"{hub.address}: behind at {answer.revision}")
         except HubListingError:
-            # It hasn't failed, and the routers that leave it would only make other
-            # hubs list the prefix as well.
-            logger.info(
-                "hub_listing",
-                extra={"prefix": call.prefix, "address": str(hub.address)},
-            )
-            return None
+            logger.info("hub_listing", extra=fields)
+            raise
         except HubError as error:
             self._hubs.record_failure(hub)
-            fields = {"address": str(hub.address), "cause": str(error)}
-            logger.info("hub_failed", extra={"prefix": call.prefix, **fields})
-            return None
+            logger.info("hub_failed", extra=fields | {"cause": str(error)})
+            raise
         self._hubs.record_success(hub)
         return answer
