Prefer relays nearby although they register after the first listing

Each request for money waited for a round trip between the regions, and a partition of the regions would have cost them their witness.

New relays of the own failure domain come before the known ones, which leaves those that failed at the end. A router whose witness is in another failure domain changes to the first relay if that is in its own.

--- a/src/lavenderfold/escrow/_reservation_confirmer.py
+++ b/src/lavenderfold/escrow/_reservation_confirmer.py
@@ -50,9 +50,19 @@
         return str(self.relay.address) if self.relay else ""
 
     def choose_witness(self) -> None:
-        """Choose a witness if there is none and a relay is known."""
-        if self.relay is None and self._directory and self._directory.relays:
-            self._use_witness(self._directory.relays[0])
+        """Choose a witness if there is none, or a near one instead of a distant one.
+
+        Relays that register after the first listing may be nearer than those in it.
+        """
+        if not self._directory or not self._directory.relays:
+            return
+        first = self._directory.relays[0]
+        if self.relay is None or self._is_nearer(first):
+            self._use_witness(first)
+
+    def _is_nearer(self, relay: Relay) -> bool:
+        directory = self._directory
+        return directory.is_near(relay) and not directory.is_near(self.relay)
 
     async def confirm(self, organisation: str) -> None:
         """Wait until the witness knows the reservations made so far.
--- a/src/lavenderfold/shared/_relays.py
+++ b/src/lavenderfold/shared/_relays.py
@@ -66,7 +66,7 @@
 class RelayDirectory:
     """The known relays in the order in which they are tried.
 
-    Relays of ``failure_domain`` come before others when they are first listed. Each
+    Relays of ``failure_domain`` come first until they fail. Each
     ``owner``, the process that uses the directory, has another order within a failure
     domain, so that the load is spread over its relays.
     """
@@ -116,8 +116,12 @@
         return await first_listing.run(FIRST_LISTING_WAIT_S)
 
     def install(self, listing: Listing) -> None:
-        """Replace the relays by those of a listing; known relays keep their order."""
-        known = {each.address for each in self.relays}
+        """Replace the relays by those of a listing; known relays keep their order.
+
+        New relays of the own failure domain come before the known ones, because a
+        process that lists at its start may have missed them.
+        """
+        known = [each.address for each in self.relays]
         relay_by_address: dict[Address, Relay] = {}
         for item in listing.items:
             try:
@@ -134,26 +138,24 @@
                 record.region,
                 record.store_ms,
             )
-        known_addresses = [
-            each.address for each in self.relays if each.address in relay_by_address
-        ]
-        new_addresses = [
-            address for address in relay_by_address if address not in known_addresses
+        new = [
+            each for address, each in relay_by_address.items() if address not in known
         ]
-        new_addresses.sort(
-            key=lambda each: (
-                relay_by_address[each].domain != self._failure_domain,
-                rank(self._owner, each),
-            )
-        )
-        self.relays = [
-            relay_by_address[address] for address in known_addresses + new_addresses
+        new.sort(key=lambda each: rank(self._owner, each.address))
+        self.relays = [each for each in new if self.is_near(each)]
+        self.relays += [
+            relay_by_address[each] for each in known if each in relay_by_address
         ]
+        self.relays += [each for each in new if not self.is_near(each)]
         self.first_listed.set()
-        if set(relay_by_address) != known:
+        if relay_by_address.keys() != set(known):
             count_by_region = Counter(each.region for each in self.relays)
             logger.info("relays_changed", extra={"by_region": dict(count_by_region)})
 
+    def is_near(self, relay: Relay) -> bool:
+        """Whether a relay is in the failure domain of the process."""
+        return relay.domain == self._failure_domain
+
     def move_to_end(self, address: Address) -> None:
         """Move a relay that failed behind all others."""
         failed = [each for each in self.relays if each.address == address]
--- a/tests/escrow_site.py
+++ b/tests/escrow_site.py
@@ -26,11 +26,20 @@
         )
         self.relay_scope = trio.CancelScope()
 
-    async def start_relay(self, address: Address = ANY_PORT) -> None:
+    async def start_relay(
+        self,
+        address: Address = ANY_PORT,
+        *,
+        name: str = "relay",
+        domain: str = "domain",
+    ) -> None:
+        """Start a relay and wait until the directory knows it."""
+        known = {each.incarnation for each in self.directory.relays}
+        self.relay_scope = scope = trio.CancelScope()
         relay = StoreRelay(
             options=RelayOptions(
-                name="relay",
-                domain="domain",
+                name=name,
+                domain=domain,
                 region="region",
                 listen=address,
                 store_address=Address(host="127.0.0.1", port=1),
@@ -43,13 +52,13 @@
         )
 
         async def run(task_status=trio.TASK_STATUS_IGNORED):
-            with self.relay_scope:
+            with scope:
                 await relay.run(task_status=task_status)
 
         await self.nursery.start(run)
         for _ in range(100):
             self.directory.install(await self.store.list_items(RELAYS))
-            if self.directory.relays:
+            if any(each.incarnation not in known for each in self.directory.relays):
                 break
             await trio.sleep(0.02)
 
@@ -77,6 +86,10 @@
         page = decode_page(self.store.value(page_key(LEDGER, "org")))
         return page.balance_by_organisation["org"]
 
+    def witness(self, holder: str) -> str:
+        """Return the incarnation of the witness that a holder's grant names."""
+        return self.balance().grant_by_holder[holder].witness
+
     def charged(self) -> int:
         return self.balance().charged
 
--- a/tests/test_relay_directory.py
+++ b/tests/test_relay_directory.py
@@ -13,9 +13,9 @@
 PROPAGATION_S = 2.5
 
 
-def register(store: MemoryStore, name: str, port: int) -> None:
+def register(store: MemoryStore, name: str, port: int, *, domain: str = "d") -> None:
     record = RelayRecord(
-        address=f"127.0.0.1:{port}", domain="d", incarnation=name, region=name
+        address=f"127.0.0.1:{port}", domain=domain, incarnation=name, region=name
     )
     store.put(f"{PREFIX}{name}", msgspec.json.encode(record))
 
@@ -46,6 +46,22 @@
     run(scenario)
 
 
+def test_near_relay_that_registers_later_comes_first_until_it_fails():
+    """A router kept the distant relays of its first listing before those beside it."""
+
+    async def scenario(store, directory):
+        register(store, "far", 1, domain="elsewhere")
+        await trio.sleep(0.05)
+        register(store, "near", 2)
+        await trio.sleep(PROPAGATION_S)
+        assert [each.region for each in directory.relays] == ["near", "far"]
+        directory.move_to_end(directory.relays[0].address)
+        await trio.sleep(60)
+        assert [each.region for each in directory.relays] == ["far", "near"]
+
+    run(scenario)
+
+
 def test_relays_are_listed_rarely_once_they_are_known():
     """Each listing of each router is a call to the store."""
 
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -21,8 +21,9 @@
     reclaim,
     transfer,
 )
+from lavenderfold.shared import RelayDirectory
 from lavenderfold.timers import TimerService
-from tests.escrow_site import Site, run_site
+from tests.escrow_site import RELAYS, Site, run_site
 
 LIMIT = 1000
 
@@ -282,3 +283,26 @@
         assert funding is Funding.UNAVAILABLE
 
     run_site(scenario, limit=LIMIT)
+
+
+def test_near_relay_that_registers_later_becomes_the_witness():
+    """Each request waited for a witness in the other region until the router's end."""
+
+    async def scenario(site):
+        timers = TimerService()
+        far = site.directory.relays[0]
+        site.directory = RelayDirectory(
+            store=site.store, prefix=RELAYS, failure_domain="here"
+        )
+        site.directory.install(await site.store.list_items(RELAYS))
+        manager = await site.start_manager("router/1", trio.CancelScope())
+        await manager.reserve("org", 10, until=timers.now() + 2)
+        assert site.witness("router/1") == far.incarnation
+        await site.start_relay(name="near", domain="here")
+        await trio.sleep(1.0)
+        funding = await manager.reserve("org", 10, until=timers.now() + 2)
+        assert funding is Funding.RESERVED
+        assert site.witness("router/1") == site.directory.relays[0].incarnation
+        assert site.directory.relays[0] != far
+
+    run_site(scenario, limit=LIMIT)
