Let a hub catch up with a router that read the store later

A hub's revision is that of the store at its last answer, so a standby is nearly always behind the hub in use, also if nothing under the prefix changed. Routers left the standbys out one after the other, and many relays followed the prefixes.

The call that keeps a standby ready doesn't compare revisions any more. A hub that is asked to wait by a router that is ahead of it reads the store at once, instead of at the end of its pending watch. The second hub of a call gets what the first one left of the wait, at least 0.1 s.

Test: test_standby_that_read_the_store_earlier_is_not_left_out; it failed before.

--- a/src/lavenderfold/fleet/_follower.py
+++ b/src/lavenderfold/fleet/_follower.py
@@ -8,6 +8,7 @@
 import trio
 
 from lavenderfold.shared import (
+    Changes,
     HistoryLostError,
     Item,
     Listing,
@@ -19,6 +20,8 @@
 
 MS_PER_S = 1000
 WATCH_WAIT_S = 1.0
+# The wait of a watch that only asks for the present revision.
+REFRESH_WAIT_S = 0.02
 RETRY_PAUSE_S = 0.15
 # A key that is removed this soon after a failed call may be a registration that
 # expired only because the store was unavailable.
@@ -85,13 +88,15 @@
         self._failed_at = -math.inf
         self._listing_waits = ListingWaits()
         self._fails_fast = False
+        self._watch_scope = trio.CancelScope()
+        self._is_refreshing = False
         self.is_reachable = True
 
     async def run(self) -> None:
         """Follow the prefix until cancelled."""
         while True:
             try:
-                await self._follow_once()
+                is_answered = await self._follow_once()
             except HistoryLostError:
                 logger.info("watch_history_lost", extra={"prefix": self._prefix})
                 self._list_again()
@@ -100,15 +105,34 @@
                 self._record_failure(error)
                 await trio.sleep(RETRY_PAUSE_S)
                 continue
-            self._record_success()
+            if is_answered:
+                self._record_success()
 
-    async def _follow_once(self) -> None:
+    def refresh(self) -> None:
+        """Read the present revision now, instead of at the end of the pending watch."""
+        if not self._is_refreshing:
+            self._is_refreshing = True
+            self._watch_scope.cancel()
+
+    async def _follow_once(self) -> bool:
+        """Make one call to the store; return False if ``refresh`` interrupted it."""
         if self._must_list:
             await self._list()
-            return
-        changes = await self._store.wait_changes(
-            self._prefix, after=self.revision, wait_s=self.wait_s
-        )
+            return True
+        changes = None
+        wait_s = REFRESH_WAIT_S if self._is_refreshing else self.wait_s
+        self._watch_scope = trio.CancelScope()
+        with self._watch_scope:
+            changes = await self._store.wait_changes(
+                self._prefix, after=self.revision, wait_s=wait_s
+            )
+        if changes is None:
+            return False
+        self._is_refreshing = False
+        self._apply(changes)
+        return True
+
+    def _apply(self, changes: Changes) -> None:
         for change in changes.changes:
             if change.item is not None:
                 self._sink.put(change.item)
--- a/src/lavenderfold/fleet/_hub.py
+++ b/src/lavenderfold/fleet/_hub.py
@@ -165,6 +165,9 @@
             return HttpResponse(status=503)
         if call.wait_s:
             followed.follower.wait_s = WATCH_WAIT_S
+            if call.after > followed.follower.revision:
+                # The router was served by another process that read the store later.
+                followed.follower.refresh()
         followed.waiting_calls += 1
         try:
             with trio.move_on_after(FIRST_LISTING_TIMEOUT_S):
--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -33,6 +33,8 @@
 TRANSFER_LIMIT_S = 2.0
 # A hub that is paused is found by the end of this wait and the margin.
 MAX_HUB_WAIT_S = 0.7
+# In this time a hub can ask the store once, to know as much as another one did.
+MIN_HUB_WAIT_S = 0.1
 # Hubs that a call is sent to, one after the other, before the store is asked.
 HUBS_ASKED = 2
 # The second hub is called this often, so that it follows the prefix as well and can
@@ -122,12 +124,13 @@
     async def _call_hubs(self, call: FollowCall) -> FollowAnswer:
         """Return the answer of the first hub that has one.
 
-        Only the first hub waits for changes. Meanwhile the last one is called as the
-        standby if that is due. Raises HubError if the store must be asked instead, and
-        HubListingError if a hub will soon have listed the prefix.
+        The hubs together wait for changes as long as the call says. Meanwhile the last
+        one is called as the standby if that is due. Raises HubError if the store must
+        be asked instead, and HubListingError if a hub will soon have listed the prefix.
         """
         hubs = self._hubs.ranked() if call.prefix in self._prefixes else []
         hubs = hubs[:HUBS_ASKED]
+        started_at = trio.current_time()
         answer = None
         failure = HubError("no usable hub is known")
         async with trio.open_nursery() as nursery:
@@ -140,7 +143,7 @@
                 except HubListingError as error:
                     failure = error
                 except HubError:
-                    call = FollowCall(call.prefix, call.after, 0.0)
+                    call = _shortened(call, trio.current_time() - started_at)
             nursery.cancel_scope.cancel()
         if answer is None:
             raise failure
@@ -152,15 +155,20 @@
 
     async def _call_standby(self, hub: Relay, call: FollowCall) -> None:
         try:
-            await self._call_hub(hub, FollowCall(call.prefix, call.after, 0.0))
+            touch = FollowCall(call.prefix, call.after, 0.0)
+            await self._call_hub(hub, touch, is_standby=True)
         except HubError:
             # Logged already; another relay is the standby from now on.
             return
         self._standby_called_at_by_prefix[call.prefix] = trio.current_time()
 
-    async def _call_hub(self, hub: Relay, call: FollowCall) -> FollowAnswer:
+    async def _call_hub(
+        self, hub: Relay, call: FollowCall, *, is_standby: bool = False
+    ) -> FollowAnswer:
         """Return the hub's answer; log and raise a HubError if it has none.
 
+        A standby reads the store at other times than the hub, so it may know less.
+
         A hub that is listing hasn't failed: if it were left out for that, one hub after
         the other would list the prefix.
         """
@@ -172,7 +180,7 @@
         fields = {"prefix": call.prefix, "address": str(hub.address)}
         try:
             answer = await self._client.call(hub.address, call, limits)
-            if answer.revision < call.after:
+            if answer.revision < call.after and not is_standby:
                 # The hub was paused, or its store call was, and knows less.
                 raise HubError(f"{hub.address}: behind at {answer.revision}")
         except HubListingError:
@@ -184,3 +192,9 @@
             raise
         self._hubs.record_success(hub)
         return answer
+
+
+def _shortened(call: FollowCall, elapsed_s: float) -> FollowCall:
+    """Return a call for the time that is left, but for long enough to be answered."""
+    wait_s = max(MIN_HUB_WAIT_S, call.wait_s - elapsed_s)
+    return FollowCall(call.prefix, call.after, wait_s)
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -350,6 +350,36 @@
     run(scenario)
 
 
+def test_standby_that_read_the_store_earlier_is_not_left_out():
+    """The revisions of two hubs differ by what other prefixes changed meanwhile."""
+
+    async def scenario(region):
+        region.hub_store.put(CONFIG, b"old")
+        await region.start()
+        await region.start()
+        store = region.router_store()
+        revision = (await store.list_items(CONFIG)).revision
+        used, standby = store._hubs.ranked()[:2]
+        started_at = trio.current_time()
+        while trio.current_time() - started_at < 2.0:
+            region.hub_store.put("other", b"")
+            answer = await store.wait_changes(CONFIG, after=revision, wait_s=0.2)
+            revision = answer.revision
+            store._standby_called_at_by_prefix.clear()
+        assert store._hubs.ranked() == [used, standby]
+        # The hub that takes over reads the store at once.
+        region.hub_store.put("other", b"")
+        revision = region.hub_store.revision
+        region.scope_by_address[used.address].cancel()
+        started_at = trio.current_time()
+        answer = await store.wait_changes(CONFIG, after=revision, wait_s=0.5)
+        assert answer.revision == revision
+        assert store._hubs.ranked() == [standby]
+        assert region.fallback_store.calls == 0
+
+    run(scenario)
+
+
 def test_hub_that_was_listing_is_used_as_soon_as_it_has_listed():
     """It counted as failed, and all routers made one hub after the other list."""
 
