Reset the connection of a request that is given up

The router had closed the connections in time (line request, outcome left after 2,400 ms), but a target that stood still first read the request and ran it.

An ordinary close tells its end only after all data was read; a reset shows with the first look at the connection. Connections are now reset if their answer isn't complete.

Test: test_target_that_stood_still_learns_that_a_request_was_given_up; it failed before.

--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -6,6 +6,7 @@
 
 import re
 import socket
+import struct
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -35,6 +36,9 @@
 METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD"))
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
+STATES_AFTER_RESPONSE = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+# A linger time of 0 s.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
@@ -236,6 +240,18 @@
         """
         return self.stream.socket.is_readable()
 
+    def is_abandoned(self) -> bool:
+        """Return whether the response isn't complete, so that nobody will read it."""
+        return self.protocol.their_state not in STATES_AFTER_RESPONSE
+
+    def reset_on_close(self) -> None:
+        """Have the peer learn of the close before it reads what was sent.
+
+        After an ordinary close, a peer that stood still would first read the request
+        and run it.
+        """
+        self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def is_reusable(self) -> bool:
         states = (self.protocol.our_state, self.protocol.their_state)
         # Bytes received after a complete response belong to no request, so the
@@ -343,6 +359,8 @@
             connection.is_request_sent = False
             self._idle_connections.append(connection)
             return
+        if connection.is_abandoned():
+            connection.reset_on_close()
         await trio.aclose_forcefully(connection.stream)
 
 
