Send requests past targets that stand still, from the first silent ones on

Cause: silence was learnt by each request for itself. A target that was ejected for it came back after 0.5 s, and a router that hadn't used a target since the suspension took it for sound.

The load tracker now knows when each target last sent anything. One with requests in progress that sent nothing for 0.4 s stands still and is chosen only if all others do; as soon as anything arrives, or 0.5 s after its last request, it is used again. If two stand still, targets that sent something within 0.5 s go first. Nothing is given up for that: only the choice changes. What attempts record of targets is a module of its own.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -119,7 +119,8 @@
     no answer. ``target_wait`` limits the waits for the target; what has arrived by
     then is written also later, within the limits of ``writer``.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
-    answer, ``on_head`` when the head of any answer was read. ``is_turned_away`` says
+    answer, ``on_head`` when the head of any answer was read, ``on_sign`` when a part of
+    an answer's body was. ``is_turned_away`` says
     whether the target asked for a pause. ``events`` counts those that this target
     sent, the first of them at ``first_event_at``.
     """
@@ -134,6 +135,7 @@
         target_wait: TargetWait,
         on_answering: Callable[[], None],
         on_head: Callable[[AnswerHead], None],
+        on_sign: Callable[[], None],
     ):
         self.failure_response: HttpResponse | None = None
         self.invalid_answer: InvalidAnswerError | None = None
@@ -149,6 +151,7 @@
         self._target_wait = target_wait
         self._on_answering = on_answering
         self._on_head = on_head
+        self._on_sign = on_sign
         self._is_answering = False
 
     @property
@@ -223,6 +226,7 @@
         self.status = response.status
         head = self._codec.read_answer(response.status, response.headers)
         self.is_turned_away = head.asks_pause
+        self._on_sign()
         self._on_head(head)
         if head.attempt_id != self._call.request.attempt_id:
             raise InvalidAnswerError(InvalidCause.OTHER_ATTEMPT)
@@ -280,6 +284,7 @@
                 return self._unanswered()
             if chunk is None:
                 break
+            self._on_sign()
             try:
                 events = splitter.feed(chunk)
             except InvalidEventError as error:
--- /dev/null
+++ b/src/lavenderfold/direct/_attempt_recorder.py
@@ -0,0 +1,78 @@
+"""What the attempts of a request show of their targets, and of the path to them."""
+
+from lavenderfold.direct._attempt import Attempt, AttemptOutcome
+from lavenderfold.direct._crash_check import record_crash
+from lavenderfold.direct._requests import AnswerHead, CallerRequest
+from lavenderfold.direct._router_services import RouterServices
+from lavenderfold.fleet import Target
+
+# Silence is recorded when it is noticed, and a timeout is no fault of the target.
+RECORDED_OUTCOMES = (AttemptOutcome.SILENT, AttemptOutcome.TIMED_OUT)
+
+
+class AttemptRecorder:
+    """Records the attempts of one request in the state that all requests share."""
+
+    __slots__ = ("_services", "_request")
+
+    def __init__(self, *, services: RouterServices, request: CallerRequest):
+        self._services = services
+        self._request = request
+
+    def record_start(self, target: Target) -> None:
+        self._services.load_tracker.record_start(target, now=self._now())
+
+    def record_end(self, target: Target) -> None:
+        self._services.load_tracker.record_end(target, now=self._now())
+
+    def record_sign(self, target: Target) -> None:
+        """Record that a part of an answer arrived."""
+        self._services.load_tracker.record_sign(target, now=self._now())
+
+    def record_head(self, target: Target, head: AnswerHead) -> None:
+        """Record what the head of an answer says of its target."""
+        request_id = self._request.attempt_id
+        self._services.notices.record(target, head, request_id=request_id)
+
+    def record_silence(self, target: Target) -> None:
+        """Record that a target has been silent for the limit of a wait."""
+        self._services.reachability.record_failure()
+        self._services.load_tracker.record_failure(target, now=self._now())
+
+    def record_answering(self) -> None:
+        """Record that a target has gone on beyond the beginning of its answer."""
+        self._services.quarantine.record_answer(self._request.shared_part_ids)
+
+    async def record_outcome(
+        self,
+        attempt: Attempt,
+        target: Target,
+        outcome: AttemptOutcome,
+        *,
+        sent_at: float,
+    ) -> None:
+        """Record the end of an attempt that began at ``sent_at`` on the trio clock."""
+        if outcome is AttemptOutcome.LOST:
+            await record_crash(
+                self._services.quarantine,
+                self._services.timers,
+                request=self._request,
+                attempt=attempt,
+                target=target,
+                sent_at=sent_at,
+            )
+        if outcome in RECORDED_OUTCOMES:
+            return
+        reachability = self._services.reachability
+        if outcome is AttemptOutcome.NOT_CONNECTED:
+            reachability.record_failure()
+        elif outcome is not AttemptOutcome.LOST:
+            reachability.record_answer()
+        load_tracker = self._services.load_tracker
+        if outcome is AttemptOutcome.DELIVERED:
+            load_tracker.record_success(target)
+        elif outcome is not AttemptOutcome.REJECTED and not attempt.is_turned_away:
+            load_tracker.record_failure(target, now=self._now())
+
+    def _now(self) -> float:
+        return self._services.timers.now()
--- a/src/lavenderfold/direct/_choice.py
+++ b/src/lavenderfold/direct/_choice.py
@@ -16,6 +16,8 @@
 # The home of a prefix takes requests up to this multiple of the mean load, then the
 # next target in rendezvous order takes them.
 HOME_LOAD_FACTOR = 1.5
+# If this many targets stand still at once, it isn't a fault of single targets.
+SILENT_TARGETS_PATTERN = 2
 # Requests that a home takes even if the mean load is lower.
 HOME_LOAD_MIN = 2
 
@@ -23,7 +25,7 @@
 class TargetChoice(msgspec.Struct, frozen=True):
     """A chosen target, and the reason of the choice as logged.
 
-    ``is_last_resort`` means that all targets have failed lately.
+    ``is_last_resort`` means that all targets have failed lately or stand still.
     """
 
     target: Target
@@ -57,6 +59,23 @@
     return None
 
 
+def _responsive(
+    targets: list[Target], load_tracker: LoadTracker, *, silent: int, now: float
+) -> list[Target]:
+    """Return the targets that don't stand still, as far as can be told.
+
+    If several of the service stand still, ``silent`` of them, so may others that got no
+    request meanwhile. Then those that sent something lately go before them.
+    """
+    responsive = [each for each in targets if not load_tracker.is_silent(each, now=now)]
+    if silent < SILENT_TARGETS_PATTERN:
+        return responsive
+    proven = [
+        each for each in responsive if load_tracker.has_recent_sign(each, now=now)
+    ]
+    return proven or responsive
+
+
 def choose_target(
     candidates: list[Target],
     load_tracker: LoadTracker,
@@ -68,20 +87,22 @@
 ) -> TargetChoice | None:
     """Return the target for the next attempt, or None if there is none.
 
-    Targets that were ejected after failures are used only if no other is left, those
-    that leave or pause never.
+    Targets that were ejected after failures, or that stand still, are used only if no
+    other is left, those that leave or pause never.
     """
     available = load_tracker.available(candidates, now=now)
     usable = [each for each in available if each.id not in avoid]
     if not usable:
         return None
     healthy = [each for each in usable if not load_tracker.is_ejected(each, now=now)]
-    pool = healthy or usable
+    silent = sum(load_tracker.is_silent(each, now=now) for each in available)
+    responsive = _responsive(healthy, load_tracker, silent=silent, now=now)
+    pool = responsive or healthy or usable
     prefix_id = shared_prefix_id(request)
     if prefix_id is not None:
         home = _home_target(pool, load_tracker, prefix_id)
         if home is not None:
-            return TargetChoice(home, "prefix", not healthy)
+            return TargetChoice(home, "prefix", not responsive)
     chosen = min(
         pool,
         key=lambda each: (
@@ -90,5 +111,5 @@
             _rendezvous_score(each, request.attempt_id),
         ),
     )
-    reason = "least_outstanding" if healthy else "all_set_aside"
-    return TargetChoice(chosen, reason, not healthy)
+    reason = "least_outstanding" if responsive else "all_set_aside"
+    return TargetChoice(chosen, reason, not responsive)
--- a/src/lavenderfold/direct/_load.py
+++ b/src/lavenderfold/direct/_load.py
@@ -14,6 +14,14 @@
 # up to the limit.
 EJECTION_BASE_S = 0.5
 EJECTION_LIMIT_S = 4.0
+# A target with requests in progress that sent nothing for this time stands still. Only
+# the choice of targets reacts to that, so a target that is merely slow loses nothing.
+SILENCE_S = 0.4
+# If others stand still, targets that sent something within this time are preferred.
+SIGN_MAX_AGE_S = 0.5
+# Without requests in progress a target that stood still can't show that it goes on.
+# After this time it gets requests again.
+SILENCE_PROBE_S = 0.5
 # A longer pause counts as this long, so that no value takes a target out for good.
 PAUSE_LIMIT_S = 60.0
 # A listing after an outage may bring the entry of a leaving target back, so its state
@@ -26,7 +34,10 @@
 class TargetState:
     """One target's outstanding requests, consecutive failures and notices.
 
-    ``unlisted_since`` is when its entry was first missing in the directory.
+    ``sign_at`` is when the target last sent something. ``waiting_since`` is the same,
+    or when it got the first request after it had answered all; None if nothing is
+    expected of it. ``idle_since`` is when its last request ended, ``unlisted_since``
+    when its entry was first missing in the directory.
     """
 
     __slots__ = (
@@ -36,6 +47,9 @@
         "is_leaving",
         "paused_until",
         "pause_reported_at",
+        "sign_at",
+        "waiting_since",
+        "idle_since",
         "unlisted_since",
     )
 
@@ -46,6 +60,9 @@
         self.is_leaving = False
         self.paused_until = -math.inf
         self.pause_reported_at = -math.inf
+        self.sign_at = -math.inf
+        self.waiting_since: float | None = None
+        self.idle_since = -math.inf
         self.unlisted_since: float | None = None
 
     def is_available(self, now: float) -> bool:
@@ -54,6 +71,11 @@
     def is_pausing(self, now: float) -> bool:
         return self.paused_until > now
 
+    def is_silent(self, now: float) -> bool:
+        if self.waiting_since is None or now - self.waiting_since < SILENCE_S:
+            return False
+        return self.outstanding > 0 or now - self.idle_since < SILENCE_PROBE_S
+
     def is_needed(self, now: float) -> bool:
         """Whether the state must be kept although the target isn't listed."""
         if self.outstanding or self.is_pausing(now):
@@ -91,13 +113,35 @@
             state = self._state_by_key[key] = TargetState()
         return state
 
-    def record_start(self, target: Target) -> None:
+    def record_start(self, target: Target, *, now: float) -> None:
         """Count a request that is being sent to a target."""
-        self.state(target).outstanding += 1
+        state = self.state(target)
+        if state.outstanding == 0 and not state.is_silent(now):
+            state.waiting_since = now
+        state.outstanding += 1
 
-    def record_end(self, target: Target) -> None:
+    def record_end(self, target: Target, *, now: float) -> None:
         """Stop counting a request that has ended."""
-        self.state(target).outstanding -= 1
+        state = self.state(target)
+        was_silent = state.is_silent(now)
+        state.outstanding -= 1
+        if state.outstanding == 0:
+            state.idle_since = now
+            if not was_silent:
+                state.waiting_since = None
+
+    def record_sign(self, target: Target, *, now: float) -> None:
+        """Record that something arrived from a target with requests in progress."""
+        state = self.state(target)
+        state.sign_at = state.waiting_since = now
+
+    def is_silent(self, target: Target, *, now: float) -> bool:
+        """Whether a target stands still; it is used only if all others do as well."""
+        return self.state(target).is_silent(now)
+
+    def has_recent_sign(self, target: Target, *, now: float) -> bool:
+        """Whether a target sent something lately, so that it doesn't stand still."""
+        return now - self.state(target).sign_at < SIGN_MAX_AGE_S
 
     def record_success(self, target: Target) -> None:
         state = self.state(target)
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -10,7 +10,7 @@
     RelayProgress,
     can_be_continued,
 )
-from lavenderfold.direct._crash_check import record_crash
+from lavenderfold.direct._attempt_recorder import AttemptRecorder
 from lavenderfold.direct._pauses import pause_retry_after_s, pause_wait_limit
 from lavenderfold.direct._refusals import (
     DEFAULT_RETRY_AFTER_S,
@@ -47,8 +47,6 @@
 # Lower bound of the remaining time that a target is told; with less than this it
 # can't answer any more.
 MIN_REMAINING_S = 0.005
-# Silence is recorded when it is noticed, and a timeout is no fault of the target.
-RECORDED_OUTCOMES = (AttemptOutcome.SILENT, AttemptOutcome.TIMED_OUT)
 BALANCE_REASONS = (Reason.BUDGET_SPENT.value, Reason.BUDGET_UNAVAILABLE.value)
 
 
@@ -93,6 +91,7 @@
         self._selection = TargetSelection(
             services=services, service_name=self._service_name, request=request
         )
+        self._recorder = AttemptRecorder(services=services, request=request)
         self._silent_ids: set[str] = set()
         self._has_reserved_retry = False
         self._stop_scope = trio.CancelScope()
@@ -215,12 +214,9 @@
             writer=self._writer,
             progress=self._progress,
             target_wait=self._new_target_wait(target),
-            on_answering=self._record_answer,
-            on_head=partial(
-                self._services.notices.record,
-                target,
-                request_id=self._request.attempt_id,
-            ),
+            on_answering=self._recorder.record_answering,
+            on_head=partial(self._recorder.record_head, target),
+            on_sign=partial(self._recorder.record_sign, target),
         )
 
     def _new_target_wait(self, target: Target) -> TargetWait:
@@ -242,7 +238,7 @@
         """
         if silent.id not in self._silent_ids:
             self._silent_ids.add(silent.id)
-            self._record_silence(silent)
+            self._recorder.record_silence(silent)
         if not (self._is_prompt_sound and self._can_go_on_elsewhere):
             return False
         choice = self._selection.choose(instead_of=silent)
@@ -252,24 +248,15 @@
             self._has_reserved_retry = self._retry_budget.try_acquire()
         return self._has_reserved_retry
 
-    def _record_silence(self, target: Target) -> None:
-        services = self._services
-        services.reachability.record_failure()
-        services.load_tracker.record_failure(target, now=services.timers.now())
-
-    def _record_answer(self) -> None:
-        self._services.quarantine.record_answer(self._request.shared_part_ids)
-
     async def _run_attempt(self, attempt: Attempt, target: Target) -> AttemptOutcome:
-        load_tracker = self._services.load_tracker
-        load_tracker.record_start(target)
+        self._recorder.record_start(target)
         sent_at = trio.current_time()
         outcome = None
         try:
             outcome = await attempt.run(self._services.clients.client(target))
         finally:
-            load_tracker.record_end(target)
-            load = load_tracker.state(target).outstanding
+            self._recorder.record_end(target)
+            load = self._services.load_tracker.state(target).outstanding
             self._log.record_attempt(
                 attempt, target, outcome, sent_at=sent_at, load=load
             )
@@ -278,24 +265,7 @@
             self._log.write_invalid_answer(attempt, target)
         if outcome is AttemptOutcome.LOST:
             self._log.write_lost_attempt(attempt, target, sent_at=sent_at)
-            await record_crash(
-                self._services.quarantine,
-                self._services.timers,
-                request=self._request,
-                attempt=attempt,
-                target=target,
-                sent_at=sent_at,
-            )
-        if outcome in RECORDED_OUTCOMES:
-            return outcome
-        if outcome is AttemptOutcome.NOT_CONNECTED:
-            self._services.reachability.record_failure()
-        elif outcome is not AttemptOutcome.LOST:
-            self._services.reachability.record_answer()
-        if outcome is AttemptOutcome.DELIVERED:
-            load_tracker.record_success(target)
-        elif outcome is not AttemptOutcome.REJECTED and not attempt.is_turned_away:
-            load_tracker.record_failure(target, now=self._services.timers.now())
+        await self._recorder.record_outcome(attempt, target, outcome, sent_at=sent_at)
         return outcome
 
     def _may_repeat(self, outcome: AttemptOutcome) -> bool:
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -63,7 +63,7 @@
     used = set()
     for _ in range(40):
         chosen = choose(targets, load_tracker, make_request("hot", "own")).target
-        load_tracker.record_start(chosen)
+        load_tracker.record_start(chosen, now=0.0)
         used.add(chosen.id)
     loads = [load_tracker.state(each).outstanding for each in targets]
     # With a bound of 1.5 times the mean, three of four targets can take all requests.
--- a/tests/test_notices_machine.py
+++ b/tests/test_notices_machine.py
@@ -140,9 +140,9 @@
             is_leaving=is_leaving,
             pause_s=pause_s,
         )
-        self.load_tracker.record_start(target)
+        self.load_tracker.record_start(target, now=self.timers.now())
         self.notices.record(target, head, request_id="a")
-        self.load_tracker.record_end(target)
+        self.load_tracker.record_end(target, now=self.timers.now())
         self.record_answer(target, head)
         if head.is_success:
             self.load_tracker.record_success(target)
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -71,10 +71,10 @@
     """Guards against state that is kept for targets that were just replaced."""
     load_tracker = LoadTracker()
     target = make_incarnation(1)
-    load_tracker.record_start(target)
+    load_tracker.record_start(target, now=0.0)
     load_tracker.keep_only([], now=0.0)
     assert state_count(load_tracker) == 1
-    load_tracker.record_end(target)
+    load_tracker.record_end(target, now=0.0)
     load_tracker.record_failure(target, now=0.0)
     load_tracker.keep_only([], now=0.0)
     assert state_count(load_tracker) == 0
