Reset only the connections of attempts, and keep standbys for the configuration only

Only attempts of the direct router ask for a reset now, as for them a response that wasn't read to its end was given up.

Targets and crashes are listed in a moment by a hub that takes over, so a standby follows the configuration only.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -194,6 +194,7 @@
         exchange = client.stream(
             request,
             is_fresh=not self._call.route.is_repeatable,
+            resets_if_abandoned=True,
             on_sending=self._record_sending,
             exchange_id=self._call.request.attempt_id,
         )
--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -54,17 +54,24 @@
     """A ``SharedStore`` that reads ``prefixes`` from a hub.
 
     All other calls go to ``store``, as do reads of ``prefixes`` if the hub fails. A
-    listing with a wait of its own is that of a process that starts.
+    listing with a wait of its own is that of a process that starts. A standby follows
+    ``large_prefixes``; a hub that takes over lists the others in a moment.
     """
 
     def __init__(
-        self, *, store: SharedStore, hubs: RelaySelector, prefixes: frozenset[str]
+        self,
+        *,
+        store: SharedStore,
+        hubs: RelaySelector,
+        prefixes: frozenset[str],
+        large_prefixes: frozenset[str],
     ):
         self._store = store
         self._hubs = hubs
         self._client = HubClient()
         self._hub_listing = HubListing(hubs=hubs, client=self._client)
         self._prefixes = prefixes
+        self._large_prefixes = large_prefixes
         self._standby_called_at_by_prefix: dict[str, float] = {}
 
     async def list_items(
@@ -150,6 +157,8 @@
         return answer
 
     def _is_standby_due(self, prefix: str) -> bool:
+        if prefix not in self._large_prefixes:
+            return False
         called_at = self._standby_called_at_by_prefix.get(prefix, -math.inf)
         return trio.current_time() - called_at >= STANDBY_PERIOD_S
 
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -295,6 +295,7 @@
         request: HttpRequest,
         *,
         is_fresh: bool = False,
+        resets_if_abandoned: bool = False,
         on_sending: Callable[[], None] | None = None,
         exchange_id: str | None = None,
     ) -> AsyncIterator[StreamedResponse]:
@@ -305,7 +306,8 @@
         ``exchange_id`` is the id that the peer repeats in its response. An earlier
         response with the same id may arrive again, so a connection that lately
         carried this id isn't used. ``on_sending`` is called right before the first
-        byte is sent.
+        byte is sent. With ``resets_if_abandoned`` the connection is reset if the
+        response wasn't read to its end, so that the peer stops working on it.
         """
         connection = await (self._connect() if is_fresh else self._acquire(exchange_id))
         if exchange_id is not None:
@@ -318,6 +320,8 @@
                 head=head, connection=connection, method=request.method
             )
         finally:
+            if resets_if_abandoned and connection.is_abandoned():
+                connection.reset_on_close()
             await self._release(connection)
 
     async def close(self) -> None:
@@ -359,8 +363,6 @@
             connection.is_request_sent = False
             self._idle_connections.append(connection)
             return
-        if connection.is_abandoned():
-            connection.reset_on_close()
         await trio.aclose_forcefully(connection.stream)
 
 
--- a/tests/test_abandoned_requests.py
+++ b/tests/test_abandoned_requests.py
@@ -18,8 +18,10 @@
         with socket.create_server((LOOPBACK, 0)) as listening:
             address = Address(host=LOOPBACK, port=listening.getsockname()[1])
             request = HttpRequest(method="POST", target="/", body=b"body")
+            client = HttpClient(address=address)
             with trio.move_on_after(0.1):
-                await HttpClient(address=address).request(request)
+                async with client.stream(request, resets_if_abandoned=True):
+                    raise AssertionError("the target answered")
             connection, _ = listening.accept()
             with connection:
                 poll = select.poll()
@@ -53,9 +55,9 @@
 
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(serve)
-                response = await client.request(
-                    HttpRequest(method="POST", target="/", body=b"body")
-                )
+                request = HttpRequest(method="POST", target="/", body=b"body")
+                async with client.stream(request, resets_if_abandoned=True) as answer:
+                    response = await answer.read()
                 assert response.body == b"ok"
             assert ends == [b""]
 
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -68,7 +68,10 @@
             keep=in_region("here"),
         )
         return RegionalStore(
-            store=self.fallback_store, hubs=hubs, prefixes=frozenset((CONFIG, TARGETS))
+            store=self.fallback_store,
+            hubs=hubs,
+            prefixes=frozenset((CONFIG, TARGETS)),
+            large_prefixes=frozenset((CONFIG,)),
         )
 
 
--- a/tests/test_large_configurations.py
+++ b/tests/test_large_configurations.py
@@ -180,6 +180,7 @@
             store=self._new_store(),
             hubs=self._new_selector(),
             prefixes=frozenset((CONFIG,)),
+            large_prefixes=frozenset((CONFIG,)),
         )
         follower = PrefixFollower(
             store=store, timers=self._timers, prefix=CONFIG, sink=sink, wait_s=2.5
