Prefer targets with a recent sign for second attempts only

Once two targets were silent, every first attempt of a router went to the targets that had sent it something within 0.5 s. On a large fleet these are two or three of 60, which they could overload.

The preference now holds for second attempts only, which are few. That a target stands still is still known from the first silent requests on.

Test: test_first_attempts_are_not_drawn_to_the_few_targets_with_a_recent_sign; it failed before. Whether this was the cause of the failures isn't shown yet.

--- a/src/lavenderfold/direct/_choice.py
+++ b/src/lavenderfold/direct/_choice.py
@@ -16,8 +16,6 @@
 # The home of a prefix takes requests up to this multiple of the mean load, then the
 # next target in rendezvous order takes them.
 HOME_LOAD_FACTOR = 1.5
-# If this many targets stand still at once, it isn't a fault of single targets.
-SILENT_TARGETS_PATTERN = 2
 # Requests that a home takes even if the mean load is lower.
 HOME_LOAD_MIN = 2
 
@@ -59,21 +57,13 @@
     return None
 
 
-def _responsive(
-    targets: list[Target], load_tracker: LoadTracker, *, silent: int, now: float
+def _with_recent_signs(
+    targets: list[Target], load_tracker: LoadTracker, *, now: float
 ) -> list[Target]:
-    """Return the targets that don't stand still, as far as can be told.
-
-    If several of the service stand still, ``silent`` of them, so may others that got no
-    request meanwhile. Then those that sent something lately go before them.
-    """
-    responsive = [each for each in targets if not load_tracker.is_silent(each, now=now)]
-    if silent < SILENT_TARGETS_PATTERN:
-        return responsive
-    proven = [
-        each for each in responsive if load_tracker.has_recent_sign(each, now=now)
-    ]
-    return proven or responsive
+    """Return the targets that sent something lately, or all if none did."""
+    return [
+        each for each in targets if load_tracker.has_recent_sign(each, now=now)
+    ] or targets
 
 
 def choose_target(
@@ -95,8 +85,11 @@
     if not usable:
         return None
     healthy = [each for each in usable if not load_tracker.is_ejected(each, now=now)]
-    silent = sum(load_tracker.is_silent(each, now=now) for each in available)
-    responsive = _responsive(healthy, load_tracker, silent=silent, now=now)
+    responsive = [each for each in healthy if not load_tracker.is_silent(each, now=now)]
+    if len(usable) < len(available):
+        # A target that this request was sent to has failed or stands still. Others that
+        # got no request lately may stand still as well.
+        responsive = _with_recent_signs(responsive, load_tracker, now=now)
     pool = responsive or healthy or usable
     prefix_id = shared_prefix_id(request)
     if prefix_id is not None:
--- a/src/lavenderfold/direct/_load.py
+++ b/src/lavenderfold/direct/_load.py
@@ -17,7 +17,7 @@
 # A target with requests in progress that sent nothing for this time stands still. Only
 # the choice of targets reacts to that, so a target that is merely slow loses nothing.
 SILENCE_S = 0.6
-# If others stand still, targets that sent something within this time are preferred.
+# For second attempts, targets that sent something within this time are preferred.
 SIGN_MAX_AGE_S = 0.5
 # Without requests in progress a target that stood still can't show that it goes on.
 # After this time it gets requests again.
--- a/tests/test_targets_standing_still.py
+++ b/tests/test_targets_standing_still.py
@@ -183,7 +183,7 @@
     assert choice.is_last_resort
 
 
-def test_target_without_a_recent_sign_is_not_tried_while_others_stand_still():
+def test_second_attempt_goes_to_a_target_with_a_recent_sign():
     """Guards against a second attempt at a target that stands still like the first."""
     load_tracker = LoadTracker()
     silent = [make_target("t0"), make_target("t1")]
@@ -201,3 +201,26 @@
     )
     assert choice.target == sound
     assert not choice.is_last_resort
+
+
+def test_first_attempts_are_not_drawn_to_the_few_targets_with_a_recent_sign():
+    """Each router of a large fleet has such a sign from a few targets only."""
+    load_tracker = LoadTracker()
+    silent = [make_target("t0"), make_target("t1")]
+    others = [make_target(f"t{number}") for number in range(2, 20)]
+    for target in [*silent, others[0]]:
+        load_tracker.record_start(target, now=0.0)
+    load_tracker.record_sign(others[0], now=SILENCE_S)
+    chosen_ids = {
+        choose_target(
+            [*silent, *others],
+            load_tracker,
+            msgspec.structs.replace(make_request(), attempt_id=f"a{number}"),
+            avoid=frozenset(),
+            failure_domain="here",
+            now=SILENCE_S + 0.1,
+        ).target.id
+        for number in range(200)
+    }
+    assert len(chosen_ids) > 10
+    assert not chosen_ids & {"t0", "t1"}
