Count a target's silence and the end of the same attempt as one failure

Cause: silence is recorded when it is noticed, and the attempt may still end by something else. Nothing depends on bytes without end: a target that is silent and then breaks off did it.

The recorder of a request keeps the targets whose silence it has recorded and records no other failure for them.

--- a/src/lavenderfold/direct/_attempt_recorder.py
+++ b/src/lavenderfold/direct/_attempt_recorder.py
@@ -13,11 +13,12 @@
 class AttemptRecorder:
     """Records the attempts of one request in the state that all requests share."""
 
-    __slots__ = ("_services", "_request")
+    __slots__ = ("_services", "_request", "_silent_ids")
 
     def __init__(self, *, services: RouterServices, request: CallerRequest):
         self._services = services
         self._request = request
+        self._silent_ids: set[str] = set()
 
     def record_start(self, target: Target) -> None:
         self._services.load_tracker.record_start(target, now=self._now())
@@ -35,7 +36,10 @@
         self._services.notices.record(target, head, request_id=request_id)
 
     def record_silence(self, target: Target) -> None:
-        """Record that a target has been silent for the limit of a wait."""
+        """Record, once, that a target has been silent for the limit of a wait."""
+        if target.id in self._silent_ids:
+            return
+        self._silent_ids.add(target.id)
         self._services.reachability.record_failure()
         self._services.load_tracker.record_failure(target, now=self._now())
 
@@ -71,8 +75,16 @@
         load_tracker = self._services.load_tracker
         if outcome is AttemptOutcome.DELIVERED:
             load_tracker.record_success(target)
-        elif outcome is not AttemptOutcome.REJECTED and not attempt.is_turned_away:
+        elif self._is_failure(attempt, target, outcome):
             load_tracker.record_failure(target, now=self._now())
 
+    def _is_failure(
+        self, attempt: Attempt, target: Target, outcome: AttemptOutcome
+    ) -> bool:
+        """Whether the target failed in a way that wasn't recorded as its silence."""
+        if outcome is AttemptOutcome.REJECTED or attempt.is_turned_away:
+            return False
+        return target.id not in self._silent_ids
+
     def _now(self) -> float:
         return self._services.timers.now()
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -92,7 +92,6 @@
             services=services, service_name=self._service_name, request=request
         )
         self._recorder = AttemptRecorder(services=services, request=request)
-        self._silent_ids: set[str] = set()
         self._has_reserved_retry = False
         self._stop_scope = trio.CancelScope()
 
@@ -236,9 +235,7 @@
         The silent target may go on, so it is given up only if the request can certainly
         be sent to another target, and one that hasn't failed lately.
         """
-        if silent.id not in self._silent_ids:
-            self._silent_ids.add(silent.id)
-            self._recorder.record_silence(silent)
+        self._recorder.record_silence(silent)
         if not (self._is_prompt_sound and self._can_go_on_elsewhere):
             return False
         choice = self._selection.choose(instead_of=silent)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -21,6 +21,7 @@
     make_route,
     run_scenario,
     stream,
+    valid_headers,
 )
 from tests.raw_answers import CHUNKED, EVENT_STREAM, encode_success
 
@@ -202,6 +203,27 @@
     run_scenario(scenario, good, good)
 
 
+def test_target_that_is_silent_and_then_breaks_off_has_failed_once():
+    """Guards against an ejection that is twice as long for one request.
+
+    On a slow machine a target's bytes without end also take longer than the wait for
+    an event.
+    """
+
+    async def answer(request, writer):
+        content_type = ("content-type", "text/event-stream")
+        await writer.start(200, [*valid_headers(request), content_type])
+        await trio.sleep(1.0)
+        raise RuntimeError("the target breaks off")
+
+    async def scenario(fleet):
+        assert (await fleet.send_request("/draft/x")).status in (502, 504)
+        states = fleet.router._services.load_tracker._state_by_key
+        assert [state.failures for state in states.values()] == [1]
+
+    run_scenario(scenario, answer)
+
+
 async def find_chosen_target(fleet, path: str) -> str:
     """Return the id of the target that a request goes to when both are idle."""
     await fleet.send_request(path)
