--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -120,9 +120,9 @@
     then is written also later, within the limits of ``writer``.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
     answer, ``on_head`` when the head of any answer was read, ``on_sign`` when a part of
-    an answer's body was. ``is_turned_away`` says
-    whether the target asked for a pause. ``events`` counts those that this target
-    sent, the first of them at ``first_event_at``.
+    an answer's body was. ``is_turned_away`` says whether the target asked for a pause.
+    ``events`` counts those that this target sent, the first of them at
+    ``first_event_at``.
     """
 
     def __init__(
