--- a/tests/test_hub_takeover.py
+++ b/tests/test_hub_takeover.py
@@ -12,6 +12,17 @@
 from tests.test_hub import CONFIG, run
 
 
+def delay_listings(store: MemoryStore, delay_s: float) -> None:
+    """Have a store answer each listing after a delay."""
+    list_now = store.list_items
+
+    async def list_slowly(prefix, *, wait=None):
+        await trio.sleep(delay_s)
+        return await list_now(prefix, wait=wait)
+
+    store.list_items = list_slowly
+
+
 def test_second_relay_is_in_another_failure_domain_and_takes_over():
     """A failure domain that loses power would take both with it."""
     addresses = [Address(host=f"10.0.0.{each}", port=1) for each in range(1, 10)]
@@ -86,13 +97,7 @@
 
     async def scenario(region):
         region.fallback_store.put(CONFIG, b"v1")
-        list_now = region.hub_store.list_items
-
-        async def list_slowly(prefix, *, wait=None):
-            await trio.sleep(0.6)
-            return await list_now(prefix, wait=wait)
-
-        region.hub_store.list_items = list_slowly
+        delay_listings(region.hub_store, 0.6)
         region.hub_store.put(CONFIG, b"v1")
         await region.start()
         store = region.router_store()
@@ -113,13 +118,7 @@
         await region.start()
         store = region.router_store()
         revision = (await store.list_items(CONFIG)).revision
-        list_now = region.hub_store.list_items
-
-        async def list_slowly(prefix, *, wait=None):
-            await trio.sleep(1.0)
-            return await list_now(prefix, wait=wait)
-
-        region.hub_store.list_items = list_slowly
+        delay_listings(region.hub_store, 1.0)
         region.hub_store.put(CONFIG, b"new")
         region.hub_store.forget_history()
         changes = []
