Keep a silent target until another one has accepted the request

What callers saw: a stream was cut, or a request answered 502, although its target was about to go on.

Cause: a silent target was given up as soon as another one was usable and a retry reserved. If that one refused the request, couldn't be connected to, failed or crashed, its attempt was the last one allowed. Class: work is given up before its replacement is secured.

Why this works: TakeOver opens the attempt at the other target while the silent one is still waited for. If the silent one sends an event first, the other attempt is given up and counts as sent. Whether a request may have run is counted by attempt, as two can be open.

AttemptOutcome, RelayProgress and the start of attempts are modules of their own now. test_reserved_retry_is_used_only_if_another_target_is_usable patched a method that reserves no retry any more; the test that replaces it makes the same race with events only: the silent target goes on just after the other one was asked, which has left by the second silence.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -1,10 +1,8 @@
 """Sending a request to one target and relaying its answer to the caller."""
 
 import contextlib
-import enum
 from collections.abc import Awaitable, Callable
 
-import msgspec
 import trio
 
 from lavenderfold.direct._events import (
@@ -13,6 +11,8 @@
     InvalidEventError,
     is_later_id,
 )
+from lavenderfold.direct._outcome import AttemptOutcome
+from lavenderfold.direct._relay_progress import RelayProgress
 from lavenderfold.direct._requests import (
     AnswerHead,
     InvalidAnswerError,
@@ -24,11 +24,11 @@
 from lavenderfold.fleet import Route
 from lavenderfold.http import (
     HttpClient,
+    HttpClientError,
     HttpResponse,
     MalformedResponseError,
     MixedHeadError,
     RequestNotSentError,
-    ResponseLostError,
     ResponseWriter,
     SlowCallerError,
     StreamedResponse,
@@ -55,62 +55,6 @@
 )
 
 
-class AttemptOutcome(enum.Enum):
-    """The result of one attempt at a target.
-
-    MISDIRECTED: the request reached another target than the chosen one.
-    LOST: the connection broke, or the stream ended within an event.
-    SILENT: the target didn't answer in time, and another one takes over.
-    TIMED_OUT: the deadline of the request passed before the answer was complete.
-    INVALID: the answer isn't a valid answer to this attempt.
-    FAILED: the target's answer is an error response, or can't continue a stream.
-    """
-
-    DELIVERED = "delivered"
-    NOT_CONNECTED = "not_connected"
-    REJECTED = "rejected"
-    MISDIRECTED = "misdirected"
-    LOST = "lost"
-    SILENT = "silent"
-    TIMED_OUT = "timed_out"
-    INVALID = "invalid"
-    FAILED = "failed"
-
-    @property
-    def is_certainly_not_run(self) -> bool:
-        return self in (
-            AttemptOutcome.NOT_CONNECTED,
-            AttemptOutcome.REJECTED,
-            AttemptOutcome.MISDIRECTED,
-        )
-
-
-class RelayProgress(msgspec.Struct):
-    """How much of an answer was relayed to the caller, over all attempts.
-
-    ``may_have_run`` is true once any target may have run the request.
-    """
-
-    events: int = 0
-    last_event_id: str | None = None
-    first_byte_at: float | None = None
-    last_event_at: float | None = None
-    longest_pause_s: float = 0.0
-    may_have_run: bool = False
-
-    def record_events(self, count: int, last_id: str | None, *, now: float) -> None:
-        """Record events that were relayed together."""
-        if self.last_event_at is None:
-            self.first_byte_at = now
-        else:
-            pause_s = now - self.last_event_at
-            self.longest_pause_s = max(self.longest_pause_s, pause_s)
-        self.last_event_at = now
-        self.events += count
-        if last_id is not None:
-            self.last_event_id = last_id
-
-
 class Attempt:
     """Sends a call to a target and relays a valid answer to the caller.
 
@@ -120,9 +64,10 @@
     then is written also later, within the limits of ``writer``.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
     answer, ``on_head`` when the head of any answer was read, ``on_sign`` when a part of
-    an answer's body was. ``is_turned_away`` says whether the target asked for a pause.
-    ``events`` counts those that this target sent, the first of them at
-    ``first_event_at``.
+    an answer's body was, ``on_events`` before events are relayed. ``is_turned_away``
+    says whether the target asked for a pause. ``events`` counts those that this target
+    sent, the first of them at ``first_event_at``. ``sent_at`` is when the first byte
+    of the call was sent.
     """
 
     def __init__(
@@ -136,6 +81,7 @@
         on_answering: Callable[[], None],
         on_head: Callable[[AnswerHead], None],
         on_sign: Callable[[], None],
+        on_events: Callable[[], None],
     ):
         self.failure_response: HttpResponse | None = None
         self.invalid_answer: InvalidAnswerError | None = None
@@ -143,6 +89,7 @@
         self.is_turned_away = False
         self.events = 0
         self.first_event_at: float | None = None
+        self.sent_at: float | None = None
         self._call = call
         self._codec = codec
         self._writer = writer
@@ -152,7 +99,12 @@
         self._on_answering = on_answering
         self._on_head = on_head
         self._on_sign = on_sign
+        self._on_events = on_events
         self._is_answering = False
+        self._first_deadline = trio.current_time() + self._head_wait_s()
+        self._exchange = contextlib.AsyncExitStack()
+        self._response: StreamedResponse | None = None
+        self._head: AnswerHead | None = None
 
     @property
     def is_before_answer(self) -> bool:
@@ -164,29 +116,17 @@
         """Whether the target had sent the head of its answer, but no event."""
         return self.status is not None and self.events == 0
 
-    async def run(self, client: HttpClient) -> AttemptOutcome:
-        """Run the attempt until it ends or is cancelled; return its outcome."""
-        may_have_run_before = self._progress.may_have_run
-        try:
-            outcome = await self._send(client)
-        finally:
-            self._target_wait.close()
-        if outcome is AttemptOutcome.DELIVERED:
-            self._record_answering()
-        if outcome.is_certainly_not_run:
-            self._progress.may_have_run = may_have_run_before
-        return outcome
-
-    def _record_sending(self) -> None:
-        # Set before the first byte is sent, so that it holds as well if the caller
-        # disconnects and the attempt is cancelled before its outcome is known.
-        self._progress.may_have_run = True
+    @property
+    def is_successful(self) -> bool:
+        """Whether the target has begun to answer with success."""
+        return self._head is not None and self._head.is_success
 
-    async def relay_failure(self) -> None:
-        """Write the error response of the target to the caller."""
-        await self._write(self._writer.send(self.failure_response))
+    async def open(self, client: HttpClient) -> AttemptOutcome | None:
+        """Send the call and read the head of its answer.
 
-    async def _send(self, client: HttpClient) -> AttemptOutcome:
+        Returns the outcome if the attempt ends with that, and None if an answer
+        follows. There is no limit on the time.
+        """
         request = self._codec.write_call(self._call)
         # The target may close an idle connection while the request is being sent,
         # which leaves unknown whether it ran. Requests that must not run twice are
@@ -198,32 +138,84 @@
             on_sending=self._record_sending,
             exchange_id=self._call.request.attempt_id,
         )
-        first_deadline = trio.current_time() + self._head_wait_s()
         try:
-            async with contextlib.AsyncExitStack() as stack:
-                with self._target_wait.until_silent(first_deadline) as wait:
-                    response = await stack.enter_async_context(exchange)
-                if wait.cancelled_caught:
-                    return self._unanswered()
-                return await self._handle_response(response, first_deadline)
-        except InvalidAnswerError as error:
+            self._response = await self._exchange.enter_async_context(exchange)
+            return self._read_head(self._response)
+        except (InvalidAnswerError, HttpClientError) as error:
+            return self._failure_outcome(error)
+
+    async def run(
+        self, opening: Callable[[], Awaitable[AttemptOutcome | None]]
+    ) -> AttemptOutcome:
+        """Run the attempt until it ends or is cancelled; return its outcome.
+
+        ``opening`` calls ``open``, or waits for a call of it by another task.
+        """
+        try:
+            outcome = await self._open_and_relay(opening)
+        finally:
+            await self.close()
+        if outcome is AttemptOutcome.DELIVERED:
+            self._record_answering()
+        self.record_certainty(outcome)
+        return outcome
+
+    async def close(self) -> None:
+        """Give the exchange with the target up, if it isn't complete."""
+        self._target_wait.close()
+        await self._exchange.aclose()
+
+    def record_certainty(self, outcome: AttemptOutcome) -> None:
+        """Record whether the target certainly didn't run the request."""
+        if outcome.is_certainly_not_run and self.sent_at is not None:
+            self._progress.uncertain_attempts -= 1
+
+    def stop_waiting_if_taken_over(self) -> None:
+        """Ask at once whether another target takes over from a silent one."""
+        self._target_wait.ask_now()
+
+    def _record_sending(self) -> None:
+        # Counted before the first byte is sent, so that it holds as well if the caller
+        # disconnects and the attempt is cancelled before its outcome is known.
+        self.sent_at = trio.current_time()
+        self._progress.uncertain_attempts += 1
+
+    async def relay_failure(self) -> None:
+        """Write the error response of the target to the caller."""
+        await self._write(self._writer.send(self.failure_response))
+
+    async def _open_and_relay(
+        self, opening: Callable[[], Awaitable[AttemptOutcome | None]]
+    ) -> AttemptOutcome:
+        with self._target_wait.until_silent(self._first_deadline) as wait:
+            outcome = await opening()
+        if wait.cancelled_caught:
+            return self._unanswered()
+        if outcome is not None:
+            return outcome
+        try:
+            return await self._relay(self._head, self._response)
+        except (InvalidAnswerError, HttpClientError) as error:
+            return self._failure_outcome(error)
+
+    def _failure_outcome(
+        self, error: InvalidAnswerError | HttpClientError
+    ) -> AttemptOutcome:
+        if isinstance(error, InvalidAnswerError):
             self.invalid_answer = error
-            return AttemptOutcome.INVALID
-        except MixedHeadError:
+        elif isinstance(error, MixedHeadError):
             self.invalid_answer = InvalidAnswerError(InvalidCause.MIXED_HEAD)
-            return AttemptOutcome.INVALID
-        except MalformedResponseError as error:
+        elif isinstance(error, MalformedResponseError):
             detail = str(error.__cause__)[:DETAIL_CHARACTERS_LIMIT]
             self.invalid_answer = InvalidAnswerError(InvalidCause.MALFORMED, detail)
-            return AttemptOutcome.INVALID
-        except RequestNotSentError:
+        elif isinstance(error, RequestNotSentError):
             return AttemptOutcome.NOT_CONNECTED
-        except ResponseLostError:
+        else:
             return AttemptOutcome.LOST
+        return AttemptOutcome.INVALID
 
-    async def _handle_response(
-        self, response: StreamedResponse, first_deadline: float
-    ) -> AttemptOutcome:
+    def _read_head(self, response: StreamedResponse) -> AttemptOutcome | None:
+        """Return the outcome if no answer follows the head, else None."""
         self.status = response.status
         head = self._codec.read_answer(response.status, response.headers)
         self.is_turned_away = head.asks_pause
@@ -239,9 +231,15 @@
             raise InvalidAnswerError(InvalidCause.UNSIGNED)
         if head.is_encoded:
             raise InvalidAnswerError(InvalidCause.ENCODED)
+        self._head = head
+        return None
+
+    async def _relay(
+        self, head: AnswerHead, response: StreamedResponse
+    ) -> AttemptOutcome:
         if head.is_success and _is_event_stream(head):
-            return await self._relay_events(head, response, first_deadline)
-        return await self._relay_buffered(head, response, first_deadline)
+            return await self._relay_events(head, response, self._first_deadline)
+        return await self._relay_buffered(head, response, self._first_deadline)
 
     async def _relay_buffered(
         self, head: AnswerHead, response: StreamedResponse, deadline: float
@@ -323,6 +321,7 @@
         return self._progress.last_event_id != self._call.last_event_id
 
     async def _write_events(self, head: AnswerHead, events: CompleteEvents) -> bool:
+        self._on_events()
         if not await self._start(head):
             return False
         self._record_events(events)
--- a/src/lavenderfold/direct/_attempt_recorder.py
+++ b/src/lavenderfold/direct/_attempt_recorder.py
@@ -1,7 +1,8 @@
 """What the attempts of a request show of their targets, and of the path to them."""
 
-from lavenderfold.direct._attempt import Attempt, AttemptOutcome
+from lavenderfold.direct._attempt import Attempt
 from lavenderfold.direct._crash_check import record_crash
+from lavenderfold.direct._outcome import AttemptOutcome
 from lavenderfold.direct._requests import AnswerHead, CallerRequest
 from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.fleet import Target
--- /dev/null
+++ b/src/lavenderfold/direct/_attempt_starter.py
@@ -0,0 +1,119 @@
+"""Begins the attempts of one request."""
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+import msgspec
+import trio
+
+from lavenderfold.direct._attempt import Attempt
+from lavenderfold.direct._attempt_recorder import AttemptRecorder
+from lavenderfold.direct._choice import TargetChoice
+from lavenderfold.direct._outcome import AttemptOutcome
+from lavenderfold.direct._relay_progress import RelayProgress
+from lavenderfold.direct._requests import CallerRequest, TargetCall
+from lavenderfold.direct._router_services import RouterServices
+from lavenderfold.direct._target_wait import TargetWait
+from lavenderfold.fleet import Organisation, Route, Target
+from lavenderfold.http import ResponseWriter
+
+# Lower bound of the remaining time that a target is told; with less than this it
+# can't answer any more.
+MIN_REMAINING_S = 0.005
+
+
+class StartedAttempt(msgspec.Struct, frozen=True, kw_only=True):
+    """An attempt at ``target``, begun at ``started_at`` on the trio clock.
+
+    ``opening`` opens the attempt, or waits until it is open. ``reason`` is that of the
+    target's choice.
+    """
+
+    attempt: Attempt
+    target: Target
+    reason: str
+    opening: Callable[[], Awaitable[AttemptOutcome | None]]
+    started_at: float
+
+
+class AttemptStarter:
+    """Begins attempts that relay to the same writer, until ``deadline``.
+
+    ``deadline`` is a time of the trio clock. ``on_events`` is called before events of
+    any of these attempts are relayed.
+    """
+
+    __slots__ = (
+        "_services",
+        "_request",
+        "_route",
+        "_organisation",
+        "_writer",
+        "_progress",
+        "_recorder",
+        "_deadline",
+        "_on_events",
+    )
+
+    def __init__(
+        self,
+        *,
+        services: RouterServices,
+        request: CallerRequest,
+        route: Route,
+        organisation: Organisation | None,
+        writer: ResponseWriter,
+        progress: RelayProgress,
+        recorder: AttemptRecorder,
+        deadline: float,
+        on_events: Callable[[], None],
+    ):
+        self._services = services
+        self._request = request
+        self._route = route
+        self._organisation = organisation
+        self._writer = writer
+        self._progress = progress
+        self._recorder = recorder
+        self._deadline = deadline
+        self._on_events = on_events
+
+    def start(
+        self, choice: TargetChoice, *, try_take_over: Callable[[], bool] | None
+    ) -> StartedAttempt:
+        """Begin an attempt; see TargetWait for ``try_take_over``."""
+        target = choice.target
+        now = trio.current_time()
+        self._recorder.record_start(target)
+        attempt = Attempt(
+            call=self._new_call(target, now=now),
+            codec=self._services.codec,
+            writer=self._writer,
+            progress=self._progress,
+            target_wait=TargetWait(
+                timers=self._services.timers,
+                deadline=self._deadline,
+                try_take_over=try_take_over,
+            ),
+            on_answering=self._recorder.record_answering,
+            on_head=partial(self._recorder.record_head, target),
+            on_sign=partial(self._recorder.record_sign, target),
+            on_events=self._on_events,
+        )
+        return StartedAttempt(
+            attempt=attempt,
+            target=target,
+            reason=choice.reason,
+            opening=partial(attempt.open, self._services.clients.client(target)),
+            started_at=now,
+        )
+
+    def _new_call(self, target: Target, *, now: float) -> TargetCall:
+        return TargetCall(
+            request=self._request,
+            route=self._route,
+            target=target,
+            organisation=self._organisation.name if self._organisation else None,
+            remaining_s=max(MIN_REMAINING_S, self._deadline - now),
+            last_event_id=self._progress.last_event_id or self._request.last_event_id,
+        )
--- a/src/lavenderfold/direct/_pauses.py
+++ b/src/lavenderfold/direct/_pauses.py
@@ -2,8 +2,8 @@
 
 import math
 
-from lavenderfold.direct._attempt import RelayProgress
 from lavenderfold.direct._refusals import DEFAULT_RETRY_AFTER_S
+from lavenderfold.direct._relay_progress import RelayProgress
 from lavenderfold.fleet import Route
 
 # The part of the latency objective, or of the limit on pauses between events, that a
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -4,13 +4,11 @@
 
 import trio
 
-from lavenderfold.direct._attempt import (
-    Attempt,
-    AttemptOutcome,
-    RelayProgress,
-    can_be_continued,
-)
+from lavenderfold.direct._attempt import Attempt, can_be_continued
 from lavenderfold.direct._attempt_recorder import AttemptRecorder
+from lavenderfold.direct._attempt_starter import AttemptStarter, StartedAttempt
+from lavenderfold.direct._choice import TargetChoice
+from lavenderfold.direct._outcome import AttemptOutcome
 from lavenderfold.direct._pauses import pause_retry_after_s, pause_wait_limit
 from lavenderfold.direct._refusals import (
     DEFAULT_RETRY_AFTER_S,
@@ -19,17 +17,18 @@
     not_run,
     refusal_response,
 )
+from lavenderfold.direct._relay_progress import RelayProgress
 from lavenderfold.direct._request_log import (
     RequestLog,
     RequestResult,
     answer_state,
 )
-from lavenderfold.direct._requests import CallerRequest, TargetCall
+from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.direct._reservation import Reservation
 from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.direct._service_choice import pick_service
+from lavenderfold.direct._take_over import TakeOver
 from lavenderfold.direct._target_selection import TargetSelection
-from lavenderfold.direct._target_wait import TargetWait
 from lavenderfold.fleet import (
     Organisation,
     Route,
@@ -44,9 +43,6 @@
 # A target that can't be connected to doesn't count as an attempt, because nothing
 # ran, but each failed connection takes time. Give up after this many.
 MAX_CONNECTION_FAILURES = 3
-# Lower bound of the remaining time that a target is told; with less than this it
-# can't answer any more.
-MIN_REMAINING_S = 0.005
 BALANCE_REASONS = (Reason.BUDGET_SPENT.value, Reason.BUDGET_UNAVAILABLE.value)
 
 
@@ -85,14 +81,30 @@
         )
         self._sent_attempts = 0
         self._last_outcome: AttemptOutcome | None = None
+        self._running: StartedAttempt | None = None
         self._log = RequestLog(request=request, metrics=services.metrics)
         self._choice_reason = ""
         self._not_repeated: str | None = None
         self._selection = TargetSelection(
             services=services, service_name=self._service_name, request=request
         )
+        self._take_over = TakeOver(
+            start=self._start_successor,
+            on_end=self._end_successor,
+            on_outcome=self._record_outcome,
+        )
         self._recorder = AttemptRecorder(services=services, request=request)
-        self._has_reserved_retry = False
+        self._attempt_starter = AttemptStarter(
+            services=services,
+            request=request,
+            route=route,
+            organisation=organisation,
+            writer=writer,
+            progress=self._progress,
+            recorder=self._recorder,
+            deadline=self._deadline,
+            on_events=self._take_over.drop,
+        )
         self._stop_scope = trio.CancelScope()
 
     async def run(self) -> None:
@@ -110,8 +122,6 @@
             if refusal is not None:
                 await self._refuse(refusal)
         finally:
-            if self._has_reserved_retry:
-                self._retry_budget.release()
             self._reservation.settle(
                 may_have_run=self._progress.may_have_run, events=self._progress.events
             )
@@ -127,7 +137,11 @@
 
     async def _answer(self) -> Refusal | None:
         refusal = self._refuse_quarantined() or await self._reservation.reserve()
-        return refusal or await self._attempt_targets()
+        if refusal is not None:
+            return refusal
+        if not self._route.is_repeatable:
+            return await self._attempt_targets()
+        return await self._take_over.run(self._attempt_targets)
 
     def _refuse_at_stop(self) -> Refusal:
         if self._progress.may_have_run:
@@ -149,26 +163,23 @@
             refusal = self._refuse_quarantined()
             if refusal is not None:
                 return refusal
-            choice = self._selection.choose()
-            if choice is None:
+            started = self._take_over.adopt() or self._start_next()
+            if started is None:
                 if await self._wait_for_pause_end():
                     continue
                 return self._refuse_without_target()
-            target = choice.target
-            self._choice_reason = choice.reason
-            attempt = self._new_attempt(target)
-            outcome = await self._run_attempt(attempt, target)
+            outcome = await self._run_attempt(started)
             if outcome is AttemptOutcome.DELIVERED:
                 return None
             if outcome is AttemptOutcome.TIMED_OUT:
                 return self._refuse_at_deadline()
-            self._selection.record_failure(target)
+            self._selection.record_failure(started.target)
             failed_connections += outcome is AttemptOutcome.NOT_CONNECTED
             self._sent_attempts += outcome is not AttemptOutcome.NOT_CONNECTED
             if failed_connections >= MAX_CONNECTION_FAILURES or not self._may_repeat(
                 outcome
             ):
-                return await self._give_up(attempt, outcome)
+                return await self._give_up(started.attempt, outcome)
 
     async def _wait_for_pause_end(self) -> bool:
         """Wait until a pause is over; return False if that isn't surely in time."""
@@ -197,76 +208,91 @@
             Reason.PROMPT_QUARANTINED, retry_after_s=quarantine.remaining_s(part_ids)
         )
 
-    def _new_attempt(self, target: Target) -> Attempt:
-        now = trio.current_time()
-        call = TargetCall(
-            request=self._request,
-            route=self._route,
-            target=target,
-            organisation=self._organisation.name if self._organisation else None,
-            remaining_s=max(MIN_REMAINING_S, self._deadline - now),
-            last_event_id=self._progress.last_event_id or self._request.last_event_id,
-        )
-        return Attempt(
-            call=call,
-            codec=self._services.codec,
-            writer=self._writer,
-            progress=self._progress,
-            target_wait=self._new_target_wait(target),
-            on_answering=self._recorder.record_answering,
-            on_head=partial(self._recorder.record_head, target),
-            on_sign=partial(self._recorder.record_sign, target),
-        )
+    def _start_next(self) -> StartedAttempt | None:
+        choice = self._selection.choose()
+        return choice and self._start_attempt(choice, earlier=self._sent_attempts)
 
-    def _new_target_wait(self, target: Target) -> TargetWait:
+    def _start_attempt(self, choice: TargetChoice, *, earlier: int) -> StartedAttempt:
+        """Begin an attempt, after ``earlier`` ones that were sent."""
         can_repeat = (
-            self._route.is_repeatable
-            and self._sent_attempts + 1 < self._route.attempt_limit
+            self._route.is_repeatable and earlier + 1 < self._route.attempt_limit
         )
-        return TargetWait(
-            timers=self._services.timers,
-            deadline=self._deadline,
-            try_take_over=partial(self._try_take_over, target) if can_repeat else None,
+        try_take_over = partial(self._try_take_over, choice.target)
+        return self._attempt_starter.start(
+            choice, try_take_over=try_take_over if can_repeat else None
         )
 
     def _try_take_over(self, silent: Target) -> bool:
-        """Reserve an attempt at another target than a silent one, if there is one.
+        self._recorder.record_silence(silent)
+        on_accepted = self._running.attempt.stop_waiting_if_taken_over
+        return self._take_over.ask(silent, on_accepted)
+
+    def _start_successor(self, silent: Target) -> StartedAttempt | None:
+        """Begin an attempt at another target than a silent one, if that is possible.
 
-        The silent target may go on, so it is given up only if the request can certainly
-        be sent to another target, and one that hasn't failed lately.
+        It must be one that hasn't failed lately.
         """
-        self._recorder.record_silence(silent)
         if not (self._is_prompt_sound and self._can_go_on_elsewhere):
-            return False
+            return None
+        earlier = self._sent_attempts + 1
+        if earlier >= self._route.attempt_limit:
+            return None
         choice = self._selection.choose(instead_of=silent)
         if choice is None or choice.is_last_resort:
-            return False
-        if not self._has_reserved_retry:
-            self._has_reserved_retry = self._retry_budget.try_acquire()
-        return self._has_reserved_retry
-
-    async def _run_attempt(self, attempt: Attempt, target: Target) -> AttemptOutcome:
-        self._recorder.record_start(target)
-        sent_at = trio.current_time()
+            return None
+        if not self._retry_budget.try_acquire():
+            return None
+        return self._start_attempt(choice, earlier=earlier)
+
+    def _end_successor(
+        self, started: StartedAttempt, outcome: AttemptOutcome | None
+    ) -> None:
+        """Account for an attempt that didn't take over from a silent target."""
+        self._end_attempt(started, outcome)
+        if started.attempt.sent_at is None:
+            self._retry_budget.release()
+        else:
+            self._sent_attempts += 1
+        if outcome is not None:
+            started.attempt.record_certainty(outcome)
+            self._selection.record_failure(started.target)
+
+    async def _run_attempt(self, started: StartedAttempt) -> AttemptOutcome:
+        self._running = started
+        self._choice_reason = started.reason
         outcome = None
         try:
-            outcome = await attempt.run(self._services.clients.client(target))
+            outcome = await started.attempt.run(started.opening)
         finally:
-            self._recorder.record_end(target)
-            load = self._services.load_tracker.state(target).outstanding
-            self._log.record_attempt(
-                attempt, target, outcome, sent_at=sent_at, load=load
-            )
+            self._end_attempt(started, outcome)
         self._last_outcome = outcome
+        await self._record_outcome(started, outcome)
+        return outcome
+
+    def _end_attempt(
+        self, started: StartedAttempt, outcome: AttemptOutcome | None
+    ) -> None:
+        target = started.target
+        self._recorder.record_end(target)
+        load = self._services.load_tracker.state(target).outstanding
+        self._log.record_attempt(
+            started.attempt, target, outcome, sent_at=started.started_at, load=load
+        )
+
+    async def _record_outcome(
+        self, started: StartedAttempt, outcome: AttemptOutcome
+    ) -> None:
+        attempt, target, sent_at = started.attempt, started.target, started.started_at
         if outcome is AttemptOutcome.INVALID:
             self._log.write_invalid_answer(attempt, target)
         if outcome is AttemptOutcome.LOST:
             self._log.write_lost_attempt(attempt, target, sent_at=sent_at)
         await self._recorder.record_outcome(attempt, target, outcome, sent_at=sent_at)
-        return outcome
 
     def _may_repeat(self, outcome: AttemptOutcome) -> bool:
         """Return whether another target may be tried after this outcome."""
+        if self._take_over.is_pending:
+            return True
         if not outcome.is_certainly_not_run and not self._route.is_repeatable:
             self._not_repeated = "not_repeatable"
             return False
@@ -282,9 +308,7 @@
             # It may crash the next target as well.
             self._not_repeated = "prompt_suspected"
             return False
-        if self._has_reserved_retry:
-            self._has_reserved_retry = False
-        elif not self._retry_budget.try_acquire():
+        if not self._retry_budget.try_acquire():
             self._not_repeated = "retry_budget"
             return False
         return True
--- a/src/lavenderfold/direct/_request_log.py
+++ b/src/lavenderfold/direct/_request_log.py
@@ -6,9 +6,11 @@
 import msgspec
 import trio
 
-from lavenderfold.direct._attempt import Attempt, AttemptOutcome, RelayProgress
+from lavenderfold.direct._attempt import Attempt
 from lavenderfold.direct._metrics import RouterMetrics
+from lavenderfold.direct._outcome import AttemptOutcome
 from lavenderfold.direct._refusals import Refusal
+from lavenderfold.direct._relay_progress import RelayProgress
 from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.escrow import LocalBalanceState
 from lavenderfold.fleet import Target
--- a/src/lavenderfold/direct/_target_wait.py
+++ b/src/lavenderfold/direct/_target_wait.py
@@ -80,6 +80,12 @@
             self._subscription = None
         self._check_at = math.inf
 
+    def ask_now(self) -> None:
+        """End the wait at once if another target takes over."""
+        now = trio.current_time()
+        if self._scope is not None and self._is_over(now):
+            self._scope.cancel()
+
     def _schedule_check(self) -> None:
         # Each event moves ``_due_at``. A check that is scheduled for an earlier time
         # looks at it then, which is cheaper than a new one for each event.
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -8,13 +8,13 @@
 import pytest
 import trio
 
-from lavenderfold.direct import _request_execution
 from lavenderfold.fleet import RepeatPolicy
 from lavenderfold.routing import RetryBudget
 from tests.direct_support import (
     HttpResponse,
     count_target_requests,
     event,
+    fail,
     make_config,
     make_route,
     reject,
@@ -179,8 +179,8 @@
 def test_stream_goes_on_if_the_target_that_takes_over_refuses_it():
     """Guards against a stream that is cut for a target that doesn't take it.
 
-    Its first target would have gone on 0.4 s later. A refusal that is certainly not
-    run uses up the last attempt.
+    Its first target goes on 0.4 s later. A refusal that is certainly not run uses up
+    the last attempt.
     """
 
     async def scenario(fleet):
@@ -212,29 +212,74 @@
     run_scenario(scenario, script, script, config=make_config(routes=(route,)))
 
 
-def test_reserved_retry_is_used_only_if_another_target_is_usable():
-    """Guards against a retry that was reserved once and is acted on much later.
+async def refuse_and_close(request, writer):
+    raise RuntimeError("the target closes the connection before an answer")
 
-    The first take-over found an event that arrived in the same turn; the other target
-    has left before the second silence.
-    """
-    outcomes = []
-    original = _request_execution.RequestExecution._try_take_over
 
-    def race(self, silent):
-        # As in a turn in which the event has arrived as well: the retry is reserved,
-        # and the wait isn't cancelled any more.
-        if not outcomes:
-            outcomes.append(original(self, silent))
-            return False
-        return original(self, silent)
+@pytest.mark.parametrize("other", [reject, fail, refuse_and_close])
+def test_request_is_answered_whatever_the_other_target_does_with_it(other):
+    """Guards against a failure instead of an answer that its target was to send."""
+    begun = []
+
+    async def script(request, writer):
+        if begun:
+            await other(request, writer)
+            return
+        begun.append(request)
+        await pause_before_answer(request, writer)
+
+    async def scenario(fleet):
+        answer = await fleet.send_request("/read/x", patience="6")
+        assert (answer.status, answer.body) == (200, b"done")
+
+    run_scenario(scenario, script, script, config=PATIENT_CONFIG)
+
+
+def test_request_is_answered_if_the_other_target_cannot_be_connected_to():
+    """Guards against an attempt that is given up for a target that is down."""
+
+    async def scenario(fleet):
+        answers = []
+
+        async def send():
+            answers.append(await fleet.send_request("/read/x", patience="6"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await fleet.wait_until(lambda: count_target_requests(fleet) == 1)
+            for target in fleet.target_by_id.values():
+                if not target.received:
+                    target.down_s = 9.0
+                    target.crash()
+        assert (answers[0].status, answers[0].body) == (200, b"done")
+
+    run_scenario(
+        scenario, pause_before_answer, pause_before_answer, config=PATIENT_CONFIG
+    )
+
+
+def test_target_that_was_asked_once_is_not_used_after_it_left():
+    """Guards against a take-over that was prepared once and is acted on much later.
+
+    The silent target goes on just after the other one was asked; that one has left
+    before the second silence.
+    """
+    received = []
+    is_other_asked = trio.Event()
 
     async def script(request, writer):
+        received.append(request)
+        if len(received) > 1:
+            is_other_asked.set()
+            await trio.sleep(9)
+            return
         headers = [*valid_headers(request), ("content-type", "text/event-stream")]
         await writer.start(200, headers)
         for number in range(1, 5):
-            if number in (2, 4):
-                await trio.sleep(0.9)
+            if number == 2:
+                await is_other_asked.wait()
+            if number == 4:
+                await trio.sleep(SILENCE_S)
             await writer.write(event(number))
         await writer.finish()
 
@@ -246,14 +291,10 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send)
-            await fleet.wait_until(lambda: bool(outcomes))
-            for target in fleet.target_by_id.values():
-                if not target.received:
-                    fleet.register(target, is_draining=True)
-        assert outcomes == [True]
+            await fleet.wait_until(lambda: len(received) == 2)
+            targets = fleet.target_by_id.values()
+            other = next(each for each in targets if received[1] in each.received)
+            fleet.register(other, is_draining=True)
         assert answers[0].body == WHOLE_STREAM
 
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(_request_execution.RequestExecution, "_try_take_over", race)
-        config = PATIENT_CONFIG
-        run_scenario(scenario, script, script, config=config)
+    run_scenario(scenario, script, script, config=PATIENT_CONFIG)
