Take only an answer, or the begin of a generation, for a target's consent

- Silence for 0.1 s counted as consent: a plain request was lost to a target that stands still, or refuses or fails later.
Now only a whole answer counts for it.
Two targets may run a generation for 0.4 s only, so there 0.25 s without a refusal count as well, measured from the first byte and not from the next check.
- The head of a success counted: a target that begins a stream again, ends before its first event or answers without a stream cut it.
Attempts now read the first events, or the whole answer, before they count as open.
- A dropped attempt that was answered in the same turn could end the wait for the target that had just gone on, and begin a third attempt.
- After a lost attempt a further one could begin without a retry in reserve, if the one at another target ended meanwhile; three failed connections gave up one that was in progress.
The attempt to go on with is now adopted at once.
- A target that broke off wasn't ejected if the request ended during the crash check.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -1,7 +1,8 @@
 """Sending a request to one target and relaying its answer to the caller."""
 
 import contextlib
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 
 import trio
 
@@ -64,7 +65,7 @@
     then is written also later, within the limits of ``writer``.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
     answer, ``on_head`` when the head of any answer was read, ``on_sign`` when a part of
-    an answer's body was, ``on_events`` before events are relayed. ``is_turned_away``
+    an answer's body was, ``on_relaying`` before a part is relayed. ``is_turned_away``
     says whether the target asked for a pause. ``events`` counts those that this target
     sent, the first of them at ``first_event_at``. ``sent_at`` is when the first byte
     of the call was sent.
@@ -81,7 +82,7 @@
         on_answering: Callable[[], None],
         on_head: Callable[[AnswerHead], None],
         on_sign: Callable[[], None],
-        on_events: Callable[[], None],
+        on_relaying: Callable[[], None],
     ):
         self.failure_response: HttpResponse | None = None
         self.invalid_answer: InvalidAnswerError | None = None
@@ -99,12 +100,16 @@
         self._on_answering = on_answering
         self._on_head = on_head
         self._on_sign = on_sign
-        self._on_events = on_events
+        self._on_relaying = on_relaying
         self._is_answering = False
+        self._is_closed = False
         self._first_deadline = trio.current_time() + self._head_wait_s()
         self._exchange = contextlib.AsyncExitStack()
-        self._response: StreamedResponse | None = None
         self._head: AnswerHead | None = None
+        self._answer: HttpResponse | None = None
+        self._chunks: AsyncIterator[bytes] | None = None
+        self._splitter = EventSplitter()
+        self._first_events: CompleteEvents | None = None
 
     @property
     def is_before_answer(self) -> bool:
@@ -116,16 +121,15 @@
         """Whether the target had sent the head of its answer, but no event."""
         return self.status is not None and self.events == 0
 
-    @property
-    def is_successful(self) -> bool:
-        """Whether the target has begun to answer with success."""
-        return self._head is not None and self._head.is_success
-
-    async def open(self, client: HttpClient) -> AttemptOutcome | None:
-        """Send the call and read the head of its answer.
+    async def open(
+        self, client: HttpClient, *, on_sending: Callable[[], None] | None = None
+    ) -> AttemptOutcome | None:
+        """Send the call, and read what can be relayed first.
 
-        Returns the outcome if the attempt ends with that, and None if an answer
-        follows. There is no limit on the time.
+        That is the whole answer, or the first events of a stream. Returns the outcome
+        if the attempt ends with that, and None if there is something to relay.
+        ``on_sending`` is called before the first byte is sent. There is no limit on
+        the time.
         """
         request = self._codec.write_call(self._call)
         # The target may close an idle connection while the request is being sent,
@@ -135,12 +139,16 @@
             request,
             is_fresh=not self._call.route.is_repeatable,
             resets_if_abandoned=True,
-            on_sending=self._record_sending,
+            on_sending=partial(self._record_sending, on_sending),
             exchange_id=self._call.request.attempt_id,
         )
         try:
-            self._response = await self._exchange.enter_async_context(exchange)
-            return self._read_head(self._response)
+            response = await self._exchange.enter_async_context(exchange)
+            if self._is_closed:
+                # Closed by another task in the turn in which the head arrived.
+                await self._exchange.aclose()
+                return AttemptOutcome.LOST
+            return self._read_head(response) or await self._read_first(response)
         except (InvalidAnswerError, HttpClientError) as error:
             return self._failure_outcome(error)
 
@@ -157,28 +165,32 @@
             await self.close()
         if outcome is AttemptOutcome.DELIVERED:
             self._record_answering()
-        self.record_certainty(outcome)
+        if outcome.is_certainly_not_run:
+            self.record_not_run()
         return outcome
 
     async def close(self) -> None:
         """Give the exchange with the target up, if it isn't complete."""
+        self._is_closed = True
         self._target_wait.close()
         await self._exchange.aclose()
 
-    def record_certainty(self, outcome: AttemptOutcome) -> None:
-        """Record whether the target certainly didn't run the request."""
-        if outcome.is_certainly_not_run and self.sent_at is not None:
+    def record_not_run(self) -> None:
+        """Record that the target certainly didn't run the request."""
+        if self.sent_at is not None:
             self._progress.uncertain_attempts -= 1
 
-    def stop_waiting_if_taken_over(self) -> None:
-        """Ask at once whether another target takes over from a silent one."""
-        self._target_wait.ask_now()
+    def give_up_silent_target(self) -> None:
+        """End the wait for a silent target, as another one takes over."""
+        self._target_wait.end_taken_over()
 
-    def _record_sending(self) -> None:
+    def _record_sending(self, on_sending: Callable[[], None] | None) -> None:
         # Counted before the first byte is sent, so that it holds as well if the caller
         # disconnects and the attempt is cancelled before its outcome is known.
         self.sent_at = trio.current_time()
         self._progress.uncertain_attempts += 1
+        if on_sending is not None:
+            on_sending()
 
     async def relay_failure(self) -> None:
         """Write the error response of the target to the caller."""
@@ -194,7 +206,7 @@
         if outcome is not None:
             return outcome
         try:
-            return await self._relay(self._head, self._response)
+            return await self._relay()
         except (InvalidAnswerError, HttpClientError) as error:
             return self._failure_outcome(error)
 
@@ -234,74 +246,86 @@
         self._head = head
         return None
 
-    async def _relay(
-        self, head: AnswerHead, response: StreamedResponse
-    ) -> AttemptOutcome:
-        if head.is_success and _is_event_stream(head):
-            return await self._relay_events(head, response, self._first_deadline)
-        return await self._relay_buffered(head, response, self._first_deadline)
+    async def _read_first(self, response: StreamedResponse) -> AttemptOutcome | None:
+        if not (self._head.is_success and _is_event_stream(self._head)):
+            return await self._read_answer(response)
+        self._chunks = response.chunks()
+        self._first_events = await self._next_events()
+        return self._check_events(self._first_events)
 
-    async def _relay_buffered(
-        self, head: AnswerHead, response: StreamedResponse, deadline: float
-    ) -> AttemptOutcome:
+    async def _read_answer(self, response: StreamedResponse) -> AttemptOutcome | None:
         if self._writer.started:
             # The caller has already received part of another target's stream.
             return AttemptOutcome.FAILED
         body = bytearray()
-        with self._target_wait.until_silent(deadline) as wait:
-            async for chunk in response.chunks():
-                body += chunk
-                if len(body) > ANSWER_BYTES_LIMIT:
-                    raise InvalidAnswerError(InvalidCause.TOO_LONG)
-        if wait.cancelled_caught:
-            return self._unanswered()
+        async for chunk in response.chunks():
+            body += chunk
+            if len(body) > ANSWER_BYTES_LIMIT:
+                raise InvalidAnswerError(InvalidCause.TOO_LONG)
+        head = self._head
         answer = HttpResponse(
             status=head.status, headers=_relayed_headers(head), body=bytes(body)
         )
         if head.is_success:
-            self._progress.first_byte_at = trio.current_time()
-            if await self._write(self._writer.send(answer)):
-                return AttemptOutcome.DELIVERED
-            return AttemptOutcome.TIMED_OUT
+            self._answer = answer
+            return None
         if head.status not in NOT_RUN_STATUSES:
             self.failure_response = answer
         return AttemptOutcome.FAILED
 
-    async def _relay_events(
-        self, head: AnswerHead, response: StreamedResponse, first_deadline: float
-    ) -> AttemptOutcome:
-        splitter = EventSplitter()
-        chunks = response.chunks()
-        deadline = first_deadline
+    async def _next_events(self) -> CompleteEvents | None:
+        """Return the next complete events of the stream, or None at its end."""
         while True:
-            # Only the read is limited, not the write to the caller: events that are
-            # counted as relayed must be written completely. A wait that has passed
-            # while the process was suspended doesn't cancel what follows the read.
-            with self._target_wait.until_silent(deadline) as wait:
-                chunk = await anext(chunks, None)
-            if wait.cancelled_caught:
-                return self._unanswered()
+            chunk = await anext(self._chunks, None)
             if chunk is None:
-                break
+                return None
             self._on_sign()
             try:
-                events = splitter.feed(chunk)
+                events = self._splitter.feed(chunk)
             except InvalidEventError as error:
                 raise InvalidAnswerError(InvalidCause.EVENT, str(error)) from error
             if events is not None:
-                if not self._follows_relayed(events):
-                    return AttemptOutcome.FAILED
-                if not await self._write_events(head, events):
-                    return AttemptOutcome.TIMED_OUT
-                # Bytes without a complete event don't show that the target goes on.
-                deadline = trio.current_time() + self._event_wait_s()
-        if splitter.has_partial_event:
+                return events
+
+    def _check_events(self, events: CompleteEvents | None) -> AttemptOutcome | None:
+        """Return the outcome if these events, or the end, mustn't be relayed."""
+        if events is not None:
+            return None if self._follows_relayed(events) else AttemptOutcome.FAILED
+        if self._splitter.has_partial_event:
             return AttemptOutcome.LOST
         if self._is_continuation and not self._has_relayed_ids:
             # A target that can't resume the stream may answer without any event; the
             # caller would take the broken stream for a complete one.
             return AttemptOutcome.FAILED
-        if await self._start(head) and await self._write(self._writer.finish()):
+        return None
+
+    async def _relay(self) -> AttemptOutcome:
+        self._on_relaying()
+        if self._answer is None:
+            return await self._relay_events()
+        self._progress.first_byte_at = trio.current_time()
+        if await self._write(self._writer.send(self._answer)):
+            return AttemptOutcome.DELIVERED
+        return AttemptOutcome.TIMED_OUT
+
+    async def _relay_events(self) -> AttemptOutcome:
+        events = self._first_events
+        while events is not None:
+            if not await self._write_events(events):
+                return AttemptOutcome.TIMED_OUT
+            # Only the read is limited, not the write to the caller: events that are
+            # counted as relayed must be written completely. A wait that has passed
+            # while the process was suspended doesn't cancel what follows the read.
+            # Bytes without a complete event don't show that the target goes on.
+            deadline = trio.current_time() + self._event_wait_s()
+            with self._target_wait.until_silent(deadline) as wait:
+                events = await self._next_events()
+            if wait.cancelled_caught:
+                return self._unanswered()
+            outcome = self._check_events(events)
+            if outcome is not None:
+                return outcome
+        if await self._start() and await self._write(self._writer.finish()):
             return AttemptOutcome.DELIVERED
         return AttemptOutcome.TIMED_OUT
 
@@ -320,19 +344,18 @@
         """Whether any event with an id was relayed in this attempt."""
         return self._progress.last_event_id != self._call.last_event_id
 
-    async def _write_events(self, head: AnswerHead, events: CompleteEvents) -> bool:
-        self._on_events()
-        if not await self._start(head):
+    async def _write_events(self, events: CompleteEvents) -> bool:
+        self._on_relaying()
+        if not await self._start():
             return False
         self._record_events(events)
         return await self._write(self._writer.write(events.data))
 
-    async def _start(self, head: AnswerHead) -> bool:
+    async def _start(self) -> bool:
         if self._writer.started:
             return True
-        return await self._write(
-            self._writer.start(head.status, _relayed_headers(head))
-        )
+        headers = _relayed_headers(self._head)
+        return await self._write(self._writer.start(self._head.status, headers))
 
     async def _write(self, write: Awaitable[None]) -> bool:
         """Write to the caller; return False if the caller reads too slowly."""
--- a/src/lavenderfold/direct/_attempt_recorder.py
+++ b/src/lavenderfold/direct/_attempt_recorder.py
@@ -57,15 +57,6 @@
         sent_at: float,
     ) -> None:
         """Record the end of an attempt that began at ``sent_at`` on the trio clock."""
-        if outcome is AttemptOutcome.LOST:
-            await record_crash(
-                self._services.quarantine,
-                self._services.timers,
-                request=self._request,
-                attempt=attempt,
-                target=target,
-                sent_at=sent_at,
-            )
         if outcome in RECORDED_OUTCOMES:
             return
         reachability = self._services.reachability
@@ -78,6 +69,16 @@
             load_tracker.record_success(target)
         elif self._is_failure(attempt, target, outcome):
             load_tracker.record_failure(target, now=self._now())
+        # Last, as it takes a while and the request may end meanwhile.
+        if outcome is AttemptOutcome.LOST:
+            await record_crash(
+                self._services.quarantine,
+                self._services.timers,
+                request=self._request,
+                attempt=attempt,
+                target=target,
+                sent_at=sent_at,
+            )
 
     def _is_failure(
         self, attempt: Attempt, target: Target, outcome: AttemptOutcome
--- a/src/lavenderfold/direct/_attempt_starter.py
+++ b/src/lavenderfold/direct/_attempt_starter.py
@@ -25,22 +25,22 @@
 class StartedAttempt(msgspec.Struct, frozen=True, kw_only=True):
     """An attempt at ``target``, begun at ``started_at`` on the trio clock.
 
-    ``opening`` opens the attempt, or waits until it is open. ``reason`` is that of the
-    target's choice.
+    ``opening`` opens the attempt, with the same keyword as ``Attempt.open``, or waits
+    until it is open. ``reason`` is that of the target's choice.
     """
 
     attempt: Attempt
     target: Target
     reason: str
-    opening: Callable[[], Awaitable[AttemptOutcome | None]]
+    opening: Callable[..., Awaitable[AttemptOutcome | None]]
     started_at: float
 
 
 class AttemptStarter:
     """Begins attempts that relay to the same writer, until ``deadline``.
 
-    ``deadline`` is a time of the trio clock. ``on_events`` is called before events of
-    any of these attempts are relayed.
+    ``deadline`` is a time of the trio clock. ``on_relaying`` is called before a part
+    of the answer to any of these attempts is relayed.
     """
 
     __slots__ = (
@@ -52,7 +52,7 @@
         "_progress",
         "_recorder",
         "_deadline",
-        "_on_events",
+        "_on_relaying",
     )
 
     def __init__(
@@ -66,7 +66,7 @@
         progress: RelayProgress,
         recorder: AttemptRecorder,
         deadline: float,
-        on_events: Callable[[], None],
+        on_relaying: Callable[[], None],
     ):
         self._services = services
         self._request = request
@@ -76,7 +76,7 @@
         self._progress = progress
         self._recorder = recorder
         self._deadline = deadline
-        self._on_events = on_events
+        self._on_relaying = on_relaying
 
     def start(
         self, choice: TargetChoice, *, try_take_over: Callable[[], bool] | None
@@ -98,7 +98,7 @@
             on_answering=self._recorder.record_answering,
             on_head=partial(self._recorder.record_head, target),
             on_sign=partial(self._recorder.record_sign, target),
-            on_events=self._on_events,
+            on_relaying=self._on_relaying,
         )
         return StartedAttempt(
             attempt=attempt,
--- a/src/lavenderfold/direct/_outcome.py
+++ b/src/lavenderfold/direct/_outcome.py
@@ -9,6 +9,8 @@
     MISDIRECTED: the request reached another target than the chosen one.
     LOST: the connection broke, or the stream ended within an event.
     SILENT: the target didn't answer in time, and another one takes over.
+    SUPERSEDED: it was to take over from a silent target, but that one went on, or the
+    request ended first.
     TIMED_OUT: the deadline of the request passed before the answer was complete.
     INVALID: the answer isn't a valid answer to this attempt.
     FAILED: the target's answer is an error response, or can't continue a stream.
@@ -20,6 +22,7 @@
     MISDIRECTED = "misdirected"
     LOST = "lost"
     SILENT = "silent"
+    SUPERSEDED = "superseded"
     TIMED_OUT = "timed_out"
     INVALID = "invalid"
     FAILED = "failed"
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -89,9 +89,13 @@
             services=services, service_name=self._service_name, request=request
         )
         self._take_over = TakeOver(
+            timers=services.timers,
             start=self._start_successor,
+            on_accepted=self._give_up_silent_target,
             on_end=self._end_successor,
             on_outcome=self._record_outcome,
+            # Two targets may run a plain repeatable request for as long as it takes.
+            accepts_unanswered=route.is_resumable or request.tokens is not None,
         )
         self._recorder = AttemptRecorder(services=services, request=request)
         self._attempt_starter = AttemptStarter(
@@ -103,7 +107,7 @@
             progress=self._progress,
             recorder=self._recorder,
             deadline=self._deadline,
-            on_events=self._take_over.drop,
+            on_relaying=self._take_over.drop,
         )
         self._stop_scope = trio.CancelScope()
 
@@ -155,19 +159,8 @@
 
     async def _attempt_targets(self) -> Refusal | None:
         failed_connections = 0
-        while True:
-            # Other routers may have seen the prompt crash a target meanwhile.
-            await self._wait_for_decision()
-            if trio.current_time() >= self._deadline:
-                return self._refuse_at_deadline()
-            refusal = self._refuse_quarantined()
-            if refusal is not None:
-                return refusal
-            started = self._take_over.adopt() or self._start_next()
-            if started is None:
-                if await self._wait_for_pause_end():
-                    continue
-                return self._refuse_without_target()
+        started = await self._prepare_attempt()
+        while isinstance(started, StartedAttempt):
             outcome = await self._run_attempt(started)
             if outcome is AttemptOutcome.DELIVERED:
                 return None
@@ -176,10 +169,30 @@
             self._selection.record_failure(started.target)
             failed_connections += outcome is AttemptOutcome.NOT_CONNECTED
             self._sent_attempts += outcome is not AttemptOutcome.NOT_CONNECTED
-            if failed_connections >= MAX_CONNECTION_FAILURES or not self._may_repeat(
-                outcome
+            successor = self._take_over.adopt()
+            if successor is None and (
+                failed_connections >= MAX_CONNECTION_FAILURES
+                or not self._may_repeat(outcome)
             ):
                 return await self._give_up(started.attempt, outcome)
+            started = successor or await self._prepare_attempt()
+        return started
+
+    async def _prepare_attempt(self) -> StartedAttempt | Refusal:
+        """Begin the next attempt, or return why there is none."""
+        while True:
+            # Other routers may have seen the prompt crash a target meanwhile.
+            await self._wait_for_decision()
+            if trio.current_time() >= self._deadline:
+                return self._refuse_at_deadline()
+            refusal = self._refuse_quarantined()
+            if refusal is not None:
+                return refusal
+            choice = self._selection.choose()
+            if choice is not None:
+                return self._start_attempt(choice, earlier=self._sent_attempts)
+            if not await self._wait_for_pause_end():
+                return self._refuse_without_target()
 
     async def _wait_for_pause_end(self) -> bool:
         """Wait until a pause is over; return False if that isn't surely in time."""
@@ -208,10 +221,6 @@
             Reason.PROMPT_QUARANTINED, retry_after_s=quarantine.remaining_s(part_ids)
         )
 
-    def _start_next(self) -> StartedAttempt | None:
-        choice = self._selection.choose()
-        return choice and self._start_attempt(choice, earlier=self._sent_attempts)
-
     def _start_attempt(self, choice: TargetChoice, *, earlier: int) -> StartedAttempt:
         """Begin an attempt, after ``earlier`` ones that were sent."""
         can_repeat = (
@@ -224,8 +233,10 @@
 
     def _try_take_over(self, silent: Target) -> bool:
         self._recorder.record_silence(silent)
-        on_accepted = self._running.attempt.stop_waiting_if_taken_over
-        return self._take_over.ask(silent, on_accepted)
+        return self._take_over.try_take_over(silent)
+
+    def _give_up_silent_target(self) -> None:
+        self._running.attempt.give_up_silent_target()
 
     def _start_successor(self, silent: Target) -> StartedAttempt | None:
         """Begin an attempt at another target than a silent one, if that is possible.
@@ -244,17 +255,16 @@
             return None
         return self._start_attempt(choice, earlier=earlier)
 
-    def _end_successor(
-        self, started: StartedAttempt, outcome: AttemptOutcome | None
-    ) -> None:
+    def _end_successor(self, started: StartedAttempt, outcome: AttemptOutcome) -> None:
         """Account for an attempt that didn't take over from a silent target."""
         self._end_attempt(started, outcome)
         if started.attempt.sent_at is None:
             self._retry_budget.release()
         else:
             self._sent_attempts += 1
-        if outcome is not None:
-            started.attempt.record_certainty(outcome)
+        if outcome.is_certainly_not_run:
+            started.attempt.record_not_run()
+        if outcome is not AttemptOutcome.SUPERSEDED:
             self._selection.record_failure(started.target)
 
     async def _run_attempt(self, started: StartedAttempt) -> AttemptOutcome:
@@ -291,8 +301,6 @@
 
     def _may_repeat(self, outcome: AttemptOutcome) -> bool:
         """Return whether another target may be tried after this outcome."""
-        if self._take_over.is_pending:
-            return True
         if not outcome.is_certainly_not_run and not self._route.is_repeatable:
             self._not_repeated = "not_repeatable"
             return False
--- a/src/lavenderfold/direct/_request_log.py
+++ b/src/lavenderfold/direct/_request_log.py
@@ -85,7 +85,7 @@
         sent_at: float,
         load: int,
     ) -> None:
-        """Record the end of an attempt.
+        """Record the end of an attempt that began at ``started_at``.
 
         ``outcome`` is None if the caller or the deadline ended it. ``load`` is the
         number of other requests of this router at the target.
--- a/src/lavenderfold/direct/_take_over.py
+++ b/src/lavenderfold/direct/_take_over.py
@@ -9,10 +9,11 @@
 from lavenderfold.direct._attempt_starter import StartedAttempt
 from lavenderfold.direct._outcome import AttemptOutcome
 from lavenderfold.fleet import Target
+from lavenderfold.timers import TimerService
 
-# A target that hasn't refused a request for this long after it was sent is taken to
-# run it. The silent target must stop soon after another one has begun.
-REFUSAL_WAIT_S = 0.1
+# A target that hasn't refused a generation for this long after it was sent is taken to
+# run it. The silent target, which may run it as well, must end within 0.4 s of that.
+REFUSAL_WAIT_S = 0.25
 
 Result = TypeVar("Result")
 
@@ -20,58 +21,53 @@
 class _Successor:
     """An attempt that is opened while a silent target is still waited for.
 
-    ``outcome`` is None unless the attempt ended with its opening.
+    ``is_accepted`` once its target is taken to run the request, or has sent what can be
+    relayed. ``outcome`` is None unless the attempt ended with its opening.
     """
 
     __slots__ = (
         "started",
         "outcome",
+        "is_accepted",
         "is_adopted",
-        "is_forgotten",
+        "is_ended",
+        "_on_accepted",
         "_scope",
         "_opened",
         "_adopted",
     )
 
-    def __init__(self, *, started: StartedAttempt):
+    def __init__(self, *, started: StartedAttempt, on_accepted: Callable[[], None]):
         self.started = started
         self.outcome: AttemptOutcome | None = None
+        self.is_accepted = False
         self.is_adopted = False
-        self.is_forgotten = False
+        self.is_ended = False
+        self._on_accepted = on_accepted
         self._scope = trio.CancelScope()
         self._opened = trio.Event()
         self._adopted = trio.Event()
 
-    @property
-    def is_accepted(self) -> bool:
-        """Whether its target runs the request, as far as can be known."""
-        attempt = self.started.attempt
-        if self._opened.is_set():
-            return self.outcome is None
-        if attempt.sent_at is None:
-            return False
-        return trio.current_time() - attempt.sent_at >= REFUSAL_WAIT_S
-
-    async def run(self, on_accepted: Callable[[], None]) -> None:
+    async def run(self, on_sending: Callable[[], None]) -> None:
         """Open the attempt, and keep it until it is adopted or cancelled."""
         try:
             with self._scope:
-                await self._open()
-                if self.is_accepted and not self.is_adopted:
-                    on_accepted()
+                self.outcome = await self.started.opening(on_sending=on_sending)
+                self._opened.set()
+                if self.outcome is None:
+                    self.accept()
                     await self._adopted.wait()
         finally:
             if not self.is_adopted:
                 await self.started.attempt.close()
 
-    async def _open(self) -> None:
-        self.outcome = await self.started.opening()
-        if self.outcome is None and not (
-            self.is_adopted or self.started.attempt.is_successful
-        ):
-            # The silent target may still answer better.
-            self.outcome = AttemptOutcome.FAILED
-        self._opened.set()
+    def accept(self) -> None:
+        """Have it take over, unless that was decided before."""
+        is_refused = self._opened.is_set() and self.outcome is not None
+        if self.is_accepted or self.is_adopted or self.is_ended or is_refused:
+            return
+        self.is_accepted = True
+        self._on_accepted()
 
     def adopt(self) -> StartedAttempt:
         """Return the attempt for the caller to go on with."""
@@ -95,31 +91,42 @@
 
     The silent target may go on, so it is waited for until the other one has accepted
     the request. ``start`` begins an attempt at another target than the given one, if
-    that is possible; ``on_end`` is called with an attempt that didn't take over and
-    its outcome, which is None if the silent target went on or the request ended.
-    ``on_outcome`` records what such an outcome shows of the target.
+    that is possible. ``on_accepted`` is called when its target has accepted. ``on_end``
+    is called with an attempt that didn't take over and its outcome, and ``on_outcome``
+    records what such an outcome shows of the target. Only with ``accepts_unanswered``
+    a target that hasn't refused the request for a while has accepted it.
     """
 
-    __slots__ = ("_start", "_on_end", "_on_outcome", "_nursery", "_successor")
+    __slots__ = (
+        "_timers",
+        "_start",
+        "_on_accepted",
+        "_on_end",
+        "_on_outcome",
+        "_accepts_unanswered",
+        "_nursery",
+        "_successor",
+    )
 
     def __init__(
         self,
         *,
+        timers: TimerService,
         start: Callable[[Target], StartedAttempt | None],
-        on_end: Callable[[StartedAttempt, AttemptOutcome | None], None],
+        on_accepted: Callable[[], None],
+        on_end: Callable[[StartedAttempt, AttemptOutcome], None],
         on_outcome: Callable[[StartedAttempt, AttemptOutcome], Awaitable[None]],
+        accepts_unanswered: bool,
     ):
+        self._timers = timers
         self._start = start
+        self._on_accepted = on_accepted
         self._on_end = on_end
         self._on_outcome = on_outcome
+        self._accepts_unanswered = accepts_unanswered
         self._nursery: trio.Nursery | None = None
         self._successor: _Successor | None = None
 
-    @property
-    def is_pending(self) -> bool:
-        """Whether an attempt at another target was begun and not adopted."""
-        return self._successor is not None
-
     async def run(self, work: Callable[[], Awaitable[Result]]) -> Result:
         """Run ``work``, and return its result. Attempts that are left end with it."""
         error: Exception | None = None
@@ -135,17 +142,17 @@
             raise error
         return result
 
-    def ask(self, silent: Target, on_accepted: Callable[[], None]) -> bool:
+    def try_take_over(self, silent: Target) -> bool:
         """Return whether another target than ``silent`` has accepted the request.
 
-        If none was asked yet, one is; ``on_accepted`` is called when it accepts.
+        An attempt at one is begun if there is none.
         """
         if self._successor is None:
             started = self._start(silent)
             if started is None:
                 return False
-            self._successor = _Successor(started=started)
-            self._nursery.start_soon(self._run_successor, self._successor, on_accepted)
+            self._successor = _Successor(started=started, on_accepted=self._on_accepted)
+            self._nursery.start_soon(self._run_successor, self._successor)
         return self._successor.is_accepted
 
     def adopt(self) -> StartedAttempt | None:
@@ -157,21 +164,24 @@
         """Give up the other target, as the silent one has gone on."""
         if self._successor is not None:
             self._successor.cancel()
-            self._forget(self._successor)
+            self._end(self._successor)
+
+    async def _run_successor(self, successor: _Successor) -> None:
+        def schedule_acceptance() -> None:
+            if self._accepts_unanswered:
+                self._timers.once(REFUSAL_WAIT_S, lambda _: successor.accept())
 
-    async def _run_successor(
-        self, successor: _Successor, on_accepted: Callable[[], None]
-    ) -> None:
         try:
-            await successor.run(on_accepted)
+            await successor.run(schedule_acceptance)
         finally:
-            if not successor.is_adopted and not successor.is_forgotten:
-                self._forget(successor)
+            if not successor.is_adopted and not successor.is_ended:
+                self._end(successor)
         if not successor.is_adopted and successor.outcome is not None:
             await self._on_outcome(successor.started, successor.outcome)
 
-    def _forget(self, successor: _Successor) -> None:
-        successor.is_forgotten = True
+    def _end(self, successor: _Successor) -> None:
+        successor.is_ended = True
         if self._successor is successor:
             self._successor = None
-        self._on_end(successor.started, successor.outcome)
+        outcome = successor.outcome or AttemptOutcome.SUPERSEDED
+        self._on_end(successor.started, outcome)
--- a/src/lavenderfold/direct/_target_wait.py
+++ b/src/lavenderfold/direct/_target_wait.py
@@ -80,10 +80,10 @@
             self._subscription = None
         self._check_at = math.inf
 
-    def ask_now(self) -> None:
-        """End the wait at once if another target takes over."""
-        now = trio.current_time()
-        if self._scope is not None and self._is_over(now):
+    def end_taken_over(self) -> None:
+        """End the wait that is in progress, as another target takes over."""
+        if self._scope is not None:
+            self.is_taken_over = True
             self._scope.cancel()
 
     def _schedule_check(self) -> None:
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -8,11 +8,13 @@
 import pytest
 import trio
 
-from lavenderfold.fleet import RepeatPolicy
+from lavenderfold.fleet import RepeatPolicy, Service
 from lavenderfold.routing import RetryBudget
 from tests.direct_support import (
     HttpResponse,
+    answer_successfully,
     count_target_requests,
+    crash,
     event,
     fail,
     make_config,
@@ -235,6 +237,60 @@
     run_scenario(scenario, script, script, config=PATIENT_CONFIG)
 
 
+async def never_answer(request, writer):
+    await trio.sleep(30)
+
+
+def delayed(other):
+    async def script(request, writer):
+        await trio.sleep(0.3)
+        await other(request, writer)
+
+    return script
+
+
+@pytest.mark.parametrize("other", [never_answer, delayed(reject), delayed(fail)])
+def test_plain_request_is_answered_if_the_other_target_does_not_answer_soon(other):
+    """Guards against 504 for a request that its silent target was about to answer."""
+    begun = []
+
+    async def script(request, writer):
+        if begun:
+            await other(request, writer)
+            return
+        begun.append(request)
+        await pause_before_answer(request, writer)
+
+    async def scenario(fleet):
+        answer = await fleet.send_request("/read/x", patience="6", tokens="")
+        assert (answer.status, answer.body) == (200, b"done")
+
+    plain_service = Service(name="service", connection_limit=9)
+    config = msgspec.structs.replace(PATIENT_CONFIG, services=(plain_service,))
+    run_scenario(scenario, script, script, config=config)
+
+
+async def begin_again(request, writer):
+    """Answer as a target that can't resume a stream."""
+    headers = [*valid_headers(request), ("content-type", "text/event-stream")]
+    await writer.start(200, headers)
+    for number in range(1, 5):
+        await writer.write(event(number))
+    await writer.finish()
+
+
+@pytest.mark.parametrize("other", [begin_again, crash, answer_successfully])
+def test_stream_goes_on_if_the_other_target_cannot_continue_it(other):
+    """Guards against a stream that is cut for a target that only sends a head."""
+
+    async def scenario(fleet):
+        answer = await fleet.send_request("/draft/x", patience="6")
+        assert answer.body == WHOLE_STREAM
+
+    script = pause_then(other)
+    run_scenario(scenario, script, script, config=PATIENT_CONFIG)
+
+
 def test_request_is_answered_if_the_other_target_cannot_be_connected_to():
     """Guards against an attempt that is given up for a target that is down."""
 
