Relay a target's error response if no other target answers

What callers saw: 502 or 503 of the router's own although a target had answered with an error response. Cause: only the last attempt's error response was relayed; one of an earlier attempt was forgotten when another target was tried, and refused or broke off. Two cases of test_held_failures.py failed before.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -192,10 +192,6 @@
         if on_sending is not None:
             on_sending()
 
-    async def relay_failure(self) -> None:
-        """Write the error response of the target to the caller."""
-        await self._write(self._writer.send(self.failure_response))
-
     async def _open_and_relay(
         self, opening: Callable[[], Awaitable[AttemptOutcome | None]]
     ) -> AttemptOutcome:
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from lavenderfold.direct._attempt import Attempt, can_be_continued
+from lavenderfold.direct._attempt import can_be_continued
 from lavenderfold.direct._attempt_recorder import AttemptRecorder
 from lavenderfold.direct._attempt_starter import AttemptStarter, StartedAttempt
 from lavenderfold.direct._choice import TargetChoice
@@ -35,7 +35,7 @@
     RouteTable,
     Target,
 )
-from lavenderfold.http import ResponseWriter
+from lavenderfold.http import HttpResponse, ResponseWriter
 from lavenderfold.outcomes import Reason
 from lavenderfold.quarantine import Verdict
 from lavenderfold.routing import RetryBudget
@@ -81,6 +81,7 @@
         )
         self._sent_attempts = 0
         self._last_outcome: AttemptOutcome | None = None
+        self._failure_response: HttpResponse | None = None
         self._running: StartedAttempt | None = None
         self._log = RequestLog(request=request, metrics=services.metrics)
         self._choice_reason = ""
@@ -123,6 +124,8 @@
                 refusal = await self._answer()
             if self._stop_scope.cancelled_caught:
                 refusal = self._refuse_at_stop()
+            if refusal is not None and await self._relay_failure_response():
+                refusal = None
             if refusal is not None:
                 await self._refuse(refusal)
         finally:
@@ -174,7 +177,7 @@
                 failed_connections >= MAX_CONNECTION_FAILURES
                 or not self._may_repeat(outcome)
             ):
-                return await self._give_up(started.attempt, outcome)
+                return self._give_up(outcome)
             started = successor or await self._prepare_attempt()
         return started
 
@@ -283,6 +286,8 @@
         self, started: StartedAttempt, outcome: AttemptOutcome | None
     ) -> None:
         target = started.target
+        if started.attempt.failure_response is not None:
+            self._failure_response = started.attempt.failure_response
         self._recorder.record_end(target)
         load = self._services.load_tracker.state(target).outstanding
         self._log.record_attempt(
@@ -331,12 +336,7 @@
         part_ids = self._request.shared_part_ids
         return self._services.quarantine.verdict(part_ids) is Verdict.SOUND
 
-    async def _give_up(
-        self, attempt: Attempt, outcome: AttemptOutcome
-    ) -> Refusal | None:
-        if attempt.failure_response is not None and not self._writer.started:
-            await attempt.relay_failure()
-            return None
+    def _give_up(self, outcome: AttemptOutcome) -> Refusal:
         if self._progress.may_have_run:
             return may_have_run(Reason.TARGET_FAILED)
         reason = Reason.OVERLOADED
@@ -369,6 +369,16 @@
         headers = self._services.codec.answer_headers(self._request.attempt_id)
         await self._writer.send(refusal_response(refusal, headers))
 
+    async def _relay_failure_response(self) -> bool:
+        """Relay a target's error response; return False if there is none to relay.
+
+        It tells the caller more than a failure of the router's own.
+        """
+        if self._failure_response is None or self._writer.started:
+            return False
+        await self._writer.send(self._failure_response)
+        return True
+
     @property
     def _retry_budget(self) -> RetryBudget:
         retry_budget = self._services.retry_budget_by_service.get(self._service_name)
