Write answers within the idle timeout in force

The writer had the timeout of the request before on its connection, and kept it. After a change that raised it, answers to callers that read late were cut. A raised timeout now also counts while a write waits.

--- a/src/lavenderfold/http/_response_writer.py
+++ b/src/lavenderfold/http/_response_writer.py
@@ -9,7 +9,6 @@
 
 from lavenderfold.http._messages import HttpResponse, encode_headers
 
-IDLE_TIMEOUT_S = 75.0
 # The part of an answer that a caller must take within the idle timeout.
 WRITE_BYTES = 16384
 # Time for a write that isn't complete at the deadline of its response.
@@ -28,7 +27,8 @@
     handler returns without calling ``finish``, the connection is closed without the
     terminating chunk, so that the caller can't take a truncated response for a
     complete one. ``deadline`` is when the response should be complete, on the trio
-    clock; a write that blocks longer raises SlowCallerError. The body is left out if
+    clock; a write that blocks longer raises SlowCallerError. ``idle_timeout_s`` returns
+    how long a caller that reads nothing is waited for. The body is left out if
     ``is_for_head_request`` is set or the status has none.
     """
 
@@ -50,7 +50,7 @@
         connection: h11.Connection,
         stream: trio.SocketStream,
         is_closing: Callable[[], bool] = bool,
-        idle_timeout_s: float = IDLE_TIMEOUT_S,
+        idle_timeout_s: Callable[[], float],
     ):
         self._connection = connection
         self._stream = stream
@@ -115,7 +115,7 @@
         if sent_bytes < len(data):
             await self._write_rest(data[sent_bytes:])
 
-    def _write_now(self, data: bytes) -> int:
+    def _write_now(self, data: bytes | memoryview) -> int:
         """Write what the socket takes at once; return how many bytes that is.
 
         Nearly all writes end here, without the cost of limits on their time.
@@ -136,14 +136,27 @@
         written as well.
         """
         limit = max(trio.current_time(), self.deadline) + WRITE_GRACE_S
-        for start in range(0, len(data), WRITE_BYTES):
-            idle_at = trio.current_time() + self._idle_timeout_s
-            with trio.move_on_at(min(idle_at, limit)) as scope:
-                await self._stream.send_all(data[start : start + WRITE_BYTES])
-            if scope.cancelled_caught and limit < idle_at:
+        rest = memoryview(data)
+        while rest:
+            await self._write_part(rest[:WRITE_BYTES], limit=limit)
+            rest = rest[WRITE_BYTES:]
+
+    async def _write_part(self, part: memoryview, *, limit: float) -> None:
+        began_at = trio.current_time()
+        timeout_s = self._idle_timeout_s()
+        while part:
+            with trio.move_on_at(min(began_at + timeout_s, limit)) as scope:
+                await trio.lowlevel.wait_writable(self._stream.socket)
+            part = part[self._write_now(part) :]
+            if not part or not scope.cancelled_caught:
+                continue
+            if limit <= trio.current_time():
                 raise SlowCallerError
-            if scope.cancelled_caught:
+            # The timeout may have been raised while the caller was waited for.
+            latest_timeout_s = self._idle_timeout_s()
+            if latest_timeout_s <= timeout_s:
                 raise trio.BrokenResourceError("the caller doesn't read the response")
+            timeout_s = latest_timeout_s
 
 
 def _response_head(status: int, headers: list[tuple[str, str]]) -> h11.Response:
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -17,7 +17,6 @@
     json_response,
 )
 from lavenderfold.http._response_writer import (
-    IDLE_TIMEOUT_S,
     ResponseWriter,
     SlowCallerError,
 )
@@ -27,6 +26,7 @@
 RECEIVE_BYTES = 65536
 HEADER_BYTES_LIMIT = 32768
 BODY_BYTES_LIMIT = 4 * 1024 * 1024
+IDLE_TIMEOUT_S = 75.0
 REQUEST_READ_TIMEOUT_S = 20.0
 # Callers may learn of a lowered idle timeout this much later than the server, and of
 # a raised one that much sooner.
@@ -134,7 +134,7 @@
             connection=self._connection,
             stream=self._stream,
             is_closing=self._options.is_closing,
-            idle_timeout_s=self._limits.idle_timeout_s,
+            idle_timeout_s=lambda: self._options.limits().idle_timeout_s,
         )
         try:
             request = await self._read_request(writer)
