Answer a request whose response can't be encoded, and keep the server

A response that h11 refused to encode counted as begun, so that the connection was closed without an answer. An error in the answer to a failed request, as from a caller that reads too slowly, came out of the nursery as a group, ended the server and with it the requests of all connections.

--- a/src/lavenderfold/http/_response_writer.py
+++ b/src/lavenderfold/http/_response_writer.py
@@ -14,6 +14,7 @@
 # Time for a write that isn't complete at the deadline of its response.
 WRITE_GRACE_S = 0.2
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
+INTERNAL_ERROR_BODY = b'{"error":{"type":"internal"}}'
 
 
 class SlowCallerError(Exception):
@@ -74,6 +75,22 @@
         )
         self.finished = True
 
+    async def send_internal_error(self) -> None:
+        """Send a 500 instead of a response of which nothing was written.
+
+        The connection can't be used again.
+        """
+        # Encoded without h11, which may have refused to encode the response and sends
+        # nothing more after that.
+        body = b"" if self.is_for_head_request else INTERNAL_ERROR_BODY
+        head = (
+            b"HTTP/1.1 500 Internal Server Error\r\ncontent-type: application/json\r\n"
+            b"content-length: %d\r\nconnection: close\r\n\r\n" % len(body)
+        )
+        self.started = True
+        await self._write_data(head + body)
+        self.finished = True
+
     async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Send the status line and headers of a chunked response."""
         self._decide_on_body(status)
@@ -106,8 +123,8 @@
         # A write that is cancelled before its first byte leaves the response as it
         # was, so that another one can be sent.
         await trio.lowlevel.checkpoint_if_cancelled()
-        self.started = True
         data = b"".join(self._connection.send(event) or b"" for event in events)
+        self.started = True
         await self._write_data(data)
 
     async def _write_data(self, data: bytes) -> None:
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -162,16 +162,17 @@
         self, request: HttpRequest, writer: ResponseWriter
     ) -> None:
         """Run the handler and cancel it if the caller closes the connection."""
-        connection_error: Exception | None = None
+        handler_error: Exception | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
             try:
                 await self._handle(request, writer)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                connection_error = error
+            except Exception as error:
+                # Raised again below, not as a part of the nursery's group.
+                handler_error = error
             nursery.cancel_scope.cancel()
-        if connection_error is not None:
-            raise connection_error
+        if handler_error is not None:
+            raise handler_error
 
     async def _cancel_on_disconnect(self, handler_scope: trio.CancelScope) -> None:
         pipelined_bytes = 0
@@ -193,18 +194,22 @@
         handler_scope.cancel()
 
     async def _handle(self, request: HttpRequest, writer: ResponseWriter) -> None:
+        try:
+            await self._call_handler(request, writer)
+        except SlowCallerError:
+            logger.info("caller_too_slow", extra={"path": request.path})
+
+    async def _call_handler(self, request: HttpRequest, writer: ResponseWriter) -> None:
         try:
             await self._handler(request, writer)
         except MalformedRequestError as error:
             await self._send_error(writer, error)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        except (trio.BrokenResourceError, trio.ClosedResourceError, SlowCallerError):
             raise
-        except SlowCallerError:
-            logger.info("caller_too_slow", extra={"path": request.path})
         except Exception:
             logger.exception("request_failed", extra={"path": request.path})
             if not writer.started:
-                await writer.send(json_response(500, {"error": {"type": "internal"}}))
+                await writer.send_internal_error()
 
     async def _read_request(self, writer: ResponseWriter) -> HttpRequest | None:
         head = await self._read_head()
@@ -348,6 +353,9 @@
             await connection.run()
         except (OSError, h11.LocalProtocolError) as error:
             logger.info("connection_failed", extra={"cause": repr(error)})
+        except Exception:
+            # The requests of other connections go on.
+            logger.exception("connection_failed")
 
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as listening:
