--- a/src/lavenderfold/http/_response_writer.py
+++ b/src/lavenderfold/http/_response_writer.py
@@ -9,11 +9,12 @@
 
 from lavenderfold.http._messages import HttpResponse, encode_headers
 
-IDLE_TIMEOUT_S = 75.0
 # The part of an answer that a caller must take within the idle timeout.
 WRITE_BYTES = 16384
 # Time for a write that isn't complete at the deadline of its response.
 WRITE_GRACE_S = 0.2
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
+INTERNAL_ERROR_BODY = b'{"error":{"type":"internal"}}'
 
 
 class SlowCallerError(Exception):
@@ -27,7 +28,9 @@
     handler returns without calling ``finish``, the connection is closed without the
     terminating chunk, so that the caller can't take a truncated response for a
     complete one. ``deadline`` is when the response should be complete, on the trio
-    clock; a write that blocks longer raises SlowCallerError.
+    clock; a write that blocks longer raises SlowCallerError. ``idle_timeout_s`` returns
+    how long a caller that reads nothing is waited for. The body is left out if
+    ``is_for_head_request`` is set or the status has none.
     """
 
     __slots__ = (
@@ -38,6 +41,8 @@
         "started",
         "finished",
         "deadline",
+        "is_for_head_request",
+        "_has_body",
     )
 
     def __init__(
@@ -46,7 +51,7 @@
         connection: h11.Connection,
         stream: trio.SocketStream,
         is_closing: Callable[[], bool] = bool,
-        idle_timeout_s: float = IDLE_TIMEOUT_S,
+        idle_timeout_s: Callable[[], float],
     ):
         self._connection = connection
         self._stream = stream
@@ -55,33 +60,62 @@
         self.started = False
         self.finished = False
         self.deadline = math.inf
+        self.is_for_head_request = False
+        self._has_body = True
 
     async def send(self, response: HttpResponse) -> None:
         """Send a complete response."""
+        self._decide_on_body(response.status)
         length = ("content-length", str(len(response.body)))
         headers = [*response.headers, length, *self._closing_headers()]
         await self._send_events(
             _response_head(response.status, headers),
-            h11.Data(data=response.body),
+            h11.Data(data=response.body if self._has_body else b""),
             h11.EndOfMessage(),
         )
         self.finished = True
 
+    async def send_internal_error(self) -> None:
+        """Send a 500 instead of a response of which nothing was written.
+
+        The connection can't be used again.
+        """
+        # Encoded without h11, which may have refused to encode the response and sends
+        # nothing more after that.
+        body = b"" if self.is_for_head_request else INTERNAL_ERROR_BODY
+        head = (
+            b"HTTP/1.1 500 Internal Server Error\r\ncontent-type: application/json\r\n"
+            b"content-length: %d\r\nconnection: close\r\n\r\n" % len(body)
+        )
+        self.started = True
+        await self._write_data(head + body)
+        self.finished = True
+
     async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Send the status line and headers of a chunked response."""
-        framing = ("transfer-encoding", "chunked")
-        chunked = [*headers, framing, *self._closing_headers()]
-        await self._send_events(_response_head(status, chunked))
+        self._decide_on_body(status)
+        framing = [("transfer-encoding", "chunked")]
+        if status in STATUSES_WITHOUT_BODY:
+            framing = []
+        headers = [*headers, *framing, *self._closing_headers()]
+        await self._send_events(_response_head(status, headers))
 
     async def write(self, data: bytes) -> None:
         """Send one chunk."""
-        await self._send_events(h11.Data(data=data))
+        if self._has_body:
+            await self._send_events(h11.Data(data=data))
 
     async def finish(self) -> None:
         """Send the terminating chunk."""
         await self._send_events(h11.EndOfMessage())
         self.finished = True
 
+    def _decide_on_body(self, status: int) -> None:
+        # h11 raises an error for a body where the protocol has none, and then sends
+        # nothing more on the connection.
+        has_body_by_status = status not in STATUSES_WITHOUT_BODY
+        self._has_body = has_body_by_status and not self.is_for_head_request
+
     def _closing_headers(self) -> list[tuple[str, str]]:
         return [("connection", "close")] if self._is_closing() else []
 
@@ -89,8 +123,8 @@
         # A write that is cancelled before its first byte leaves the response as it
         # was, so that another one can be sent.
         await trio.lowlevel.checkpoint_if_cancelled()
-        self.started = True
         data = b"".join(self._connection.send(event) or b"" for event in events)
+        self.started = True
         await self._write_data(data)
 
     async def _write_data(self, data: bytes) -> None:
@@ -98,7 +132,7 @@
         if sent_bytes < len(data):
             await self._write_rest(data[sent_bytes:])
 
-    def _write_now(self, data: bytes) -> int:
+    def _write_now(self, data: bytes | memoryview) -> int:
         """Write what the socket takes at once; return how many bytes that is.
 
         Nearly all writes end here, without the cost of limits on their time.
@@ -119,14 +153,27 @@
         written as well.
         """
         limit = max(trio.current_time(), self.deadline) + WRITE_GRACE_S
-        for start in range(0, len(data), WRITE_BYTES):
-            idle_at = trio.current_time() + self._idle_timeout_s
-            with trio.move_on_at(min(idle_at, limit)) as scope:
-                await self._stream.send_all(data[start : start + WRITE_BYTES])
-            if scope.cancelled_caught and limit < idle_at:
+        rest = memoryview(data)
+        while rest:
+            await self._write_part(rest[:WRITE_BYTES], limit=limit)
+            rest = rest[WRITE_BYTES:]
+
+    async def _write_part(self, part: memoryview, *, limit: float) -> None:
+        began_at = trio.current_time()
+        timeout_s = self._idle_timeout_s()
+        while part:
+            with trio.move_on_at(min(began_at + timeout_s, limit)) as scope:
+                await trio.lowlevel.wait_writable(self._stream.socket)
+            part = part[self._write_now(part) :]
+            if not part or not scope.cancelled_caught:
+                continue
+            if limit <= trio.current_time():
                 raise SlowCallerError
-            if scope.cancelled_caught:
+            # The timeout may have been raised while the caller was waited for.
+            latest_timeout_s = self._idle_timeout_s()
+            if latest_timeout_s <= timeout_s:
                 raise trio.BrokenResourceError("the caller doesn't read the response")
+            timeout_s = latest_timeout_s
 
 
 def _response_head(status: int, headers: list[tuple[str, str]]) -> h11.Response:
