Eject a target whose head or event never ends although parts go on arriving

What callers saw: a target that sends single bytes without end loses a request that may run only once (504 at its timeout), and after half a second the next one, without end. If the bytes belong to an event stream it gets the next request at once, since each byte passes for a sign of a sound target.

Cause: a timeout is recorded as no fault of the target (timed_out), and silence only where another target may take over. So nothing ejects the target of a request that may run only once.

Evidence: four of the new tests of test_slow_single_runs.py fail without the change: the second lost request, an event stream, a caller that leaves before the timeout, and a repeatable request without an attempt left.

Why this works: PartProgress notes how long parts of one head or event have gone on arriving. After 0.6 s the attempt is stalled, and if it then times out or is cancelled, one failure is recorded, unless silence was recorded for it already. A timeout alone stays no fault: targets that are silent, pause within a head, send whole interim responses or a long body stay in use (tests). The time of writes to the caller doesn't count. The request itself is not repeated (test).

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -12,6 +12,7 @@
     is_later_id,
 )
 from lavenderfold.direct._outcome import AttemptOutcome
+from lavenderfold.direct._part_progress import PartProgress
 from lavenderfold.direct._relay_progress import RelayProgress
 from lavenderfold.direct._requests import (
     AnswerHead,
@@ -21,7 +22,6 @@
     TargetCall,
 )
 from lavenderfold.direct._target_wait import TargetWait
-from lavenderfold.fleet import Route
 from lavenderfold.http import (
     HttpClient,
     HttpClientError,
@@ -101,6 +101,7 @@
         self._on_sign = on_sign
         self._on_events = on_events
         self._is_answering = False
+        self._parts = PartProgress()
         self._first_deadline = trio.current_time() + self._head_wait_s()
         self._exchange = contextlib.AsyncExitStack()
         self._response: StreamedResponse | None = None
@@ -121,6 +122,11 @@
         """Whether the target has begun to answer with success."""
         return self._head is not None and self._head.is_success
 
+    @property
+    def is_stalled(self) -> bool:
+        """Whether the target kept sending parts of a head or event without its end."""
+        return self._parts.is_stalled
+
     async def open(self, client: HttpClient) -> AttemptOutcome | None:
         """Send the call and read the head of its answer.
 
@@ -136,6 +142,7 @@
             is_fresh=not self._call.route.is_repeatable,
             resets_if_abandoned=True,
             on_sending=self._record_sending,
+            on_head_bytes=self._record_bytes,
             exchange_id=self._call.request.attempt_id,
         )
         try:
@@ -180,6 +187,12 @@
         self.sent_at = trio.current_time()
         self._progress.uncertain_attempts += 1
 
+    def _record_bytes(self, is_part: bool) -> None:
+        if is_part:
+            self._parts.record_part(now=trio.current_time())
+        else:
+            self._parts.record_whole()
+
     async def relay_failure(self) -> None:
         """Write the error response of the target to the caller."""
         await self._write(self._writer.send(self.failure_response))
@@ -217,6 +230,7 @@
     def _read_head(self, response: StreamedResponse) -> AttemptOutcome | None:
         """Return the outcome if no answer follows the head, else None."""
         self.status = response.status
+        self._parts.record_whole()
         head = self._codec.read_answer(response.status, response.headers)
         self.is_turned_away = head.asks_pause
         self._on_sign()
@@ -289,12 +303,15 @@
             except InvalidEventError as error:
                 raise InvalidAnswerError(InvalidCause.EVENT, str(error)) from error
             if events is not None:
+                # The time of the write to the caller isn't the target's.
+                self._parts.record_whole()
                 if not self._follows_relayed(events):
                     return AttemptOutcome.FAILED
                 if not await self._write_events(head, events):
                     return AttemptOutcome.TIMED_OUT
                 # Bytes without a complete event don't show that the target goes on.
                 deadline = trio.current_time() + self._event_wait_s()
+            self._record_bytes(splitter.has_partial_event)
         if splitter.has_partial_event:
             return AttemptOutcome.LOST
         if self._is_continuation and not self._has_relayed_ids:
@@ -372,14 +389,6 @@
         return max(EVENT_WAIT_MIN_S, EVENT_WAIT_FACTOR * limit_s)
 
 
-def can_be_continued(route: Route, progress: RelayProgress) -> bool:
-    """Return whether another target can continue an answer that was relayed in part.
-
-    Without event ids a target would begin the answer again.
-    """
-    return route.is_resumable and progress.last_event_id is not None
-
-
 def _is_event_stream(head: AnswerHead) -> bool:
     return any(
         name == "content-type" and value.startswith(EVENT_STREAM_TYPE)
--- a/src/lavenderfold/direct/_attempt_recorder.py
+++ b/src/lavenderfold/direct/_attempt_recorder.py
@@ -7,7 +7,8 @@
 from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.fleet import Target
 
-# Silence is recorded when it is noticed, and a timeout is no fault of the target.
+# Silence is recorded when it is noticed, and a timeout is no fault of the target. A
+# stalled attempt is one, which is recorded when the attempt ends.
 RECORDED_OUTCOMES = (AttemptOutcome.SILENT, AttemptOutcome.TIMED_OUT)
 
 
@@ -24,8 +25,15 @@
     def record_start(self, target: Target) -> None:
         self._services.load_tracker.record_start(target, now=self._now())
 
-    def record_end(self, target: Target) -> None:
-        self._services.load_tracker.record_end(target, now=self._now())
+    def record_end(
+        self, attempt: Attempt, target: Target, outcome: AttemptOutcome | None
+    ) -> None:
+        """Record that an attempt has ended; it was cancelled if it has no outcome."""
+        load_tracker = self._services.load_tracker
+        load_tracker.record_end(target, now=self._now())
+        is_unfinished = outcome is None or outcome is AttemptOutcome.TIMED_OUT
+        if is_unfinished and attempt.is_stalled and target.id not in self._silent_ids:
+            load_tracker.record_failure(target, now=self._now())
 
     def record_sign(self, target: Target) -> None:
         """Record that a part of an answer arrived."""
--- a/src/lavenderfold/direct/_relay_progress.py
+++ b/src/lavenderfold/direct/_relay_progress.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from lavenderfold.fleet import Route
+
 
 class RelayProgress(msgspec.Struct):
     """How much of an answer was relayed to the caller, over all attempts.
@@ -33,3 +35,11 @@
         self.events += count
         if last_id is not None:
             self.last_event_id = last_id
+
+
+def can_be_continued(route: Route, progress: RelayProgress) -> bool:
+    """Return whether another target can continue an answer that was relayed in part.
+
+    Without event ids a target would begin the answer again.
+    """
+    return route.is_resumable and progress.last_event_id is not None
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from lavenderfold.direct._attempt import Attempt, can_be_continued
+from lavenderfold.direct._attempt import Attempt
 from lavenderfold.direct._attempt_recorder import AttemptRecorder
 from lavenderfold.direct._attempt_starter import AttemptStarter, StartedAttempt
 from lavenderfold.direct._choice import TargetChoice
@@ -17,7 +17,7 @@
     not_run,
     refusal_response,
 )
-from lavenderfold.direct._relay_progress import RelayProgress
+from lavenderfold.direct._relay_progress import RelayProgress, can_be_continued
 from lavenderfold.direct._request_log import (
     RequestLog,
     RequestResult,
@@ -273,7 +273,7 @@
         self, started: StartedAttempt, outcome: AttemptOutcome | None
     ) -> None:
         target = started.target
-        self._recorder.record_end(target)
+        self._recorder.record_end(started.attempt, target, outcome)
         load = self._services.load_tracker.state(target).outstanding
         self._log.record_attempt(
             started.attempt, target, outcome, sent_at=started.started_at, load=load
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -143,7 +143,11 @@
         self.is_broken = False
         self.exchange_ids: deque[str] = deque(maxlen=RECENT_EXCHANGES_LIMIT)
 
-    async def exchange(self, request: HttpRequest) -> h11.Response:
+    async def exchange(
+        self,
+        request: HttpRequest,
+        on_head_bytes: Callable[[bool], None] | None = None,
+    ) -> h11.Response:
         """Send a request and return the head of its response.
 
         A peer may respond to a long body before it has read all of it, so a body
@@ -155,14 +159,14 @@
         if len(request.body) <= SEND_FIRST_LIMIT_BYTES:
             await self._write(data)
             self.is_request_sent = True
-            return await self.response_head()
+            return await self.response_head(on_head_bytes)
         await self._write(data[:SEND_FIRST_LIMIT_BYTES])
         head: h11.Response | None = None
         failure: HttpClientError | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_rest, data[SEND_FIRST_LIMIT_BYTES:])
             try:
-                head = await self.response_head()
+                head = await self.response_head(on_head_bytes)
             except HttpClientError as error:
                 failure = error
             nursery.cancel_scope.cancel()
@@ -203,12 +207,16 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ResponseLostError(self.address, error) from error
 
-    async def next_event(self) -> h11.Event:
+    async def next_event(
+        self, on_bytes: Callable[[bool], None] | None = None
+    ) -> h11.Event:
         try:
             while True:
                 event = self.protocol.next_event()
                 if event is not h11.NEED_DATA:
                     return event
+                if on_bytes is not None:
+                    on_bytes(bool(self.protocol.trailing_data[0]))
                 data = await self.stream.receive_some(RECEIVE_BYTES)
                 if not data and self.is_broken:
                     raise ResponseLostError(self.address, "reset within the request")
@@ -220,9 +228,11 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ResponseLostError(self.address, error) from error
 
-    async def response_head(self) -> h11.Response:
+    async def response_head(
+        self, on_head_bytes: Callable[[bool], None] | None
+    ) -> h11.Response:
         for _ in range(INTERIM_RESPONSES_LIMIT + 1):
-            event = await self.next_event()
+            event = await self.next_event(on_head_bytes)
             if not isinstance(event, (h11.Response, h11.InformationalResponse)):
                 raise ResponseLostError(self.address, "connection closed")
             if _contains_status_line(event):
@@ -230,6 +240,8 @@
                 raise MixedHeadError(self.address, cause)
             if isinstance(event, h11.Response):
                 return event
+            if on_head_bytes is not None:
+                on_head_bytes(False)
         raise ResponseLostError(self.address, "too many interim responses")
 
     def is_stale(self) -> bool:
@@ -297,6 +309,7 @@
         is_fresh: bool = False,
         resets_if_abandoned: bool = False,
         on_sending: Callable[[], None] | None = None,
+        on_head_bytes: Callable[[bool], None] | None = None,
         exchange_id: str | None = None,
     ) -> AsyncIterator[StreamedResponse]:
         """Send a request and yield its response before its body is complete.
@@ -306,8 +319,10 @@
         ``exchange_id`` is the id that the peer repeats in its response. An earlier
         response with the same id may arrive again, so a connection that lately
         carried this id isn't used. ``on_sending`` is called right before the first
-        byte is sent. With ``resets_if_abandoned`` the connection is reset if the
-        response wasn't read to its end, so that the peer stops working on it.
+        byte is sent. ``on_head_bytes`` is called, with whether a head has arrived in
+        part, before each wait for more of the head and after each interim response.
+        With ``resets_if_abandoned`` the connection is reset if the response wasn't
+        read to its end, so that the peer stops working on it.
         """
         connection = await (self._connect() if is_fresh else self._acquire(exchange_id))
         if exchange_id is not None:
@@ -315,7 +330,7 @@
         if on_sending is not None:
             on_sending()
         try:
-            head = await connection.exchange(request)
+            head = await connection.exchange(request, on_head_bytes)
             yield StreamedResponse(
                 head=head, connection=connection, method=request.method
             )
