--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -13,6 +13,7 @@
     is_later_id,
 )
 from lavenderfold.direct._outcome import AttemptOutcome
+from lavenderfold.direct._part_progress import PartProgress
 from lavenderfold.direct._relay_progress import RelayProgress
 from lavenderfold.direct._requests import (
     AnswerHead,
@@ -22,7 +23,6 @@
     TargetCall,
 )
 from lavenderfold.direct._target_wait import TargetWait
-from lavenderfold.fleet import Route
 from lavenderfold.http import (
     HttpClient,
     HttpClientError,
@@ -103,6 +103,7 @@
         self._on_relaying = on_relaying
         self._is_answering = False
         self._is_closed = False
+        self._parts = PartProgress()
         self._first_deadline = trio.current_time() + self._head_wait_s()
         self._exchange = contextlib.AsyncExitStack()
         self._head: AnswerHead | None = None
@@ -121,6 +122,11 @@
         """Whether the target had sent the head of its answer, but no event."""
         return self.status is not None and self.events == 0
 
+    @property
+    def is_stalled(self) -> bool:
+        """Whether the target kept sending parts of a head or event without its end."""
+        return self._parts.is_stalled
+
     async def open(
         self, client: HttpClient, *, on_sending: Callable[[], None] | None = None
     ) -> AttemptOutcome | None:
@@ -140,6 +146,7 @@
             is_fresh=not self._call.route.is_repeatable,
             resets_if_abandoned=True,
             on_sending=partial(self._record_sending, on_sending),
+            on_head_bytes=self._record_bytes,
             exchange_id=self._call.request.attempt_id,
         )
         try:
@@ -192,6 +199,12 @@
         if on_sending is not None:
             on_sending()
 
+    def _record_bytes(self, is_part: bool) -> None:
+        if is_part:
+            self._parts.record_part(now=trio.current_time())
+        else:
+            self._parts.record_whole()
+
     async def _open_and_relay(
         self, opening: Callable[[], Awaitable[AttemptOutcome | None]]
     ) -> AttemptOutcome:
@@ -225,6 +238,7 @@
     def _read_head(self, response: StreamedResponse) -> AttemptOutcome | None:
         """Return the outcome if no answer follows the head, else None."""
         self.status = response.status
+        self._parts.record_whole()
         head = self._codec.read_answer(response.status, response.headers)
         self.is_turned_away = head.asks_pause
         self._on_sign()
@@ -272,6 +286,7 @@
     async def _next_events(self) -> CompleteEvents | None:
         """Return the next complete events of the stream, or None at its end."""
         while True:
+            self._record_bytes(self._splitter.has_partial_event)
             chunk = await anext(self._chunks, None)
             if chunk is None:
                 return None
@@ -281,6 +296,7 @@
             except InvalidEventError as error:
                 raise InvalidAnswerError(InvalidCause.EVENT, str(error)) from error
             if events is not None:
+                self._parts.record_whole()
                 return events
 
     def _check_events(self, events: CompleteEvents | None) -> AttemptOutcome | None:
@@ -391,14 +407,6 @@
         return max(EVENT_WAIT_MIN_S, EVENT_WAIT_FACTOR * limit_s)
 
 
-def can_be_continued(route: Route, progress: RelayProgress) -> bool:
-    """Return whether another target can continue an answer that was relayed in part.
-
-    Without event ids a target would begin the answer again.
-    """
-    return route.is_resumable and progress.last_event_id is not None
-
-
 def _is_event_stream(head: AnswerHead) -> bool:
     return any(
         name == "content-type" and value.startswith(EVENT_STREAM_TYPE)
