--- a/src/lavenderfold/fleet/_config.py
+++ b/src/lavenderfold/fleet/_config.py
@@ -26,7 +26,9 @@
 class Route(msgspec.Struct, frozen=True, kw_only=True):
     """How requests for one host and path prefix are routed. Times are in seconds.
 
-    ``priority`` 0 is the most urgent. ``is_public`` routes need no API key.
+    ``priority`` 0 is the most urgent. ``is_public`` routes need no API key. After
+    ``patience_s`` without an event, also before the first one, callers abandon a
+    stream; None if they wait until their deadline.
     """
 
     name: str
@@ -37,6 +39,7 @@
     timeout_s: float
     latency_objective_s: float
     pause_limit_s: float = 0.0
+    patience_s: float | None = None
     priority: int = 0
     attempt_limit: int = 1
     is_public: bool = False
