End a silent stream shortly before its caller leaves

A request without an event waited for its target until its deadline, so its caller left first, got no answer, and the target worked on for nobody. It now ends 0.35 s before the caller's patience is over: the attempt is reset, and the caller gets 504 as may have run, or 503 if nothing was sent. A stream with an event goes on as before.

--- a/src/lavenderfold/direct/_attempt_starter.py
+++ b/src/lavenderfold/direct/_attempt_starter.py
@@ -10,6 +10,7 @@
 from lavenderfold.direct._attempt_recorder import AttemptRecorder
 from lavenderfold.direct._choice import TargetChoice
 from lavenderfold.direct._outcome import AttemptOutcome
+from lavenderfold.direct._patience import CallerPatience
 from lavenderfold.direct._relay_progress import RelayProgress
 from lavenderfold.direct._requests import CallerRequest, TargetCall
 from lavenderfold.direct._router_services import RouterServices
@@ -39,8 +40,8 @@
 class AttemptStarter:
     """Begins attempts that relay to the same writer, until ``deadline``.
 
-    ``deadline`` is a time of the trio clock. ``on_events`` is called before events of
-    any of these attempts are relayed.
+    ``deadline`` is a time of the trio clock, ``patience`` that of the caller.
+    ``on_events`` is called before events of any of these attempts are relayed.
     """
 
     __slots__ = (
@@ -52,6 +53,7 @@
         "_progress",
         "_recorder",
         "_deadline",
+        "_patience",
         "_on_events",
     )
 
@@ -66,6 +68,7 @@
         progress: RelayProgress,
         recorder: AttemptRecorder,
         deadline: float,
+        patience: CallerPatience,
         on_events: Callable[[], None],
     ):
         self._services = services
@@ -76,6 +79,7 @@
         self._progress = progress
         self._recorder = recorder
         self._deadline = deadline
+        self._patience = patience
         self._on_events = on_events
 
     def start(
@@ -94,6 +98,7 @@
                 timers=self._services.timers,
                 deadline=self._deadline,
                 try_take_over=try_take_over,
+                patience=self._patience,
             ),
             on_answering=self._recorder.record_answering,
             on_head=partial(self._recorder.record_head, target),
--- /dev/null
+++ b/src/lavenderfold/direct/_patience.py
@@ -0,0 +1,49 @@
+"""When callers abandon silent streams, and until when they are answered before."""
+
+import math
+
+from lavenderfold.direct._relay_progress import RelayProgress
+
+# The answer to a caller begins this long before the caller leaves. That covers an event
+# loop as late as that of a router that still takes new callers (0.2 s), the grace of a
+# late check (0.1 s), and the way to the caller.
+ANSWER_MARGIN_S = 0.35
+# The margin is at most this part of a short patience.
+ANSWER_MARGIN_SHARE = 0.5
+
+
+class CallerPatience:
+    """The patience of one request's caller, beside its deadline.
+
+    The caller leaves after ``patience_s`` without an event, also before the first one;
+    None means that it waits until its deadline. ``read_at`` is when the request was
+    read. Patience begins anew with each event in ``progress``, not with other bytes.
+    Times are those of the trio clock.
+    """
+
+    __slots__ = ("_patience_s", "_margin_s", "_read_at", "_progress")
+
+    def __init__(
+        self, *, patience_s: float | None, read_at: float, progress: RelayProgress
+    ):
+        self._patience_s = math.inf if patience_s is None else patience_s
+        self._margin_s = min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * self._patience_s)
+        self._read_at = read_at
+        self._progress = progress
+
+    @property
+    def leaves_at(self) -> float:
+        """When the caller leaves, unless an event is written before."""
+        last_event_at = self._progress.last_event_at
+        since = self._read_at if last_event_at is None else last_event_at
+        return since + self._patience_s
+
+    def answer_by(self, deadline: float) -> float:
+        """Return until when the request may wait for an event.
+
+        After the first event that is ``deadline``, because the silence of a target is
+        no reason to end its stream.
+        """
+        if self._progress.last_event_at is not None:
+            return deadline
+        return min(deadline, self.leaves_at - self._margin_s)
--- a/src/lavenderfold/direct/_refusals.py
+++ b/src/lavenderfold/direct/_refusals.py
@@ -18,6 +18,7 @@
     Reason.NO_TARGET: 503,
     Reason.NOT_READY: 503,
     Reason.OVERLOADED: 503,
+    Reason.PATIENCE_OVER: 504,
     Reason.PROMPT_QUARANTINED: 503,
     Reason.TARGET_FAILED: 502,
     Reason.TARGETS_PAUSED: 503,
@@ -56,6 +57,17 @@
     )
 
 
+def unanswered(reason: Reason, *, is_uncertain: bool) -> Refusal:
+    """Return the refusal of a request whose time for an answer is over.
+
+    ``reason`` is why; if it's certain that the request didn't run, the refusal says
+    that no target could be reached.
+    """
+    if is_uncertain:
+        return may_have_run(reason)
+    return not_run(Reason.CONNECTION_FAILED, retry_after_s=DEFAULT_RETRY_AFTER_S)
+
+
 def refusal_response(refusal: Refusal, headers: list[tuple[str, str]]) -> HttpResponse:
     """Return the refusal as an HTTP response."""
     body = {"error": {"type": refusal.reason, "outcome": refusal.outcome}}
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -9,6 +9,7 @@
 from lavenderfold.direct._attempt_starter import AttemptStarter, StartedAttempt
 from lavenderfold.direct._choice import TargetChoice
 from lavenderfold.direct._outcome import AttemptOutcome
+from lavenderfold.direct._patience import CallerPatience
 from lavenderfold.direct._pauses import pause_retry_after_s, pause_wait_limit
 from lavenderfold.direct._refusals import (
     DEFAULT_RETRY_AFTER_S,
@@ -16,29 +17,20 @@
     may_have_run,
     not_run,
     refusal_response,
+    unanswered,
 )
 from lavenderfold.direct._relay_progress import RelayProgress
-from lavenderfold.direct._request_log import (
-    RequestLog,
-    RequestResult,
-    answer_state,
-)
+from lavenderfold.direct._request_log import RequestLog, RequestResult, answer_state
 from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.direct._reservation import Reservation
 from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.direct._service_choice import pick_service
 from lavenderfold.direct._take_over import TakeOver
 from lavenderfold.direct._target_selection import TargetSelection
-from lavenderfold.fleet import (
-    Organisation,
-    Route,
-    RouteTable,
-    Target,
-)
+from lavenderfold.fleet import Organisation, Route, RouteTable, Target
 from lavenderfold.http import ResponseWriter
 from lavenderfold.outcomes import Reason
 from lavenderfold.quarantine import Verdict
-from lavenderfold.routing import RetryBudget
 
 # A target that can't be connected to doesn't count as an attempt, because nothing
 # ran, but each failed connection takes time. Give up after this many.
@@ -71,7 +63,13 @@
         self._caller_deadline = self._started_at + caller_timeout_s
         writer.deadline = self._deadline
         self._service_name = pick_service(route, request.attempt_id)
+        self._retry_budget = services.retry_budget(self._service_name)
         self._progress = RelayProgress()
+        self._patience = CallerPatience(
+            patience_s=route.patience_s,
+            read_at=self._started_at,
+            progress=self._progress,
+        )
         self._reservation = Reservation(
             balance_manager=services.balance_manager,
             timers=services.timers,
@@ -103,6 +101,7 @@
             progress=self._progress,
             recorder=self._recorder,
             deadline=self._deadline,
+            patience=self._patience,
             on_events=self._take_over.drop,
         )
         self._stop_scope = trio.CancelScope()
@@ -148,18 +147,24 @@
             return may_have_run(Reason.DRAINING)
         return not_run(Reason.DRAINING, retry_after_s=DEFAULT_RETRY_AFTER_S)
 
-    def _refuse_at_deadline(self) -> Refusal:
-        if self._progress.may_have_run or self._sent_attempts:
-            return may_have_run(Reason.DEADLINE_PASSED)
-        return not_run(Reason.CONNECTION_FAILED, retry_after_s=DEFAULT_RETRY_AFTER_S)
+    @property
+    def _answer_by(self) -> float:
+        return self._patience.answer_by(self._deadline)
+
+    def _refuse_late(self) -> Refusal:
+        is_uncertain = self._progress.may_have_run
+        if self._answer_by < self._deadline:
+            return unanswered(Reason.PATIENCE_OVER, is_uncertain=is_uncertain)
+        is_uncertain = is_uncertain or self._sent_attempts > 0
+        return unanswered(Reason.DEADLINE_PASSED, is_uncertain=is_uncertain)
 
     async def _attempt_targets(self) -> Refusal | None:
         failed_connections = 0
         while True:
             # Other routers may have seen the prompt crash a target meanwhile.
             await self._wait_for_decision()
-            if trio.current_time() >= self._deadline:
-                return self._refuse_at_deadline()
+            if trio.current_time() >= self._answer_by:
+                return self._refuse_late()
             refusal = self._refuse_quarantined()
             if refusal is not None:
                 return refusal
@@ -172,7 +177,7 @@
             if outcome is AttemptOutcome.DELIVERED:
                 return None
             if outcome is AttemptOutcome.TIMED_OUT:
-                return self._refuse_at_deadline()
+                return self._refuse_late()
             self._selection.record_failure(started.target)
             failed_connections += outcome is AttemptOutcome.NOT_CONNECTED
             self._sent_attempts += outcome is not AttemptOutcome.NOT_CONNECTED
@@ -361,14 +366,6 @@
         headers = self._services.codec.answer_headers(self._request.attempt_id)
         await self._writer.send(refusal_response(refusal, headers))
 
-    @property
-    def _retry_budget(self) -> RetryBudget:
-        retry_budget = self._services.retry_budget_by_service.get(self._service_name)
-        if retry_budget is None:
-            retry_budget = self._services.new_retry_budget()
-            self._services.retry_budget_by_service[self._service_name] = retry_budget
-        return retry_budget
-
     def _write_result(self, refusal: Refusal | None) -> None:
         balance = None
         if refusal is not None and refusal.reason in BALANCE_REASONS:
--- a/src/lavenderfold/direct/_router_services.py
+++ b/src/lavenderfold/direct/_router_services.py
@@ -40,3 +40,11 @@
     retry_budget_by_service: dict[str, RetryBudget] = msgspec.field(
         default_factory=dict
     )
+
+    def retry_budget(self, service_name: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        retry_budget = self.retry_budget_by_service.get(service_name)
+        if retry_budget is None:
+            retry_budget = self.new_retry_budget()
+            self.retry_budget_by_service[service_name] = retry_budget
+        return retry_budget
--- a/src/lavenderfold/direct/_target_wait.py
+++ b/src/lavenderfold/direct/_target_wait.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from lavenderfold.direct._patience import CallerPatience
 from lavenderfold.timers import Subscription, TimerService
 
 # After this time it is asked again whether another target can take over.
@@ -22,13 +23,16 @@
     A silent target may go on, so its attempt is given up only for another one:
     ``try_take_over`` is called when the target has been silent for the limit of a wait,
     and the wait ends if it returns True. Without ``try_take_over`` only the deadline
-    ends a wait.
+    ends a wait. Until a caller with ``patience`` has got an event, a wait ends shortly
+    before the caller leaves.
     """
 
     __slots__ = (
         "is_taken_over",
         "_timers",
         "_deadline",
+        "_patience",
+        "_ends_at",
         "_try_take_over",
         "_scope",
         "_due_at",
@@ -43,10 +47,13 @@
         timers: TimerService,
         deadline: float,
         try_take_over: Callable[[], bool] | None,
+        patience: CallerPatience | None = None,
     ):
         self.is_taken_over = False
         self._timers = timers
         self._deadline = deadline
+        self._patience = patience
+        self._ends_at = deadline
         self._try_take_over = try_take_over
         self._scope: trio.CancelScope | None = None
         self._due_at = deadline
@@ -59,12 +66,15 @@
         """Enclose a wait for the target, which is silent from ``silent_at`` on.
 
         If the wait was cancelled, ``is_taken_over`` says whether another target takes
-        over; otherwise the deadline has passed.
+        over; otherwise the time for an answer is over.
         """
         self.is_taken_over = False
-        self._due_at = self._deadline
+        self._ends_at = self._deadline
+        if self._patience is not None:
+            self._ends_at = self._patience.answer_by(self._deadline)
+        self._due_at = self._ends_at
         if self._try_take_over is not None:
-            self._due_at = min(silent_at, self._deadline)
+            self._due_at = min(silent_at, self._ends_at)
         self._schedule_check()
         self._scope = trio.CancelScope()
         try:
@@ -117,8 +127,8 @@
         self._schedule_check()
 
     def _is_over(self, now: float) -> bool:
-        if now >= self._deadline:
+        if now >= self._ends_at:
             return True
         self.is_taken_over = self._try_take_over()
-        self._due_at = min(now + RECHECK_S, self._deadline)
+        self._due_at = min(now + RECHECK_S, self._ends_at)
         return self.is_taken_over
--- a/src/lavenderfold/outcomes.py
+++ b/src/lavenderfold/outcomes.py
@@ -26,6 +26,7 @@
     NO_TARGET = "no_target"
     NOT_READY = "not_ready"
     OVERLOADED = "overloaded"
+    PATIENCE_OVER = "patience_over"
     PROMPT_QUARANTINED = "prompt_quarantined"
     REQUEST_TOO_OLD = "request_too_old"
     TARGET_FAILED = "target_failed"
--- /dev/null
+++ b/tests/test_caller_patience.py
@@ -0,0 +1,222 @@
+"""Requests that end shortly before their callers' patience is over."""
+
+import math
+import socket
+
+import msgspec
+import pytest
+import trio
+
+from lavenderfold.direct._patience import ANSWER_MARGIN_S, CallerPatience
+from lavenderfold.direct._relay_progress import RelayProgress
+from lavenderfold.fleet import RepeatPolicy
+from lavenderfold.settings import Address
+from tests.direct_support import (
+    answer_successfully,
+    event,
+    make_config,
+    make_route,
+    run_scenario,
+    stream,
+    valid_headers,
+)
+
+PATIENCE_S = 1.0
+WHOLE_STREAM = b"".join(event(number) for number in range(1, 5))
+CONFIG = make_config(
+    routes=(
+        make_route("read", RepeatPolicy.IDEMPOTENT, timeout_s=4.0),
+        make_route("chat", RepeatPolicy.STREAM, timeout_s=4.0, patience_s=PATIENCE_S),
+        make_route(
+            "draft",
+            RepeatPolicy.STREAM,
+            timeout_s=4.0,
+            patience_s=PATIENCE_S,
+            is_resumable=True,
+        ),
+    )
+)
+
+
+def make_patience(*, patience_s: float | None = 2.0, progress=None) -> CallerPatience:
+    return CallerPatience(
+        patience_s=patience_s, read_at=10.0, progress=progress or RelayProgress()
+    )
+
+
+def test_patience_counts_from_when_the_request_was_read():
+    """Guards against time spent before the first attempt that the caller has lost."""
+    patience = make_patience()
+    assert patience.leaves_at == 12.0
+    assert patience.answer_by(99.0) == 12.0 - ANSWER_MARGIN_S
+
+
+def test_earlier_deadline_holds():
+    """Guards against a patience that replaces the deadline."""
+    assert make_patience().answer_by(11.0) == 11.0
+
+
+@pytest.mark.parametrize("patience_s", [0.0, 0.1])
+def test_very_short_patience_leaves_no_time_before_the_request_was_read(patience_s):
+    """Guards against an end that lies before the beginning."""
+    assert make_patience(patience_s=patience_s).answer_by(99.0) >= 10.0
+
+
+def test_route_without_patience_has_only_the_deadline():
+    """Guards against requests without a stream that are ended before their deadline."""
+    patience = make_patience(patience_s=None)
+    assert patience.leaves_at == math.inf
+    assert patience.answer_by(99.0) == 99.0
+
+
+def test_patience_begins_anew_with_each_event_and_ends_no_stream():
+    """Guards against streams that are cut for a silence after their first event."""
+    progress = RelayProgress()
+    patience = make_patience(progress=progress)
+    progress.record_events(1, "1", now=11.5)
+    assert patience.leaves_at == 13.5
+    progress.record_events(1, "2", now=13.0)
+    assert patience.leaves_at == 15.0
+    assert patience.answer_by(99.0) == 99.0
+
+
+async def send(fleet, path: str):
+    """Send a request; return its answer, and how long that took in seconds."""
+    started_at = trio.current_time()
+    answer = await fleet.send_request(path, patience="6")
+    return answer, trio.current_time() - started_at
+
+
+async def send_head(request, writer) -> None:
+    headers = [*valid_headers(request), ("content-type", "text/event-stream")]
+    await writer.start(200, headers)
+
+
+async def never(request, writer):
+    await trio.sleep(30)
+
+
+async def head_only(request, writer):
+    await send_head(request, writer)
+    await trio.sleep(30)
+
+
+async def parts_of_an_event(request, writer):
+    await send_head(request, writer)
+    for _ in range(100):
+        await writer.write(b": wait\n")
+        await trio.sleep(0.1)
+
+
+@pytest.mark.parametrize("path", ["/chat/x", "/draft/x"])
+@pytest.mark.parametrize("script", [never, head_only, parts_of_an_event])
+def test_silent_request_ends_before_its_caller_leaves(script, path):
+    """Guards against callers that leave without knowing what became of a request."""
+
+    async def scenario(fleet):
+        answer, took_s = await send(fleet, path)
+        assert answer.status == 504
+        error = msgspec.json.decode(answer.body)["error"]
+        assert error == {"type": "patience_over", "outcome": "may_have_run"}
+        assert PATIENCE_S - ANSWER_MARGIN_S - 0.01 < took_s < PATIENCE_S
+
+    run_scenario(scenario, script, script, config=CONFIG)
+
+
+def test_attempt_of_a_request_that_ended_is_closed():
+    """Guards against targets that work on for a caller that was told the end."""
+    broken_after_s = []
+
+    async def script(request, writer):
+        started_at = trio.current_time()
+        await send_head(request, writer)
+        try:
+            for _ in range(100):
+                await writer.write(b": wait\n")
+                await trio.sleep(0.05)
+        except trio.BrokenResourceError:
+            broken_after_s.append(trio.current_time() - started_at)
+
+    async def scenario(fleet):
+        await send(fleet, "/chat/x")
+        await trio.sleep(0.2)
+        assert broken_after_s and broken_after_s[0] < PATIENCE_S + 0.1
+
+    run_scenario(scenario, script, config=CONFIG)
+
+
+def test_request_that_was_never_sent_ends_as_not_run():
+    """Guards against callers that may not retry a request that certainly didn't run."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    # Connections to a listener whose queue is full are neither accepted nor refused.
+    fillers = [socket.socket() for _ in range(4)]
+    for each in fillers:
+        each.setblocking(False)
+        each.connect_ex(listener.getsockname())
+
+    async def scenario(fleet):
+        target = fleet.target_by_id["t0"]
+        target.address = Address(host="127.0.0.1", port=listener.getsockname()[1])
+        fleet.register(target)
+        await trio.sleep(0.3)
+        answer, took_s = await send(fleet, "/chat/x")
+        assert answer.status == 503
+        error = msgspec.json.decode(answer.body)["error"]
+        assert error == {"type": "connection_failed", "outcome": "not_run"}
+        # Shorter than the time in which a connection fails by itself.
+        assert took_s < 0.4
+
+    route = make_route("chat", RepeatPolicy.STREAM, timeout_s=4.0, patience_s=0.5)
+    try:
+        run_scenario(scenario, never, config=make_config(routes=(route,)))
+    finally:
+        for each in [*fillers, listener]:
+            each.close()
+
+
+def test_sound_target_that_is_silent_for_a_while_is_waited_for():
+    """Guards against requests that end although their answer would be in time."""
+
+    async def pause(request, writer):
+        await trio.sleep(PATIENCE_S - ANSWER_MARGIN_S - 0.1)
+        await stream()(request, writer)
+
+    async def scenario(fleet):
+        answer, _ = await send(fleet, "/chat/x")
+        assert answer.body == WHOLE_STREAM
+
+    run_scenario(scenario, pause, config=CONFIG)
+
+
+def test_stream_with_an_event_is_not_ended_for_a_silence():
+    """Guards against streams that are cut although their target goes on."""
+
+    async def pause(request, writer):
+        await send_head(request, writer)
+        await writer.write(event(1))
+        await trio.sleep(PATIENCE_S + 0.3)
+        for number in range(2, 5):
+            await writer.write(event(number))
+        await writer.finish()
+
+    async def scenario(fleet):
+        answer, _ = await send(fleet, "/chat/x")
+        assert answer.body == WHOLE_STREAM
+
+    run_scenario(scenario, pause, config=CONFIG)
+
+
+def test_request_without_a_stream_waits_until_its_deadline():
+    """Guards against a patience that ends other requests than streams."""
+
+    async def pause(request, writer):
+        await trio.sleep(PATIENCE_S + 0.3)
+        await answer_successfully(request, writer)
+
+    async def scenario(fleet):
+        answer, _ = await send(fleet, "/read/x")
+        assert answer.status == 200
+
+    run_scenario(scenario, pause, config=CONFIG)
