Count the times of a request from when it was read

A request that waited for a router's first configuration had up to 1 s more until its deadline and its caller's patience than the caller itself, and the log lines left that second out.

--- a/src/lavenderfold/direct/_caller_api.py
+++ b/src/lavenderfold/direct/_caller_api.py
@@ -60,6 +60,7 @@
             execution.stop_unless_answering()
 
     async def _serve(self, request: CallerRequest, writer: ResponseWriter) -> None:
+        read_at = trio.current_time()
         table = self._config.table
         if table is None:
             table = await self._config.wait_installed(STARTUP_WAIT_S)
@@ -96,6 +97,7 @@
             route=route,
             organisation=organisation,
             writer=writer,
+            read_at=read_at,
         )
         self._executions.add(execution)
         try:
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -39,7 +39,10 @@
 
 
 class RequestExecution:
-    """Executes one request on a route, up to the last byte of its answer."""
+    """Executes one request on a route, up to the last byte of its answer.
+
+    ``read_at`` is when the request was read, on the trio clock.
+    """
 
     def __init__(
         self,
@@ -50,6 +53,7 @@
         route: Route,
         organisation: Organisation | None,
         writer: ResponseWriter,
+        read_at: float,
     ):
         self._services = services
         self._table = table
@@ -57,7 +61,7 @@
         self._route = route
         self._organisation = organisation
         self._writer = writer
-        self._started_at = trio.current_time()
+        self._started_at = read_at
         caller_timeout_s = request.caller_timeout_s or route.timeout_s
         self._deadline = self._started_at + min(caller_timeout_s, route.timeout_s)
         self._caller_deadline = self._started_at + caller_timeout_s
@@ -67,7 +71,7 @@
         self._progress = RelayProgress()
         self._patience = CallerPatience(
             patience_s=route.patience_s,
-            read_at=self._started_at,
+            read_at=read_at,
             progress=self._progress,
         )
         self._reservation = Reservation(
--- a/tests/test_caller_patience.py
+++ b/tests/test_caller_patience.py
@@ -11,7 +11,9 @@
 from lavenderfold.direct._relay_progress import RelayProgress
 from lavenderfold.fleet import RepeatPolicy
 from lavenderfold.settings import Address
+from standins.memory_store import MemoryStore
 from tests.direct_support import (
+    DirectFleet,
     answer_successfully,
     event,
     make_config,
@@ -176,6 +178,40 @@
             each.close()
 
 
+def test_patience_includes_the_wait_for_the_first_configuration():
+    """Guards against callers that leave a router that has just started.
+
+    Requests that arrive before the configuration wait for it.
+    """
+    patience_s = 1.5
+    route = make_route(
+        "chat",
+        RepeatPolicy.STREAM,
+        timeout_s=9.0,
+        patience_s=patience_s,
+        is_public=True,
+    )
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = DirectFleet(nursery=nursery, store=MemoryStore())
+            await fleet.add_target("t0", never)
+            await fleet.start_router()
+            took_s = []
+
+            async def call():
+                took_s.append((await send(fleet, "/chat/x"))[1])
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(call)
+            await trio.sleep(0.7)
+            fleet.configure(make_config(routes=(route,)))
+            await trio.sleep(9)
+        assert took_s and took_s[0] < patience_s
+
+    trio.run(main)
+
+
 def test_sound_target_that_is_silent_for_a_while_is_waited_for():
     """Guards against requests that end although their answer would be in time."""
 
