Tell in a line and a counter what ended a stream

Callers that left, requests that the router ended before, and answers couldn't be told apart: a request whose caller left in a second attempt was counted by the outcome of the first. The line has ended_by and patience_left_ms, and lavenderfold_stream_ends_total counts the requests of callers with a patience.

--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -47,6 +47,13 @@
             ["state"],
             registry=self._registry,
         )
+        self._stream_ends = Counter(
+            "lavenderfold_stream_ends",
+            "Requests of callers that abandon silent streams, by what ended them: "
+            "answer, caller, patience or router.",
+            ["by"],
+            registry=self._registry,
+        )
         self._closed_connections = Counter(
             "lavenderfold_closed_connections",
             "Callers' connections that ended, by the reason.",
@@ -177,13 +184,20 @@
         end: str,
         *,
         answer: str,
+        stream_ended_by: str | None,
         first_s: float | None,
         pause_s: float,
         total_s: float,
     ) -> None:
-        """Record a request; ``first_s`` is None if nothing was relayed."""
+        """Record a request.
+
+        ``first_s`` is None if nothing was relayed, and ``stream_ended_by`` if the
+        caller of the request doesn't abandon streams.
+        """
         self._requests.labels(end).inc()
         self._answers.labels(answer).inc()
+        if stream_ended_by is not None:
+            self._stream_ends.labels(stream_ended_by).inc()
         self._request_time.observe(total_s)
         if first_s is not None:
             self._first_byte_time.observe(first_s)
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -391,6 +391,7 @@
             started_at=self._started_at,
             funded_at=self._reservation.funded_at,
             caller_deadline=self._caller_deadline,
+            leaves_at=self._patience.leaves_at,
             balance=balance,
         )
         self._log.write_result(result)
--- a/src/lavenderfold/direct/_request_log.py
+++ b/src/lavenderfold/direct/_request_log.py
@@ -2,6 +2,7 @@
 
 import enum
 import logging
+import math
 
 import msgspec
 import trio
@@ -15,6 +16,7 @@
 from lavenderfold.escrow import LocalBalanceState
 from lavenderfold.fleet import Target
 from lavenderfold.http import ResponseWriter
+from lavenderfold.outcomes import Reason
 
 LEFT = "left"
 
@@ -29,6 +31,20 @@
     NONE = "none"
 
 
+class EndedBy(enum.Enum):
+    """What ended a request.
+
+    ANSWER: a target's answer was written. CALLER: the caller left before that.
+    PATIENCE: the router ended the request before its caller's patience was over.
+    ROUTER: any other refusal.
+    """
+
+    ANSWER = "answer"
+    CALLER = "caller"
+    PATIENCE = "patience"
+    ROUTER = "router"
+
+
 def answer_state(writer: ResponseWriter) -> AnswerState:
     """Return how much of an answer was written with ``writer``."""
     if writer.finished:
@@ -40,8 +56,9 @@
     """How a request ended. Times are those of the trio clock, in seconds.
 
     ``answer`` says how much of an answer the caller got. ``not_repeated`` is why no
-    other target was tried after a failed attempt. ``balance`` is what the router knew
-    if the request was refused for money.
+    other target was tried after a failed attempt. ``leaves_at`` is when the caller
+    abandons a stream without a further event, infinity if it doesn't. ``balance`` is
+    what the router knew if the request was refused for money.
     """
 
     route: str
@@ -58,14 +75,26 @@
     started_at: float
     funded_at: float | None
     caller_deadline: float
+    leaves_at: float = math.inf
     balance: LocalBalanceState | None = None
 
+    @property
+    def ended_by(self) -> EndedBy:
+        if self.refusal is not None:
+            is_patience = self.refusal.reason == Reason.PATIENCE_OVER
+            return EndedBy.PATIENCE if is_patience else EndedBy.ROUTER
+        is_answered = self.answer is AnswerState.WHOLE
+        return EndedBy.ANSWER if is_answered else EndedBy.CALLER
+
     @property
     def end(self) -> str:
         """The end of the request as the metrics name it."""
         if self.refusal is not None:
             return self.refusal.reason
-        return LEFT if self.outcome is None else self.outcome.value
+        # The outcome is that of an earlier attempt if the caller left in a later one,
+        # and None if it left right after the end of its answer.
+        is_left = self.outcome is None or self.ended_by is EndedBy.CALLER
+        return LEFT if is_left else self.outcome.value
 
 
 class RequestLog:
@@ -133,6 +162,7 @@
         """Log and count the end of the request."""
         now = trio.current_time()
         refusal, progress = result.refusal, result.progress
+        has_patience = math.isfinite(result.leaves_at)
         first = progress.first_byte_at
         fields = {
             "request_id": self._request.attempt_id,
@@ -147,6 +177,7 @@
             "status": refusal.status if refusal else None,
             "outcome": result.outcome.value if result.outcome else None,
             "answer": result.answer.value,
+            "ended_by": result.ended_by.value,
             "not_repeated": result.not_repeated,
             "reserved": result.reserved_tokens or None,
             "events": progress.events,
@@ -155,6 +186,7 @@
             "pause_ms": round(progress.longest_pause_s * 1000),
             "total_ms": _duration_ms(now, result.started_at),
             "left_ms": _duration_ms(result.caller_deadline, now),
+            "patience_left_ms": _duration_ms(result.leaves_at, now),
         }
         if result.balance is not None:
             fields["balance"] = msgspec.structs.asdict(result.balance)
@@ -162,6 +194,7 @@
         self._metrics.record_request(
             result.end,
             answer=result.answer.value,
+            stream_ended_by=result.ended_by.value if has_patience else None,
             first_s=None if first is None else first - result.started_at,
             pause_s=progress.longest_pause_s,
             total_s=now - result.started_at,
@@ -172,4 +205,5 @@
 
 
 def _duration_ms(end: float | None, start: float) -> int | None:
-    return None if end is None else round((end - start) * 1000)
+    is_known = end is not None and math.isfinite(end)
+    return round((end - start) * 1000) if is_known else None
