Plan the take-over of a silent stream by its caller's patience

Another target was asked so late that its first event could come after the caller had left, and attempts were begun for callers that would be gone. The usual time to the first event is now learnt for each route; another target is asked that much before the caller must be answered, and an attempt that can't be in time isn't begun. Earlier limits, retry budgets and attempt limits hold as before.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -101,7 +101,7 @@
         self._on_sign = on_sign
         self._on_events = on_events
         self._is_answering = False
-        self._first_deadline = trio.current_time() + self._head_wait_s()
+        self._first_deadline = target_wait.silent_at(self._head_wait_s())
         self._exchange = contextlib.AsyncExitStack()
         self._response: StreamedResponse | None = None
         self._head: AnswerHead | None = None
@@ -294,7 +294,7 @@
                 if not await self._write_events(head, events):
                     return AttemptOutcome.TIMED_OUT
                 # Bytes without a complete event don't show that the target goes on.
-                deadline = trio.current_time() + self._event_wait_s()
+                deadline = self._target_wait.silent_at(self._event_wait_s())
         if splitter.has_partial_event:
             return AttemptOutcome.LOST
         if self._is_continuation and not self._has_relayed_ids:
--- a/src/lavenderfold/direct/_attempt_recorder.py
+++ b/src/lavenderfold/direct/_attempt_recorder.py
@@ -5,7 +5,7 @@
 from lavenderfold.direct._outcome import AttemptOutcome
 from lavenderfold.direct._requests import AnswerHead, CallerRequest
 from lavenderfold.direct._router_services import RouterServices
-from lavenderfold.fleet import Target
+from lavenderfold.fleet import Route, Target
 
 # Silence is recorded when it is noticed, and a timeout is no fault of the target.
 RECORDED_OUTCOMES = (AttemptOutcome.SILENT, AttemptOutcome.TIMED_OUT)
@@ -14,11 +14,14 @@
 class AttemptRecorder:
     """Records the attempts of one request in the state that all requests share."""
 
-    __slots__ = ("_services", "_request", "_silent_ids")
+    __slots__ = ("_services", "_request", "_route", "_silent_ids")
 
-    def __init__(self, *, services: RouterServices, request: CallerRequest):
+    def __init__(
+        self, *, services: RouterServices, request: CallerRequest, route: Route
+    ):
         self._services = services
         self._request = request
+        self._route = route
         self._silent_ids: set[str] = set()
 
     def record_start(self, target: Target) -> None:
@@ -76,9 +79,15 @@
         load_tracker = self._services.load_tracker
         if outcome is AttemptOutcome.DELIVERED:
             load_tracker.record_success(target)
+            self._record_first_event(attempt)
         elif self._is_failure(attempt, target, outcome):
             load_tracker.record_failure(target, now=self._now())
 
+    def _record_first_event(self, attempt: Attempt) -> None:
+        if attempt.first_event_at is not None:
+            duration_s = attempt.first_event_at - attempt.sent_at
+            self._services.first_event_times.record(self._route, duration_s)
+
     def _is_failure(
         self, attempt: Attempt, target: Target, outcome: AttemptOutcome
     ) -> bool:
--- a/src/lavenderfold/direct/_patience.py
+++ b/src/lavenderfold/direct/_patience.py
@@ -10,23 +10,39 @@
 ANSWER_MARGIN_S = 0.35
 # The margin is at most this part of a short patience.
 ANSWER_MARGIN_SHARE = 0.5
+# A target that has been silent for less than this time, or than this multiple of the
+# usual time to the first event, isn't late.
+MIN_SILENCE_S = 0.6
+SILENCE_FACTOR = 1.5
+# Another target is asked this long before the latest time at which its first event can
+# be in time, because the first one that is asked may refuse.
+TAKE_OVER_RESERVE_S = 0.2
+# The first event can come in this part of its usual time.
+FASTEST_SHARE = 0.5
 
 
 class CallerPatience:
     """The patience of one request's caller, beside its deadline.
 
     The caller leaves after ``patience_s`` without an event, also before the first one;
-    None means that it waits until its deadline. ``read_at`` is when the request was
-    read. Patience begins anew with each event in ``progress``, not with other bytes.
-    Times are those of the trio clock.
+    None means that it waits until its deadline. ``first_event_s`` is the usual time to
+    the first event of a target, ``read_at`` is when the request was read. Patience
+    begins anew with each event in ``progress``, not with other bytes. Times are those
+    of the trio clock.
     """
 
-    __slots__ = ("_patience_s", "_margin_s", "_read_at", "_progress")
+    __slots__ = ("_patience_s", "_first_event_s", "_margin_s", "_read_at", "_progress")
 
     def __init__(
-        self, *, patience_s: float | None, read_at: float, progress: RelayProgress
+        self,
+        *,
+        patience_s: float | None,
+        first_event_s: float,
+        read_at: float,
+        progress: RelayProgress,
     ):
         self._patience_s = math.inf if patience_s is None else patience_s
+        self._first_event_s = first_event_s
         self._margin_s = min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * self._patience_s)
         self._read_at = read_at
         self._progress = progress
@@ -46,4 +62,23 @@
         """
         if self._progress.last_event_at is not None:
             return deadline
-        return min(deadline, self.leaves_at - self._margin_s)
+        return min(deadline, self._first_event_by)
+
+    def allows_attempt(self, now: float) -> bool:
+        """Whether the first event of an attempt that begins now can be in time."""
+        return now + FASTEST_SHARE * self._first_event_s <= self._first_event_by
+
+    def silent_at(self, now: float, *, limit_s: float) -> float:
+        """Return when a target counts as silent from which an event is expected now.
+
+        That is after ``limit_s``, or earlier if the first event of another target
+        wouldn't be in time then.
+        """
+        silence_s = max(MIN_SILENCE_S, SILENCE_FACTOR * self._first_event_s)
+        usual_start = self._first_event_by - self._first_event_s
+        planned_at = max(now + silence_s, usual_start - TAKE_OVER_RESERVE_S)
+        return min(now + limit_s, planned_at)
+
+    @property
+    def _first_event_by(self) -> float:
+        return self.leaves_at - self._margin_s
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -35,7 +35,6 @@
 # A target that can't be connected to doesn't count as an attempt, because nothing
 # ran, but each failed connection takes time. Give up after this many.
 MAX_CONNECTION_FAILURES = 3
-BALANCE_REASONS = (Reason.BUDGET_SPENT.value, Reason.BUDGET_UNAVAILABLE.value)
 
 
 class RequestExecution:
@@ -71,6 +70,7 @@
         self._progress = RelayProgress()
         self._patience = CallerPatience(
             patience_s=route.patience_s,
+            first_event_s=services.first_event_times.usual_s(route),
             read_at=read_at,
             progress=self._progress,
         )
@@ -95,7 +95,9 @@
             on_end=self._end_successor,
             on_outcome=self._record_outcome,
         )
-        self._recorder = AttemptRecorder(services=services, request=request)
+        self._recorder = AttemptRecorder(
+            services=services, request=request, route=route
+        )
         self._attempt_starter = AttemptStarter(
             services=services,
             request=request,
@@ -243,6 +245,8 @@
         """
         if not (self._is_prompt_sound and self._can_go_on_elsewhere):
             return None
+        if not self._patience.allows_attempt(trio.current_time()):
+            return None
         earlier = self._sent_attempts + 1
         if earlier >= self._route.attempt_limit:
             return None
@@ -308,6 +312,9 @@
         if not self._can_go_on_elsewhere:
             self._not_repeated = "not_resumable"
             return False
+        if not self._patience.allows_attempt(trio.current_time()):
+            self._not_repeated = "patience"
+            return False
         if outcome is AttemptOutcome.NOT_CONNECTED:
             return True
         if self._sent_attempts >= self._route.attempt_limit:
@@ -371,11 +378,6 @@
         await self._writer.send(refusal_response(refusal, headers))
 
     def _write_result(self, refusal: Refusal | None) -> None:
-        balance = None
-        if refusal is not None and refusal.reason in BALANCE_REASONS:
-            balance = self._services.balance_manager.local_balance_state(
-                self._organisation.name
-            )
         result = RequestResult(
             route=self._route.name,
             organisation=self._organisation.name if self._organisation else None,
@@ -392,6 +394,6 @@
             funded_at=self._reservation.funded_at,
             caller_deadline=self._caller_deadline,
             leaves_at=self._patience.leaves_at,
-            balance=balance,
+            balance=self._reservation.balance_at(refusal),
         )
         self._log.write_result(result)
--- a/src/lavenderfold/direct/_reservation.py
+++ b/src/lavenderfold/direct/_reservation.py
@@ -4,7 +4,7 @@
 
 from lavenderfold.direct._refusals import Refusal, not_run
 from lavenderfold.direct._requests import CallerRequest
-from lavenderfold.escrow import BalanceManager, Funding
+from lavenderfold.escrow import BalanceManager, Funding, LocalBalanceState
 from lavenderfold.fleet import Organisation, Service
 from lavenderfold.outcomes import Reason
 from lavenderfold.timers import TimerService
@@ -13,6 +13,7 @@
 # other region; a broken path to the store is detected and replaced within 0.6 s.
 FUNDING_WAIT_S = 0.7
 BUDGET_RETRY_AFTER_S = 0.3
+BALANCE_REASONS = (Reason.BUDGET_SPENT.value, Reason.BUDGET_UNAVAILABLE.value)
 SIZE_MISSING = Refusal(status=400, reason="size_missing", outcome="not_run")
 
 
@@ -74,6 +75,12 @@
         self.funded_at = trio.current_time()
         return None
 
+    def balance_at(self, refusal: Refusal | None) -> LocalBalanceState | None:
+        """Return the balance as the router knows it, if it was the refusal's cause."""
+        if refusal is None or refusal.reason not in BALANCE_REASONS:
+            return None
+        return self._balance_manager.local_balance_state(self._organisation.name)
+
     def settle(self, *, may_have_run: bool, events: int) -> None:
         """Charge what was used, and free the rest.
 
--- a/src/lavenderfold/direct/_router_services.py
+++ b/src/lavenderfold/direct/_router_services.py
@@ -6,6 +6,7 @@
 
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
+from lavenderfold.direct._first_event_times import FirstEventTimes
 from lavenderfold.direct._load import LoadTracker
 from lavenderfold.direct._metrics import RouterMetrics
 from lavenderfold.direct._notices import TargetNotices
@@ -37,6 +38,7 @@
     timers: TimerService
     new_retry_budget: Callable[[], RetryBudget]
     domain: str
+    first_event_times: FirstEventTimes = msgspec.field(default_factory=FirstEventTimes)
     retry_budget_by_service: dict[str, RetryBudget] = msgspec.field(
         default_factory=dict
     )
--- a/src/lavenderfold/direct/_target_wait.py
+++ b/src/lavenderfold/direct/_target_wait.py
@@ -61,6 +61,13 @@
         self._has_grace = False
         self._subscription: Subscription | None = None
 
+    def silent_at(self, limit_s: float) -> float:
+        """Return when the target counts as silent if no event arrives from now on."""
+        now = trio.current_time()
+        if self._patience is None:
+            return now + limit_s
+        return self._patience.silent_at(now, limit_s=limit_s)
+
     @contextmanager
     def until_silent(self, silent_at: float) -> Iterator[trio.CancelScope]:
         """Enclose a wait for the target, which is silent from ``silent_at`` on.
