--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -104,7 +104,7 @@
         self._is_answering = False
         self._is_closed = False
         self._parts = PartProgress()
-        self._first_deadline = trio.current_time() + self._head_wait_s()
+        self._first_deadline = target_wait.silent_at(self._head_wait_s())
         self._exchange = contextlib.AsyncExitStack()
         self._head: AnswerHead | None = None
         self._answer: HttpResponse | None = None
@@ -329,7 +329,7 @@
             # counted as relayed must be written completely. A wait that has passed
             # while the process was suspended doesn't cancel what follows the read.
             # Bytes without a complete event don't show that the target goes on.
-            deadline = trio.current_time() + self._event_wait_s()
+            deadline = self._target_wait.silent_at(self._event_wait_s())
             with self._target_wait.until_silent(deadline) as wait:
                 events = await self._next_events()
             if wait.cancelled_caught:
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -8,6 +8,7 @@
 from lavenderfold.direct._attempt_starter import AttemptStarter, StartedAttempt
 from lavenderfold.direct._choice import TargetChoice
 from lavenderfold.direct._outcome import AttemptOutcome
+from lavenderfold.direct._patience import CallerPatience
 from lavenderfold.direct._pauses import pause_retry_after_s, pause_wait_limit
 from lavenderfold.direct._refusals import (
     DEFAULT_RETRY_AFTER_S,
@@ -15,38 +16,31 @@
     may_have_run,
     not_run,
     refusal_response,
+    unanswered,
 )
 from lavenderfold.direct._relay_progress import RelayProgress, can_be_continued
-from lavenderfold.direct._request_log import (
-    RequestLog,
-    RequestResult,
-    answer_state,
-)
+from lavenderfold.direct._request_log import RequestLog, RequestResult, answer_state
 from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.direct._reservation import Reservation
 from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.direct._service_choice import pick_service
 from lavenderfold.direct._take_over import TakeOver
 from lavenderfold.direct._target_selection import TargetSelection
-from lavenderfold.fleet import (
-    Organisation,
-    Route,
-    RouteTable,
-    Target,
-)
+from lavenderfold.fleet import Organisation, Route, RouteTable, Target
 from lavenderfold.http import HttpResponse, ResponseWriter
 from lavenderfold.outcomes import Reason
 from lavenderfold.quarantine import Verdict
-from lavenderfold.routing import RetryBudget
 
 # A target that can't be connected to doesn't count as an attempt, because nothing
 # ran, but each failed connection takes time. Give up after this many.
 MAX_CONNECTION_FAILURES = 3
-BALANCE_REASONS = (Reason.BUDGET_SPENT.value, Reason.BUDGET_UNAVAILABLE.value)
 
 
 class RequestExecution:
-    """Executes one request on a route, up to the last byte of its answer."""
+    """Executes one request on a route, up to the last byte of its answer.
+
+    ``read_at`` is when the request was read, on the trio clock.
+    """
 
     def __init__(
         self,
@@ -57,6 +51,7 @@
         route: Route,
         organisation: Organisation | None,
         writer: ResponseWriter,
+        read_at: float,
     ):
         self._services = services
         self._table = table
@@ -64,13 +59,20 @@
         self._route = route
         self._organisation = organisation
         self._writer = writer
-        self._started_at = trio.current_time()
+        self._started_at = read_at
         caller_timeout_s = request.caller_timeout_s or route.timeout_s
         self._deadline = self._started_at + min(caller_timeout_s, route.timeout_s)
         self._caller_deadline = self._started_at + caller_timeout_s
         writer.deadline = self._deadline
         self._service_name = pick_service(route, request.attempt_id)
+        self._retry_budget = services.retry_budget(self._service_name)
         self._progress = RelayProgress()
+        self._patience = CallerPatience(
+            patience_s=route.patience_s,
+            first_event_s=services.first_event_times.usual_s(route),
+            read_at=read_at,
+            progress=self._progress,
+        )
         self._reservation = Reservation(
             balance_manager=services.balance_manager,
             timers=services.timers,
@@ -97,7 +99,9 @@
             # Two targets may run a plain repeatable request for as long as it takes.
             accepts_unanswered=route.is_resumable or request.tokens is not None,
         )
-        self._recorder = AttemptRecorder(services=services, request=request)
+        self._recorder = AttemptRecorder(
+            services=services, request=request, route=route
+        )
         self._attempt_starter = AttemptStarter(
             services=services,
             request=request,
@@ -107,6 +111,7 @@
             progress=self._progress,
             recorder=self._recorder,
             deadline=self._deadline,
+            patience=self._patience,
             on_relaying=self._take_over.drop,
         )
         self._stop_scope = trio.CancelScope()
@@ -154,10 +159,16 @@
             return may_have_run(Reason.DRAINING)
         return not_run(Reason.DRAINING, retry_after_s=DEFAULT_RETRY_AFTER_S)
 
-    def _refuse_at_deadline(self) -> Refusal:
-        if self._progress.may_have_run or self._sent_attempts:
-            return may_have_run(Reason.DEADLINE_PASSED)
-        return not_run(Reason.CONNECTION_FAILED, retry_after_s=DEFAULT_RETRY_AFTER_S)
+    @property
+    def _answer_by(self) -> float:
+        return self._patience.answer_by(self._deadline)
+
+    def _refuse_late(self) -> Refusal:
+        is_uncertain = self._progress.may_have_run
+        if self._answer_by < self._deadline:
+            return unanswered(Reason.PATIENCE_OVER, is_uncertain=is_uncertain)
+        is_uncertain = is_uncertain or self._sent_attempts > 0
+        return unanswered(Reason.DEADLINE_PASSED, is_uncertain=is_uncertain)
 
     async def _attempt_targets(self) -> Refusal | None:
         failed_connections = 0
@@ -167,7 +178,7 @@
             if outcome is AttemptOutcome.DELIVERED:
                 return None
             if outcome is AttemptOutcome.TIMED_OUT:
-                return self._refuse_at_deadline()
+                return self._refuse_late()
             self._selection.record_failure(started.target)
             failed_connections += outcome is AttemptOutcome.NOT_CONNECTED
             self._sent_attempts += outcome is not AttemptOutcome.NOT_CONNECTED
@@ -185,8 +196,8 @@
         while True:
             # Other routers may have seen the prompt crash a target meanwhile.
             await self._wait_for_decision()
-            if trio.current_time() >= self._deadline:
-                return self._refuse_at_deadline()
+            if trio.current_time() >= self._answer_by:
+                return self._refuse_late()
             refusal = self._refuse_quarantined()
             if refusal is not None:
                 return refusal
@@ -247,6 +258,8 @@
         """
         if not (self._is_prompt_sound and self._can_go_on_elsewhere):
             return None
+        if not self._patience.allows_attempt(trio.current_time()):
+            return None
         earlier = self._sent_attempts + 1
         if earlier >= self._route.attempt_limit:
             return None
@@ -311,6 +324,9 @@
         if not self._can_go_on_elsewhere:
             self._not_repeated = "not_resumable"
             return False
+        if not self._patience.allows_attempt(trio.current_time()):
+            self._not_repeated = "patience"
+            return False
         if outcome is AttemptOutcome.NOT_CONNECTED:
             return True
         if self._sent_attempts >= self._route.attempt_limit:
@@ -378,20 +394,7 @@
         await self._writer.send(self._failure_response)
         return True
 
-    @property
-    def _retry_budget(self) -> RetryBudget:
-        retry_budget = self._services.retry_budget_by_service.get(self._service_name)
-        if retry_budget is None:
-            retry_budget = self._services.new_retry_budget()
-            self._services.retry_budget_by_service[self._service_name] = retry_budget
-        return retry_budget
-
     def _write_result(self, refusal: Refusal | None) -> None:
-        balance = None
-        if refusal is not None and refusal.reason in BALANCE_REASONS:
-            balance = self._services.balance_manager.local_balance_state(
-                self._organisation.name
-            )
         result = RequestResult(
             route=self._route.name,
             organisation=self._organisation.name if self._organisation else None,
@@ -407,6 +410,7 @@
             started_at=self._started_at,
             funded_at=self._reservation.funded_at,
             caller_deadline=self._caller_deadline,
-            balance=balance,
+            leaves_at=self._patience.leaves_at,
+            balance=self._reservation.balance_at(refusal),
         )
         self._log.write_result(result)
--- a/src/lavenderfold/direct/_router_services.py
+++ b/src/lavenderfold/direct/_router_services.py
@@ -6,6 +6,7 @@
 
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
+from lavenderfold.direct._first_event_times import FirstEventTimes
 from lavenderfold.direct._load import LoadTracker
 from lavenderfold.direct._metrics import RouterMetrics
 from lavenderfold.direct._notices import TargetNotices
@@ -37,6 +38,15 @@
     timers: TimerService
     new_retry_budget: Callable[[], RetryBudget]
     domain: str
+    first_event_times: FirstEventTimes = msgspec.field(default_factory=FirstEventTimes)
     retry_budget_by_service: dict[str, RetryBudget] = msgspec.field(
         default_factory=dict
     )
+
+    def retry_budget(self, service_name: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        retry_budget = self.retry_budget_by_service.get(service_name)
+        if retry_budget is None:
+            retry_budget = self.new_retry_budget()
+            self.retry_budget_by_service[service_name] = retry_budget
+        return retry_budget
--- /dev/null
+++ b/tests/test_caller_patience.py
@@ -0,0 +1,390 @@
+"""Requests that end shortly before their callers' patience is over."""
+
+import math
+import socket
+
+import msgspec
+import pytest
+import trio
+
+from lavenderfold.direct._first_event_times import ROUTES_LIMIT, FirstEventTimes
+from lavenderfold.direct._patience import ANSWER_MARGIN_S, CallerPatience
+from lavenderfold.direct._relay_progress import RelayProgress
+from lavenderfold.fleet import RepeatPolicy
+from lavenderfold.settings import Address
+from standins.memory_store import MemoryStore
+from tests.direct_support import (
+    DirectFleet,
+    answer_successfully,
+    count_target_requests,
+    crash,
+    event,
+    make_config,
+    make_route,
+    reject,
+    run_scenario,
+    stream,
+    valid_headers,
+)
+
+PATIENCE_S = 1.0
+WHOLE_STREAM = b"".join(event(number) for number in range(1, 5))
+CONFIG = make_config(
+    routes=(
+        make_route("read", RepeatPolicy.IDEMPOTENT, timeout_s=4.0),
+        make_route("chat", RepeatPolicy.STREAM, timeout_s=4.0, patience_s=PATIENCE_S),
+        make_route(
+            "draft",
+            RepeatPolicy.STREAM,
+            timeout_s=4.0,
+            patience_s=PATIENCE_S,
+            is_resumable=True,
+        ),
+    )
+)
+
+
+def make_patience(
+    *, patience_s: float | None = 2.0, first_event_s: float = 0.0, progress=None
+) -> CallerPatience:
+    return CallerPatience(
+        patience_s=patience_s,
+        first_event_s=first_event_s,
+        read_at=10.0,
+        progress=progress or RelayProgress(),
+    )
+
+
+def test_patience_counts_from_when_the_request_was_read():
+    """Guards against time spent before the first attempt that the caller has lost."""
+    patience = make_patience()
+    assert patience.leaves_at == 12.0
+    assert patience.answer_by(99.0) == 12.0 - ANSWER_MARGIN_S
+
+
+def test_earlier_deadline_holds():
+    """Guards against a patience that replaces the deadline."""
+    assert make_patience().answer_by(11.0) == 11.0
+
+
+@pytest.mark.parametrize("patience_s", [0.0, 0.1])
+def test_very_short_patience_leaves_no_time_before_the_request_was_read(patience_s):
+    """Guards against an end that lies before the beginning."""
+    assert make_patience(patience_s=patience_s).answer_by(99.0) >= 10.0
+
+
+def test_route_without_patience_has_only_the_deadline():
+    """Guards against requests without a stream that are ended before their deadline."""
+    patience = make_patience(patience_s=None)
+    assert patience.leaves_at == math.inf
+    assert patience.answer_by(99.0) == 99.0
+
+
+def test_patience_begins_anew_with_each_event_and_ends_no_stream():
+    """Guards against streams that are cut for a silence after their first event."""
+    progress = RelayProgress()
+    patience = make_patience(progress=progress)
+    progress.record_events(1, "1", now=11.5)
+    assert patience.leaves_at == 13.5
+    progress.record_events(1, "2", now=13.0)
+    assert patience.leaves_at == 15.0
+    assert patience.answer_by(99.0) == 99.0
+
+
+async def send(fleet, path: str):
+    """Send a request; return its answer, and how long that took in seconds."""
+    started_at = trio.current_time()
+    answer = await fleet.send_request(path, patience="6")
+    return answer, trio.current_time() - started_at
+
+
+async def send_head(request, writer) -> None:
+    headers = [*valid_headers(request), ("content-type", "text/event-stream")]
+    await writer.start(200, headers)
+
+
+async def never(request, writer):
+    await trio.sleep(30)
+
+
+async def head_only(request, writer):
+    await send_head(request, writer)
+    await trio.sleep(30)
+
+
+async def parts_of_an_event(request, writer):
+    await send_head(request, writer)
+    for _ in range(100):
+        await writer.write(b": wait\n")
+        await trio.sleep(0.1)
+
+
+@pytest.mark.parametrize("path", ["/chat/x", "/draft/x"])
+@pytest.mark.parametrize("script", [never, head_only, parts_of_an_event])
+def test_silent_request_ends_before_its_caller_leaves(script, path):
+    """Guards against callers that leave without knowing what became of a request."""
+
+    async def scenario(fleet):
+        answer, took_s = await send(fleet, path)
+        assert answer.status == 504
+        error = msgspec.json.decode(answer.body)["error"]
+        assert error == {"type": "patience_over", "outcome": "may_have_run"}
+        assert PATIENCE_S - ANSWER_MARGIN_S - 0.01 < took_s < PATIENCE_S
+
+    run_scenario(scenario, script, script, config=CONFIG)
+
+
+def test_attempt_of_a_request_that_ended_is_closed():
+    """Guards against targets that work on for a caller that was told the end."""
+    broken_after_s = []
+
+    async def script(request, writer):
+        started_at = trio.current_time()
+        await send_head(request, writer)
+        try:
+            for _ in range(100):
+                await writer.write(b": wait\n")
+                await trio.sleep(0.05)
+        except trio.BrokenResourceError:
+            broken_after_s.append(trio.current_time() - started_at)
+
+    async def scenario(fleet):
+        await send(fleet, "/chat/x")
+        await trio.sleep(0.2)
+        assert broken_after_s and broken_after_s[0] < PATIENCE_S + 0.1
+
+    run_scenario(scenario, script, config=CONFIG)
+
+
+def test_request_that_was_never_sent_ends_as_not_run():
+    """Guards against callers that may not retry a request that certainly didn't run."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    # Connections to a listener whose queue is full are neither accepted nor refused.
+    fillers = [socket.socket() for _ in range(4)]
+    for each in fillers:
+        each.setblocking(False)
+        each.connect_ex(listener.getsockname())
+
+    async def scenario(fleet):
+        target = fleet.target_by_id["t0"]
+        target.address = Address(host="127.0.0.1", port=listener.getsockname()[1])
+        fleet.register(target)
+        await trio.sleep(0.3)
+        answer, took_s = await send(fleet, "/chat/x")
+        assert answer.status == 503
+        error = msgspec.json.decode(answer.body)["error"]
+        assert error == {"type": "connection_failed", "outcome": "not_run"}
+        # Shorter than the time in which a connection fails by itself.
+        assert took_s < 0.4
+
+    route = make_route("chat", RepeatPolicy.STREAM, timeout_s=4.0, patience_s=0.5)
+    try:
+        run_scenario(scenario, never, config=make_config(routes=(route,)))
+    finally:
+        for each in [*fillers, listener]:
+            each.close()
+
+
+def test_patience_includes_the_wait_for_the_first_configuration():
+    """Guards against callers that leave a router that has just started.
+
+    Requests that arrive before the configuration wait for it.
+    """
+    patience_s = 1.5
+    route = make_route(
+        "chat",
+        RepeatPolicy.STREAM,
+        timeout_s=9.0,
+        patience_s=patience_s,
+        is_public=True,
+    )
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            fleet = DirectFleet(nursery=nursery, store=MemoryStore())
+            await fleet.add_target("t0", never)
+            await fleet.start_router()
+            took_s = []
+
+            async def call():
+                took_s.append((await send(fleet, "/chat/x"))[1])
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(call)
+            await trio.sleep(0.7)
+            fleet.configure(make_config(routes=(route,)))
+            await trio.sleep(9)
+        assert took_s and took_s[0] < patience_s
+
+    trio.run(main)
+
+
+def test_sound_target_that_is_silent_for_a_while_is_waited_for():
+    """Guards against requests that end although their answer would be in time."""
+
+    async def pause(request, writer):
+        await trio.sleep(PATIENCE_S - ANSWER_MARGIN_S - 0.1)
+        await stream()(request, writer)
+
+    async def scenario(fleet):
+        answer, _ = await send(fleet, "/chat/x")
+        assert answer.body == WHOLE_STREAM
+
+    run_scenario(scenario, pause, config=CONFIG)
+
+
+def test_stream_with_an_event_is_not_ended_for_a_silence():
+    """Guards against streams that are cut although their target goes on."""
+
+    async def pause(request, writer):
+        await send_head(request, writer)
+        await writer.write(event(1))
+        await trio.sleep(PATIENCE_S + 0.3)
+        for number in range(2, 5):
+            await writer.write(event(number))
+        await writer.finish()
+
+    async def scenario(fleet):
+        answer, _ = await send(fleet, "/chat/x")
+        assert answer.body == WHOLE_STREAM
+
+    run_scenario(scenario, pause, config=CONFIG)
+
+
+def test_request_without_a_stream_waits_until_its_deadline():
+    """Guards against a patience that ends other requests than streams."""
+
+    async def pause(request, writer):
+        await trio.sleep(PATIENCE_S + 0.3)
+        await answer_successfully(request, writer)
+
+    async def scenario(fleet):
+        answer, _ = await send(fleet, "/read/x")
+        assert answer.status == 200
+
+    run_scenario(scenario, pause, config=CONFIG)
+
+
+def test_take_over_leaves_time_for_the_first_event_of_another_target():
+    """Guards against a take-over that begins when it can't be in time any more."""
+    patience = make_patience(first_event_s=0.5)
+    ask_at = patience.silent_at(10.0, limit_s=1.25)
+    assert 10.6 <= ask_at < patience.answer_by(99.0) - 0.5
+    assert patience.allows_attempt(ask_at)
+
+
+@pytest.mark.parametrize("first_event_s", [0.0, 0.1, 0.8, 5.0])
+@pytest.mark.parametrize("limit_s", [0.6, 1.25])
+def test_earlier_limit_of_silence_is_kept(first_event_s, limit_s):
+    """Guards against targets that are replaced later than without a patience."""
+    patience = make_patience(first_event_s=first_event_s)
+    assert patience.silent_at(10.0, limit_s=limit_s) <= 10.0 + limit_s
+
+
+@pytest.mark.parametrize("patience_s", [0.1, 2.0, 60.0])
+@pytest.mark.parametrize("first_event_s", [0.0, 0.4, 1.0])
+@pytest.mark.parametrize("begun_at", [10.0, 11.2, 11.9, 50.0])
+def test_target_gets_more_than_the_usual_time(patience_s, first_event_s, begun_at):
+    """Guards against take-overs from targets that are on time."""
+    patience = make_patience(patience_s=patience_s, first_event_s=first_event_s)
+    silent_s = patience.silent_at(begun_at, limit_s=9.0) - begun_at
+    assert silent_s > max(0.6, first_event_s) - 1e-6
+
+
+def test_attempt_is_allowed_while_its_first_event_can_be_in_time():
+    """Guards against second attempts that run for a caller that will have left."""
+    patience = make_patience(first_event_s=0.5)
+    answer_by = patience.answer_by(99.0)
+    assert patience.allows_attempt(answer_by - 0.5)
+    assert not patience.allows_attempt(answer_by - 0.1)
+    assert not patience.allows_attempt(answer_by + 0.1)
+
+
+def test_route_without_patience_allows_attempts_at_any_time():
+    """Guards against requests without a stream that aren't repeated."""
+    patience = make_patience(patience_s=None, first_event_s=0.5)
+    assert patience.allows_attempt(1e9)
+    assert patience.silent_at(10.0, limit_s=1.25) == 11.25
+
+
+def make_stream_route(name: str = "draft", **changes):
+    values = {"timeout_s": 6.0, "latency_objective_s": 0.5, "is_resumable": True}
+    return make_route(name, RepeatPolicy.STREAM, **{**values, **changes})
+
+
+def test_usual_time_follows_what_was_seen():
+    """Guards against a plan by a time that doesn't hold any more."""
+    times = FirstEventTimes()
+    route = make_stream_route()
+    assert times.usual_s(route) == 0.5
+    times.record(route, 0.1)
+    assert times.usual_s(route) == pytest.approx(0.1)
+    for _ in range(100):
+        times.record(route, 0.8)
+    assert times.usual_s(route) == pytest.approx(0.8, abs=0.01)
+    assert times.usual_s(make_stream_route("other")) == 0.5
+
+
+def test_times_of_routes_that_come_and_go_are_bounded():
+    """Guards against memory that grows with each change of the configuration."""
+    times = FirstEventTimes()
+    routes = [make_stream_route(f"r{number}") for number in range(2 * ROUTES_LIMIT)]
+    for route in routes:
+        times.record(route, 0.1)
+    known = [route for route in routes if times.usual_s(route) == 0.1]
+    assert known == routes[ROUTES_LIMIT:]
+
+
+def test_second_target_brings_its_first_event_before_the_caller_leaves():
+    """Guards against a second target that is asked too late to be of use."""
+    received = []
+
+    async def script(request, writer):
+        received.append(request)
+        if len(received) == 1:
+            await never(request, writer)
+        await trio.sleep(0.5)
+        await stream()(request, writer)
+
+    async def scenario(fleet):
+        answer, _ = await send(fleet, "/draft/x")
+        assert (answer.status, answer.body) == (200, WHOLE_STREAM)
+
+    config = make_config(routes=(make_stream_route(patience_s=2.0),))
+    run_scenario(scenario, script, script, config=config)
+
+
+@pytest.mark.parametrize("crashes", [True, False])
+def test_retry_that_cannot_be_in_time_is_not_begun(crashes):
+    """Guards against attempts whose callers leave before their first event."""
+
+    async def script(request, writer):
+        await trio.sleep(1.2)
+        await (crash if crashes else reject)(request, writer)
+
+    async def scenario(fleet):
+        answer, took_s = await send(fleet, "/draft/x")
+        assert answer.status == (502 if crashes else 503)
+        assert took_s < 2.0 - ANSWER_MARGIN_S
+        assert count_target_requests(fleet) == 1
+
+    route = make_stream_route(patience_s=2.0, latency_objective_s=1.4)
+    run_scenario(scenario, script, script, config=make_config(routes=(route,)))
+
+
+def test_times_to_the_first_event_are_learnt():
+    """Guards against a plan that never learns how fast the targets are."""
+
+    async def script(request, writer):
+        await trio.sleep(0.15)
+        await stream()(request, writer)
+
+    async def scenario(fleet):
+        await send(fleet, "/chat/x")
+        times = fleet.router._services.first_event_times
+        usual_s = times.usual_s(make_stream_route("chat", latency_objective_s=9.0))
+        assert 0.1 < usual_s < 1.0
+
+    run_scenario(scenario, script, config=CONFIG)
