--- a/src/lavenderfold/direct/_pauses.py
+++ b/src/lavenderfold/direct/_pauses.py
@@ -2,9 +2,10 @@
 
 import math
 
-from lavenderfold.direct._refusals import DEFAULT_RETRY_AFTER_S
+from lavenderfold.direct._refusals import DEFAULT_RETRY_AFTER_S, Refusal, not_run
 from lavenderfold.direct._relay_progress import RelayProgress
 from lavenderfold.fleet import Route
+from lavenderfold.outcomes import Reason
 
 # The part of the latency objective, or of the limit on pauses between events, that a
 # request may wait. The rest is for the answer.
@@ -34,3 +35,18 @@
         return DEFAULT_RETRY_AFTER_S
     # Rounded up to what the header holds, so that callers don't come too early.
     return math.ceil(pause_left_s * 1000) / 1000
+
+
+def refuse_not_run(
+    reason: Reason, *, pause_left_s: float | None, caller_left_s: float
+) -> Refusal:
+    """Return the refusal of a request that no target has run.
+
+    Its reason is another one if all targets that are left pause for ``pause_left_s``.
+    """
+    if pause_left_s is None:
+        return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
+    return not_run(
+        Reason.TARGETS_PAUSED,
+        retry_after_s=pause_retry_after_s(pause_left_s, caller_left_s),
+    )
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -9,7 +9,7 @@
 from lavenderfold.direct._choice import TargetChoice
 from lavenderfold.direct._outcome import AttemptOutcome
 from lavenderfold.direct._patience import CallerPatience
-from lavenderfold.direct._pauses import pause_retry_after_s, pause_wait_limit
+from lavenderfold.direct._pauses import pause_wait_limit, refuse_not_run
 from lavenderfold.direct._refusals import (
     DEFAULT_RETRY_AFTER_S,
     Refusal,
@@ -127,11 +127,11 @@
             with self._stop_scope:
                 refusal = await self._answer()
             if self._stop_scope.cancelled_caught:
-                refusal = self._refuse_at_stop()
+                refusal = self._refuse(Reason.DRAINING)
             if refusal is not None and await self._relay_failure_response():
                 refusal = None
             if refusal is not None:
-                await self._refuse(refusal)
+                await self._send(refusal)
         finally:
             self._reservation.settle(
                 may_have_run=self._progress.may_have_run, events=self._progress.events
@@ -154,10 +154,10 @@
             return await self._attempt_targets()
         return await self._take_over.run(self._attempt_targets)
 
-    def _refuse_at_stop(self) -> Refusal:
+    def _refuse(self, reason: Reason) -> Refusal:
         if self._progress.may_have_run:
-            return may_have_run(Reason.DRAINING)
-        return not_run(Reason.DRAINING, retry_after_s=DEFAULT_RETRY_AFTER_S)
+            return may_have_run(reason)
+        return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
 
     @property
     def _answer_by(self) -> float:
@@ -366,17 +366,13 @@
         return self._refuse_not_run(Reason.NO_TARGET)
 
     def _refuse_not_run(self, reason: Reason) -> Refusal:
-        """Refuse; the reason is another one if all targets that are left pause."""
-        pause_left_s = self._selection.pause_left_s()
-        if pause_left_s is None:
-            return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
-        caller_left_s = self._caller_deadline - trio.current_time()
-        return not_run(
-            Reason.TARGETS_PAUSED,
-            retry_after_s=pause_retry_after_s(pause_left_s, caller_left_s),
+        return refuse_not_run(
+            reason,
+            pause_left_s=self._selection.pause_left_s(),
+            caller_left_s=self._caller_deadline - trio.current_time(),
         )
 
-    async def _refuse(self, refusal: Refusal) -> None:
+    async def _send(self, refusal: Refusal) -> None:
         if self._writer.started:
             # Part of the answer was sent already. The connection is closed without
             # its end, which the caller notices.
