Quarantine prompts that crash engines in the agent-based router

What callers saw: requests whose prompts begin alike and crash each engine were sent to up to four engines each, one after the other, and the next request with that beginning again; all other requests lost those engines meanwhile.

Cause: a run that its agent reports as lost was taken for a fault of its target alone. It was retried elsewhere, and nothing was remembered of its prompt.

Why this works: PromptGuard feeds the quarantine of the direct router (lavenderfold.quarantine) with the runs that an agent reported as lost at the beginning of their answer, and with answers that went on beyond it. Runs sent before a crash was seen and lost later belong to that crash. Lost links, errors and long answers say nothing (tests). A lost request whose prompt is suspected isn't retried and ends as may_have_run; later ones are refused as not run before tokens are reserved, with the quarantine's rest as Retry-After, also if they waited for a target when it began. Prompts are compared by the hashes of their beginnings, 24 lengths at most, because judging all 128 takes too long.

--- a/src/lavenderfold/router/_attempt.py
+++ b/src/lavenderfold/router/_attempt.py
@@ -2,12 +2,14 @@
 
 import math
 import uuid
+from collections.abc import Callable
 
 import trio
 
 from lavenderfold.identifiers import RequestKey
 from lavenderfold.messages import Frame, ResumeRun, RunEnded
 from lavenderfold.outcomes import MayHaveRun, Outcome, Ran, Reason
+from lavenderfold.quarantine import BEGINNING_S
 from lavenderfold.router._agents import AgentLink, AgentUnreachableError
 from lavenderfold.router._answers import AnswerAssembler, AnswerPipe
 
@@ -34,6 +36,7 @@
 
     The link to the agent calls the ``on_...`` methods. ``has_replied`` is set once
     the agent has sent anything about the run, also that it doesn't know it.
+    ``on_answering`` is called once the answer has gone on beyond its beginning.
     """
 
     def __init__(
@@ -45,6 +48,7 @@
         assembler: AnswerAssembler,
         pipe: AnswerPipe,
         relink_wait_s: float,
+        on_answering: Callable[[], None] = lambda: None,
     ):
         self.run_id = run_id
         self.ended: RunEnded | None = None
@@ -61,6 +65,9 @@
         self._is_link_lost = False
         self._was_link_lost = False
         self._is_stalled = False
+        self._on_answering = on_answering
+        self._first_frame_at: float | None = None
+        self._is_answering = False
         self._resumed_at = -RESUME_PERIOD_S
         link.attach(run_id, self)
 
@@ -69,6 +76,7 @@
 
     def on_frame(self, frame: Frame) -> None:
         self._mark_replied()
+        self._record_frame()
         if not self._pipe.can_buffer(len(frame.data)):
             self._is_stalled = True
             self._notify_changed()
@@ -81,6 +89,8 @@
     def on_ended(self, ended: RunEnded) -> None:
         self._mark_replied()
         self.ended = ended
+        if isinstance(ended.outcome, Ran):
+            self._record_answering()
         self._notify_changed()
 
     def on_unknown(self) -> None:
@@ -101,6 +111,19 @@
         """
         return self.ended is not None and not self._was_link_lost
 
+    @property
+    def is_lost_at_beginning(self) -> bool:
+        """Whether the engine broke off before or at the beginning of its answer.
+
+        An agent also reports runs as lost that it ended because no router was linked.
+        """
+        if self.ended is None or self._was_link_lost or self._is_answering:
+            return False
+        outcome = self.ended.outcome
+        return (
+            isinstance(outcome, MayHaveRun) and outcome.reason is Reason.CONNECTION_LOST
+        )
+
     def close(self) -> None:
         """Stop receiving messages about the run."""
         for subscription in self._subscriptions:
@@ -215,6 +238,18 @@
         self._link.attach(subscription, self)
         return True
 
+    def _record_frame(self) -> None:
+        now = trio.current_time()
+        if self._first_frame_at is None:
+            self._first_frame_at = now
+        if now - self._first_frame_at >= BEGINNING_S:
+            self._record_answering()
+
+    def _record_answering(self) -> None:
+        if not self._is_answering:
+            self._is_answering = True
+            self._on_answering()
+
     def _mark_replied(self) -> None:
         self.has_replied.set()
         self._relink_left_s = self._relink_wait_s
--- a/src/lavenderfold/router/_components.py
+++ b/src/lavenderfold/router/_components.py
@@ -16,6 +16,7 @@
 from lavenderfold.router._ledger import SharedLedger
 from lavenderfold.router._operator_api import OperatorApi
 from lavenderfold.router._peers import PeerHandlers, PeerLinks
+from lavenderfold.router._prompt_guard import PromptGuard
 from lavenderfold.router._reclaim import Reclaimer
 from lavenderfold.router._request_registry import RequestRegistry, RequestStateReader
 from lavenderfold.router._services import RouterServices
@@ -181,6 +182,7 @@
             dispatcher=self.dispatcher,
             grants=self.grants,
             settler=self.settler,
+            prompt_guard=PromptGuard(timers=self._timers),
         )
 
     def _build_reclaimer(self, store: Store) -> Reclaimer:
--- a/src/lavenderfold/router/_refusals.py
+++ b/src/lavenderfold/router/_refusals.py
@@ -1,5 +1,7 @@
 """Error responses to callers: HTTP status and JSON body."""
 
+import math
+
 import msgspec
 
 from lavenderfold.http import HttpResponse, json_response
@@ -27,11 +29,18 @@
     outcome: Ran
 
 
+class TemporaryRefusal(NotRun, frozen=True, kw_only=True):
+    """A refusal of requests of one kind, for the next ``retry_after_s`` seconds."""
+
+    retry_after_s: float
+
+
 class RefusedError(Exception):
     """The request is answered with an error response.
 
     ``kind`` is the error type in the response. ``outcome`` tells the caller
-    whether the request didn't run, may have run or ran.
+    whether the request didn't run, may have run or ran. ``retry_after_s`` is when a
+    caller may ask again after a refusal with status 503.
     """
 
     def __init__(
@@ -42,6 +51,7 @@
         message: str,
         outcome: str = "not_run",
         request_id: str | None = None,
+        retry_after_s: float = RETRY_AFTER_S,
     ):
         super().__init__(message)
         self.status = status
@@ -49,6 +59,7 @@
         self.message = message
         self.outcome = outcome
         self.request_id = request_id
+        self.retry_after_s = retry_after_s
 
 
 def request_error(
@@ -87,9 +98,16 @@
         message=outcome.detail or outcome.reason.value.replace("_", " "),
         outcome=outcome_name,
         request_id=request_id,
+        retry_after_s=_retry_after_s(outcome),
     )
 
 
+def _retry_after_s(outcome: Outcome) -> float:
+    if isinstance(outcome, TemporaryRefusal):
+        return outcome.retry_after_s
+    return RETRY_AFTER_S
+
+
 def _already_ran_message(outcome: Ran) -> str:
     return (
         f"the request ran; its answer of {outcome.length} bytes with SHA-256 "
@@ -109,5 +127,5 @@
     if error.request_id is not None:
         response.headers.append(("x-request-id", error.request_id))
     if error.status == NOT_RUN_STATUS:
-        response.headers.append(("retry-after", str(RETRY_AFTER_S)))
+        response.headers.append(("retry-after", str(math.ceil(error.retry_after_s))))
     return response
--- a/src/lavenderfold/router/_request_execution.py
+++ b/src/lavenderfold/router/_request_execution.py
@@ -2,6 +2,7 @@
 
 import random
 import uuid
+from functools import partial
 
 import msgspec
 import trio
@@ -12,8 +13,11 @@
 from lavenderfold.router._answers import AnswerAssembler, AnswerPipe, RelayProgress
 from lavenderfold.router._attempt import Attempt
 from lavenderfold.router._decision_log import outcome_fields
+from lavenderfold.router._dispatcher import DispatchPermit
 from lavenderfold.router._refusals import AlreadyRan
 from lavenderfold.router._requests import CallerRequest
+from lavenderfold.router._retry_rules import may_retry, uses_retry_budget
+from lavenderfold.router._run_order import make_run
 from lavenderfold.router._services import RouterServices
 from lavenderfold.routing import Choice, backoff_s
 
@@ -23,17 +27,6 @@
 # After a target failed, a request has at least this long to find another target,
 # even if its class's wait time has passed.
 RETRY_WAIT_S = 2.0
-# These conditions are short, or not caused by the target's load, so that a retry
-# after them doesn't count against the retry budget.
-FREE_RETRY_REASONS = frozenset(
-    {Reason.DRAINING, Reason.FENCED, Reason.NOT_READY, Reason.NO_TARGET}
-)
-RETRIED_REASONS = FREE_RETRY_REASONS | {
-    Reason.CONNECTION_FAILED,
-    Reason.NO_TARGET,
-    Reason.OVERLOADED,
-    Reason.TARGET_FAILED,
-}
 
 
 class RequestExecution:
@@ -61,6 +54,7 @@
         self._reservation = None
         self._relay_progress = RelayProgress()
         self._claimant = uuid.uuid4().hex
+        self._part_ids = request.shared_part_ids
         self._deadline = services.timers.now() + request.request_class.wait_s
 
     @property
@@ -100,11 +94,15 @@
 
     def _finish(self, outcome: Outcome | AlreadyRan) -> None:
         self.outcome = outcome
+        self._part_ids = ()
         self.is_placed.set()
         self.pipe.finish(outcome)
 
     async def _reserve_and_run(self) -> Outcome | AlreadyRan:
         request, grants = self.request, self._services.grants
+        refusal = self._services.prompt_guard.refusal(self._part_ids)
+        if refusal is not None:
+            return refusal
         reservation = await grants.reserve(
             request.key,
             request.worst_case,
@@ -156,7 +154,7 @@
         excluded_targets: set[str] = set()
         may_have_run: MayHaveRun | None = None
         while True:
-            permit = await dispatcher.wait_for_permit(self.request, self._deadline)
+            permit = await self._wait_for_permit()
             if isinstance(permit, NotRun):
                 return may_have_run or permit
             choice = dispatcher.choose(self.request, frozenset(excluded_targets))
@@ -183,14 +181,34 @@
             if not await self._prepare_retry(outcome):
                 return may_have_run or outcome
 
+    async def _wait_for_permit(self) -> DispatchPermit | NotRun:
+        """Wait until the request may be sent, unless its prompt is quarantined."""
+        dispatcher, guard = self._services.dispatcher, self._services.prompt_guard
+        while True:
+            hold_s = guard.decision_wait_s(self._part_ids)
+            if hold_s:
+                await trio.sleep(hold_s)
+            refusal = guard.refusal(self._part_ids)
+            if refusal is not None:
+                return refusal
+            permit = await dispatcher.wait_for_permit(self.request, self._deadline)
+            if isinstance(permit, NotRun) or guard.may_send(self._part_ids):
+                return permit
+            # The prompt has crashed engines while the request was queued.
+            permit.release()
+            dispatcher.dispatch_waiting()
+
     async def _prepare_retry(self, outcome: NotRun | MayHaveRun) -> bool:
         """Wait before a retry, or return False if the outcome is final."""
         route, now = self.request.route, self._services.timers.now()
-        if isinstance(outcome, MayHaveRun) and not route.idempotent:
+        if not may_retry(self.request, outcome):
             return False
-        if isinstance(outcome, NotRun) and outcome.reason not in RETRIED_REASONS:
+        is_lost = isinstance(outcome, MayHaveRun)
+        if is_lost and not self._services.prompt_guard.may_repeat(self._part_ids):
+            # It may crash the next engine as well.
+            self._record("prompt_suspected")
             return False
-        if self._uses_retry_budget(outcome):
+        if uses_retry_budget(self.request, outcome):
             self._failure_count += 1
             if self._failure_count >= self._services.settings.limits.attempts:
                 return False
@@ -206,17 +224,6 @@
         await trio.sleep(backoff_s(max(1, self.attempts), random.random()))
         return True
 
-    def _uses_retry_budget(self, outcome: NotRun | MayHaveRun) -> bool:
-        """Return whether the retry counts against the retry budget.
-
-        A request that isn't urgent goes back to the queue if the target was full.
-        That counts as waiting and not as a retry.
-        """
-        if outcome.reason in FREE_RETRY_REASONS:
-            return False
-        is_urgent = self.request.request_class.priority == 0
-        return is_urgent or outcome.reason is not Reason.OVERLOADED
-
     def _rewind_pipe(self, outcome: Outcome) -> bool:
         """Prepare the pipe for a retry; return False if no retry is possible."""
         if outcome.reason is Reason.TARGET_FAILED and self.pipe.was_read:
@@ -243,7 +250,12 @@
     async def _attempt(self, choice: Choice, permit) -> Outcome:
         """Run the request at the chosen target."""
         self.attempts += 1
-        run = self._make_run()
+        run = make_run(
+            self.request,
+            self._reservation,
+            attempt=self.attempts,
+            wait_s=max(RETRY_WAIT_S, self._deadline - self._services.timers.now()),
+        )
         self._record(
             "routed",
             route=self.request.route_name,
@@ -283,7 +295,9 @@
             assembler=AnswerAssembler(relay_progress=self._relay_progress),
             pipe=self.pipe,
             relink_wait_s=self._relink_wait_s(),
+            on_answering=partial(services.prompt_guard.record_answer, self._part_ids),
         )
+        sent_at = services.timers.now()
         self.target = target
         self.is_placed.set()
         try:
@@ -297,6 +311,10 @@
             return MayHaveRun(Reason.DEADLINE_PASSED, "the run took too long")
         finally:
             attempt.close()
+            if attempt.is_lost_at_beginning:
+                services.prompt_guard.record_loss(
+                    self._part_ids, target=target, sent_at=sent_at
+                )
             self._is_usage_known &= attempt.is_usage_known
             self._relay_progress = attempt.assembler.relay_progress()
             services.load_view.record_ended(target, run.run_id)
@@ -372,28 +390,6 @@
             tokens -= already_settled_tokens
         self._services.grants.refund(self._reservation, tokens)
 
-    def _make_run(self) -> Run:
-        request, reservation = self.request, self._reservation
-        return Run(
-            run_id=uuid.uuid4().hex,
-            key=request.key,
-            attempt=self.attempts,
-            payer=reservation.payer,
-            grant_id=reservation.grant_id,
-            reserved=reservation.tokens,
-            idempotent=request.route.idempotent,
-            priority=request.request_class.priority,
-            deadline_s=max(RETRY_WAIT_S, self._deadline - self._services.timers.now()),
-            model=request.route.model,
-            prompt=request.prompt,
-            max_tokens=request.max_tokens,
-            method=request.method,
-            path=request.path,
-            content_type=request.content_type,
-            body=request.body,
-            cost_tokens=request.route.cost_tokens,
-        )
-
     def _record(self, event: str, **fields: object) -> None:
         self._services.decision_log.record(self.request.request_id, event, **fields)
 
--- a/src/lavenderfold/router/_requests.py
+++ b/src/lavenderfold/router/_requests.py
@@ -15,6 +15,7 @@
     make_request_id,
     request_id_time,
 )
+from lavenderfold.router._prompt_guard import prompt_part_ids
 from lavenderfold.router._refusals import RefusedError, request_error
 from lavenderfold.routing import count_tokens, prefix_hashes
 
@@ -67,6 +68,11 @@
     def organisation(self) -> str:
         return self.key.budget.organisation
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """The ids of the prompt's beginnings that other requests may share."""
+        return prompt_part_ids(self.route.model, self.prefixes)
+
     def without_content(self) -> "CallerRequest":
         """Return the request without its prompt, prefixes and body, to save memory."""
         return msgspec.structs.replace(self, prompt="", prefixes=[], body=b"")
--- a/src/lavenderfold/router/_services.py
+++ b/src/lavenderfold/router/_services.py
@@ -10,6 +10,7 @@
 from lavenderfold.router._decision_log import DecisionLog
 from lavenderfold.router._dispatcher import Dispatcher
 from lavenderfold.router._grants import GrantManager
+from lavenderfold.router._prompt_guard import PromptGuard
 from lavenderfold.router._settings import RouterSettings
 from lavenderfold.router._settlement import Settler
 from lavenderfold.routing import LoadView
@@ -33,6 +34,7 @@
         dispatcher: Dispatcher,
         grants: GrantManager,
         settler: Settler,
+        prompt_guard: PromptGuard,
     ):
         self.settings = settings
         self.timers = timers
@@ -45,3 +47,4 @@
         self.dispatcher = dispatcher
         self.grants = grants
         self.settler = settler
+        self.prompt_guard = prompt_guard
--- a/src/lavenderfold/routing/__init__.py
+++ b/src/lavenderfold/routing/__init__.py
@@ -10,7 +10,11 @@
     has_capacity,
 )
 from lavenderfold.routing._load import LoadView, TargetLoad, TargetState
-from lavenderfold.routing._prefix import count_tokens, prefix_hashes
+from lavenderfold.routing._prefix import (
+    PREFIX_BLOCKS_LIMIT,
+    count_tokens,
+    prefix_hashes,
+)
 from lavenderfold.routing._queue import QueueEntry, RequestQueue
 from lavenderfold.routing._retry import RetryBudget, backoff_s, router_reserve
 from lavenderfold.routing._subset import connected_targets
@@ -20,6 +24,7 @@
     "Choice",
     "RequestQueue",
     "LoadView",
+    "PREFIX_BLOCKS_LIMIT",
     "QueueEntry",
     "RetryBudget",
     "RouteRequest",
