--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -4,11 +4,13 @@
 import logging
 from collections.abc import Awaitable, Callable
 from functools import partial
+from socket import SO_LINGER, SOL_SOCKET
 
 import h11
 import msgspec
 import trio
 
+from lavenderfold.http._client import RESET_ON_CLOSE
 from lavenderfold.http._messages import (
     BodyTooLargeError,
     HttpRequest,
@@ -145,10 +147,14 @@
         if request is None:
             return False
         self._close_reason = CloseReason.CUT
-        if self._options.cancels_on_disconnect:
-            await self._handle_until_disconnect(request, writer)
-        else:
-            await self._handle(request, writer)
+        try:
+            if self._options.cancels_on_disconnect:
+                await self._handle_until_disconnect(request, writer)
+            else:
+                await self._handle(request, writer)
+        finally:
+            if writer.started and not writer.finished:
+                self._reset_if_unframed()
         if self._is_caller_disconnected:
             self._close_reason = CloseReason.LEFT
             return False
@@ -158,6 +164,14 @@
         states = (self._connection.our_state, self._connection.their_state)
         return states == (h11.DONE, h11.DONE)
 
+    def _reset_if_unframed(self) -> None:
+        """Have the caller notice that an answer was cut.
+
+        To callers of HTTP/1.0 the close of the connection is the end of the answer.
+        """
+        if self._connection.their_http_version < b"1.1":
+            self._stream.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+
     async def _handle_until_disconnect(
         self, request: HttpRequest, writer: ResponseWriter
     ) -> None:
