Check heads by the limit in force on kept connections

h11's limit on an incomplete head was fixed by the configuration in force when the connection was opened: after a change that raised the limit, a head that arrived in parts was refused, and one that lowered it left the earlier bound of the buffer.

--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -2,6 +2,7 @@
 
 import enum
 import logging
+import sys
 from collections.abc import Awaitable, Callable
 from functools import partial
 from socket import SO_LINGER, SOL_SOCKET
@@ -110,11 +111,10 @@
         self._handler = handler
         self._options = options
         self._limits = options.limits()
-        # _check_head enforces the limit in force for each request. h11's own limit is
-        # fixed for the life of the connection, so it is higher than the first one.
-        buffer_bytes = max(HEAD_BUFFER_BYTES, 2 * self._limits.header_bytes)
+        # h11's own limit is fixed for the life of the connection, while
+        # _check_incomplete and _check_head enforce the one in force for each request.
         self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=buffer_bytes
+            h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
         self._is_caller_disconnected = False
         self._close_reason = CloseReason.LEFT
@@ -306,10 +306,17 @@
             event = self._connection.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            self._check_incomplete()
             self._connection.receive_data(
                 await self._stream.receive_some(RECEIVE_BYTES)
             )
 
+    def _check_incomplete(self) -> None:
+        """Bound what h11 buffers of a head, or of the framing of a body."""
+        incomplete, _ = self._connection.trailing_data
+        if len(incomplete) > max(HEAD_BUFFER_BYTES, 2 * self._limits.header_bytes):
+            raise MalformedRequestError("a head is too long", status=431)
+
     async def _send_error(self, writer: ResponseWriter, error: Exception) -> None:
         if writer.started:
             return
