--- a/tests/request_ends.py
+++ b/tests/request_ends.py
@@ -146,7 +146,9 @@
             ),
         ]
         if rng.random() < 0.5:
-            routes.append(make_route(EXTRA_ROUTE, RepeatPolicy.IDEMPOTENT))
+            routes.append(
+                make_route(EXTRA_ROUTE, RepeatPolicy.IDEMPOTENT, timeout_s=timeout_s)
+            )
         organisations = [
             Organisation(name="org", keys=("secret",), limit_tokens=10_000_000)
         ]
