--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -281,7 +281,7 @@
             timeout_s = latest_timeout_s
 
     async def _read_body(self, head: h11.Request) -> HttpRequest:
-        if any(name == b"expect" for name, _ in head.headers):
+        if self._connection.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._connection.send(interim))
         body = bytearray()
