--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -2,13 +2,16 @@
 
 import enum
 import logging
+import sys
 from collections.abc import Awaitable, Callable
 from functools import partial
+from socket import SO_LINGER, SOL_SOCKET
 
 import h11
 import msgspec
 import trio
 
+from lavenderfold.http._client import RESET_ON_CLOSE
 from lavenderfold.http._messages import (
     BodyTooLargeError,
     HttpRequest,
@@ -108,11 +111,10 @@
         self._handler = handler
         self._options = options
         self._limits = options.limits()
-        # _check_head enforces the limit in force for each request. h11's own limit is
-        # fixed for the life of the connection, so it is higher than the first one.
-        buffer_bytes = max(HEAD_BUFFER_BYTES, 2 * self._limits.header_bytes)
+        # h11's own limit is fixed for the life of the connection, while
+        # _check_incomplete and _check_head enforce the one in force for each request.
         self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=buffer_bytes
+            h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
         self._is_caller_disconnected = False
         self._close_reason = CloseReason.LEFT
@@ -145,10 +147,14 @@
         if request is None:
             return False
         self._close_reason = CloseReason.CUT
-        if self._options.cancels_on_disconnect:
-            await self._handle_until_disconnect(request, writer)
-        else:
-            await self._handle(request, writer)
+        try:
+            if self._options.cancels_on_disconnect:
+                await self._handle_until_disconnect(request, writer)
+            else:
+                await self._handle(request, writer)
+        finally:
+            if writer.started and not writer.finished:
+                self._reset_if_unframed()
         if self._is_caller_disconnected:
             self._close_reason = CloseReason.LEFT
             return False
@@ -158,6 +164,14 @@
         states = (self._connection.our_state, self._connection.their_state)
         return states == (h11.DONE, h11.DONE)
 
+    def _reset_if_unframed(self) -> None:
+        """Have the caller notice that an answer was cut.
+
+        To callers of HTTP/1.0 the close of the connection is the end of the answer.
+        """
+        if self._connection.their_http_version < b"1.1":
+            self._stream.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+
     async def _handle_until_disconnect(
         self, request: HttpRequest, writer: ResponseWriter
     ) -> None:
@@ -267,7 +281,7 @@
             timeout_s = latest_timeout_s
 
     async def _read_body(self, head: h11.Request) -> HttpRequest:
-        if any(name == b"expect" for name, _ in head.headers):
+        if self._connection.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._connection.send(interim))
         body = bytearray()
@@ -292,10 +306,17 @@
             event = self._connection.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            self._check_incomplete()
             self._connection.receive_data(
                 await self._stream.receive_some(RECEIVE_BYTES)
             )
 
+    def _check_incomplete(self) -> None:
+        """Bound what h11 buffers of a head, or of the framing of a body."""
+        incomplete, _ = self._connection.trailing_data
+        if len(incomplete) > max(HEAD_BUFFER_BYTES, 2 * self._limits.header_bytes):
+            raise MalformedRequestError("a head is too long", status=431)
+
     async def _send_error(self, writer: ResponseWriter, error: Exception) -> None:
         if writer.started:
             return
