--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -206,7 +206,7 @@
         quarantine = self._services.quarantine
         wait_s = quarantine.decision_wait_s(self._request.shared_part_ids)
         if wait_s:
-            await trio.sleep(wait_s)
+            await trio.sleep_until(min(trio.current_time() + wait_s, self._answer_by))
 
     def _refuse_quarantined(self) -> Refusal | None:
         quarantine = self._services.quarantine
