--- a/tests/patience_plans.py
+++ b/tests/patience_plans.py
@@ -19,7 +19,8 @@
 class Plan(msgspec.Struct, kw_only=True):
     """What a target sends to one attempt, in seconds after the request was sent.
 
-    ``end`` is ``whole``, ``rejected`` or ``lost``, at ``end_s``.
+    ``end`` is ``whole``, ``rejected`` or ``lost``, at ``end_s``. A rejection may ask
+    for a pause of ``pause_s``.
     """
 
     kind: str
@@ -27,6 +28,7 @@
     chunks: list[tuple[float, bytes]] = []
     end: str = "whole"
     end_s: float = math.inf
+    pause_s: float | None = None
 
 
 def stream_plan(
@@ -63,11 +65,14 @@
     kind = rng.choice(
         ("sound",) * 4
         + ("paused_first", "paused_within", "slow", "dead", "head_only", "trickle")
-        + ("dead_within", "rejected", "lost")
+        + ("dead_within", "rejected", "turned_away", "lost")
     )
     first_s, gap_s = rng.uniform(0.02, 0.3), rng.uniform(0.01, 0.2)
     if kind == "dead":
         return Plan(kind=kind)
+    if kind == "turned_away":
+        pause_s, end_s = rng.uniform(0.1, 1.0), rng.uniform(0.01, 0.3)
+        return Plan(kind=kind, end="rejected", end_s=end_s, pause_s=pause_s)
     if kind in ("rejected", "lost"):
         end_s = rng.uniform(0.01, 1.5)
         head_s = rng.choice((end_s / 2, math.inf)) if kind == "lost" else math.inf
--- a/tests/patience_simulation.py
+++ b/tests/patience_simulation.py
@@ -136,6 +136,8 @@
         ]
         if is_rejected:
             self.headers.append(("x-not-run", "1"))
+        if plan.pause_s is not None:
+            self.headers.append(("x-pause", str(plan.pause_s)))
         self._attempt = attempt
         self._target = target
 
