--- a/tests/test_slow_single_runs.py
+++ b/tests/test_slow_single_runs.py
@@ -152,6 +152,16 @@
     run_with_chosen(check, script=send_bytes_slowly, path="/read/x")
 
 
+def test_silence_that_was_recorded_is_no_second_failure():
+    """Guards against an ejection that is twice as long if no other target is left."""
+
+    async def scenario(fleet):
+        assert (await fleet.send_request("/read/x", attempt="a")).status == 504
+        assert find_failures(fleet, fleet.target_by_id["t0"]) == 1
+
+    run_scenario(scenario, send_bytes_slowly)
+
+
 async def answer_late(request, writer):
     await trio.sleep(TIMEOUT_S + 0.3)
     await answer_successfully(request, writer)
@@ -179,13 +189,13 @@
 
 
 async def send_events_slowly(request, writer):
-    """Send whole events in parts, longer than the caller waits."""
+    """Send the end of one event with the beginning of the next, without an end."""
     await writer._stream.send_all(encode_success(request, EVENT_STREAM))
     with pytest.raises(trio.BrokenResourceError):
+        await writer._stream.send_all(event(1)[:9])
         for number in range(1, 1000):
-            for part in (event(number)[:9], event(number)[9:]):
-                await writer._stream.send_all(part)
-                await trio.sleep(0.15)
+            await trio.sleep(0.15)
+            await writer._stream.send_all(event(number)[9:] + event(number + 1)[:9])
 
 
 @pytest.mark.parametrize(
