Close a connection after its answer only when its caller has closed

A pipelined request that arrived at the closed socket reset the connection, and its caller lost the part of the answer that it hadn't received yet. A caller is waited for at most 1 s, and not after a refusal of a request that wasn't read whole.

--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -23,7 +23,12 @@
     ResponseWriter,
     SlowCallerError,
 )
-from lavenderfold.http._stop import IdleConnections, accept_waiting, duplicate_sockets
+from lavenderfold.http._stop import (
+    IdleConnections,
+    accept_waiting,
+    duplicate_sockets,
+    wait_for_close,
+)
 from lavenderfold.settings import Address
 
 RECEIVE_BYTES = 65536
@@ -38,6 +43,8 @@
 HEAD_BUFFER_BYTES = 65536
 # How long a stopping server waits for the requests of callers that have just connected.
 LAST_REQUESTS_S = 0.2
+# How long a caller may take to close a connection after its last answer.
+LINGER_S = 1.0
 
 
 logger = logging.getLogger(__name__)
@@ -117,6 +124,7 @@
             h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
         self._is_caller_disconnected = False
+        self._is_request_answered = False
         self._close_reason = CloseReason.LEFT
 
     async def run(self) -> None:
@@ -124,6 +132,8 @@
             async with self._stream:
                 while await self._serve_one():
                     self._connection.start_next_cycle()
+                if self._is_request_answered:
+                    await wait_for_close(self._stream, timeout_s=LINGER_S)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._close_reason = CloseReason.LEFT
         finally:
@@ -132,6 +142,7 @@
     async def _serve_one(self) -> bool:
         """Serve one request and return whether the connection can be used again."""
         self._close_reason = CloseReason.LEFT
+        self._is_request_answered = False
         writer = ResponseWriter(
             connection=self._connection,
             stream=self._stream,
@@ -161,6 +172,7 @@
         if not writer.finished:
             return False
         self._close_reason = CloseReason.ANSWERED
+        self._is_request_answered = True
         states = (self._connection.our_state, self._connection.their_state)
         return states == (h11.DONE, h11.DONE)
 
--- a/src/lavenderfold/http/_stop.py
+++ b/src/lavenderfold/http/_stop.py
@@ -1,4 +1,4 @@
-"""Parts of the stop of a server that loses no request which has arrived."""
+"""Parts of the stop of a server, and of connections, that lose nothing."""
 
 import os
 import socket
@@ -7,6 +7,10 @@
 
 import trio
 
+RECEIVE_BYTES = 65536
+# A peer that sends more than this after its last answer is not waited for.
+LINGER_BYTES = 1024 * 1024
+
 
 class IdleConnections:
     """Ends the waits for a request of all connections at once."""
@@ -61,3 +65,22 @@
                 accepted = trio.socket.from_stdlib_socket(listening.accept()[0])
                 streams.append(trio.SocketStream(accepted))
     return streams
+
+
+async def wait_for_close(stream: trio.SocketStream, *, timeout_s: float) -> None:
+    """End the sending side, then drop what arrives until the peer closes as well.
+
+    Bytes that arrive at a closed socket, or that weren't read before, reset the
+    connection, and the peer loses what it hasn't received yet.
+    """
+    with (
+        trio.move_on_after(timeout_s),
+        suppress(trio.BrokenResourceError, trio.ClosedResourceError),
+    ):
+        await stream.send_eof()
+        dropped_bytes = 0
+        while dropped_bytes <= LINGER_BYTES:
+            data = await stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                break
+            dropped_bytes += len(data)
