Share the routes and requests of tests about waiting

Three test modules built the same routes, the same listener with a full queue and the same request beside a change of a target. The assertions are unchanged.

--- a/tests/test_caller_patience.py
+++ b/tests/test_caller_patience.py
@@ -1,7 +1,6 @@
 """Requests that end shortly before their callers' patience is over."""
 
 import math
-import socket
 
 import msgspec
 import pytest
@@ -10,7 +9,6 @@
 from lavenderfold.direct._patience import ANSWER_MARGIN_S, CallerPatience
 from lavenderfold.direct._relay_progress import RelayProgress
 from lavenderfold.fleet import RepeatPolicy
-from lavenderfold.settings import Address
 from standins.memory_store import MemoryStore
 from tests.direct_support import (
     DirectFleet,
@@ -25,20 +23,14 @@
     stream,
     valid_headers,
 )
+from tests.patience_support import make_stream_routes, move_target, silent_address
 
 PATIENCE_S = 1.0
 WHOLE_STREAM = b"".join(event(number) for number in range(1, 5))
 CONFIG = make_config(
     routes=(
         make_route("read", RepeatPolicy.IDEMPOTENT, timeout_s=4.0),
-        make_route("chat", RepeatPolicy.STREAM, timeout_s=4.0, patience_s=PATIENCE_S),
-        make_route(
-            "draft",
-            RepeatPolicy.STREAM,
-            timeout_s=4.0,
-            patience_s=PATIENCE_S,
-            is_resumable=True,
-        ),
+        *make_stream_routes(patience_s=PATIENCE_S),
     )
 )
 
@@ -157,20 +149,9 @@
 
 def test_request_that_was_never_sent_ends_as_not_run():
     """Guards against callers that may not retry a request that certainly didn't run."""
-    listener = socket.socket()
-    listener.bind(("127.0.0.1", 0))
-    listener.listen(0)
-    # Connections to a listener whose queue is full are neither accepted nor refused.
-    fillers = [socket.socket() for _ in range(4)]
-    for each in fillers:
-        each.setblocking(False)
-        each.connect_ex(listener.getsockname())
 
     async def scenario(fleet):
-        target = fleet.target_by_id["t0"]
-        target.address = Address(host="127.0.0.1", port=listener.getsockname()[1])
-        fleet.register(target)
-        await trio.sleep(0.3)
+        await move_target(fleet, "t0", address)
         answer, took_s = await send(fleet, "/chat/x")
         assert answer.status == 503
         error = msgspec.json.decode(answer.body)["error"]
@@ -179,11 +160,8 @@
         assert took_s < 0.4
 
     route = make_route("chat", RepeatPolicy.STREAM, timeout_s=4.0, patience_s=0.5)
-    try:
+    with silent_address() as address:
         run_scenario(scenario, never, config=make_config(routes=(route,)))
-    finally:
-        for each in [*fillers, listener]:
-            each.close()
 
 
 def test_patience_includes_the_wait_for_the_first_configuration():
--- a/tests/test_request_ends.py
+++ b/tests/test_request_ends.py
@@ -18,19 +18,13 @@
     stream,
     valid_headers,
 )
+from tests.patience_support import make_stream_routes
 
 PATIENCE_S = 1.0
 CONFIG = make_config(
     routes=(
         make_route("read", RepeatPolicy.IDEMPOTENT),
-        make_route("chat", RepeatPolicy.STREAM, timeout_s=4.0, patience_s=PATIENCE_S),
-        make_route(
-            "draft",
-            RepeatPolicy.STREAM,
-            timeout_s=4.0,
-            patience_s=PATIENCE_S,
-            is_resumable=True,
-        ),
+        *make_stream_routes(patience_s=PATIENCE_S),
     )
 )
 
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -24,6 +24,7 @@
     stream,
     valid_headers,
 )
+from tests.patience_support import request_during_change
 
 # Longer than a router waits for a target if another one can take over.
 SILENCE_S = 1.3
@@ -113,18 +114,18 @@
     """Guards against a stream that is cut for a target that isn't usable any more."""
 
     async def scenario(fleet):
-        answers = []
-
-        async def send():
-            answers.append(await fleet.send_request("/draft/x", patience="6"))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(send)
-            await fleet.wait_until(lambda: count_target_requests(fleet) == 1)
+        def deregister_other():
             for target in fleet.target_by_id.values():
                 if not target.received:
                     fleet.register(target, is_draining=True)
-        assert answers[0].body == WHOLE_STREAM
+
+        answer = await request_during_change(
+            fleet,
+            "/draft/x",
+            is_due=lambda: count_target_requests(fleet) == 1,
+            change=deregister_other,
+        )
+        assert answer.body == WHOLE_STREAM
 
     run_scenario(scenario, pause_in_stream, pause_in_stream, config=PATIENT_CONFIG)
 
@@ -295,19 +296,19 @@
     """Guards against an attempt that is given up for a target that is down."""
 
     async def scenario(fleet):
-        answers = []
-
-        async def send():
-            answers.append(await fleet.send_request("/read/x", patience="6"))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(send)
-            await fleet.wait_until(lambda: count_target_requests(fleet) == 1)
+        def crash_other():
             for target in fleet.target_by_id.values():
                 if not target.received:
                     target.down_s = 9.0
                     target.crash()
-        assert (answers[0].status, answers[0].body) == (200, b"done")
+
+        answer = await request_during_change(
+            fleet,
+            "/read/x",
+            is_due=lambda: count_target_requests(fleet) == 1,
+            change=crash_other,
+        )
+        assert (answer.status, answer.body) == (200, b"done")
 
     run_scenario(
         scenario, pause_before_answer, pause_before_answer, config=PATIENT_CONFIG
@@ -340,17 +341,17 @@
         await writer.finish()
 
     async def scenario(fleet):
-        answers = []
-
-        async def send():
-            answers.append(await fleet.send_request("/draft/x", patience="6"))
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(send)
-            await fleet.wait_until(lambda: len(received) == 2)
+        def deregister_other():
             targets = fleet.target_by_id.values()
             other = next(each for each in targets if received[1] in each.received)
             fleet.register(other, is_draining=True)
-        assert answers[0].body == WHOLE_STREAM
+
+        answer = await request_during_change(
+            fleet,
+            "/draft/x",
+            is_due=lambda: len(received) == 2,
+            change=deregister_other,
+        )
+        assert answer.body == WHOLE_STREAM
 
     run_scenario(scenario, script, script, config=PATIENT_CONFIG)
