--- a/scripts/fuzz_answers.py
+++ b/scripts/fuzz_answers.py
@@ -4,19 +4,16 @@
 Add a seed that failed to SEEDS in tests/test_answer_fuzz.py.
 """
 
-import itertools
 import logging
 import sys
-import time
 from collections.abc import Sequence
 
 import trio
 from absl import app, flags
 
+from scripts.seeded_plays import play_seeds
 from tests.answer_fuzzer import AnswerFuzzer
 
-SECONDS_PER_MINUTE = 60.0
-
 MINUTES = flags.DEFINE_float("minutes", 3.0, "How long to play.", lower_bound=0.0)
 FIRST_SEED = flags.DEFINE_integer("first_seed", 1000, "The seed of the first case.")
 REQUESTS = flags.DEFINE_integer("requests", 240, "Requests in each case.")
@@ -28,19 +25,18 @@
         raise app.UsageError("this command takes no arguments")
     # The router logs each faulty answer.
     logging.disable(logging.CRITICAL)
-    end = time.monotonic() + MINUTES.value * SECONDS_PER_MINUTE
-    failed_seeds = []
     late_copies = 0
-    for cases in itertools.count(1):
-        seed = FIRST_SEED.value + cases - 1
+
+    def play_seed(seed: int) -> list[str]:
+        nonlocal late_copies
         case = AnswerFuzzer(seed, requests=REQUESTS.value)
         violations = trio.run(case.run)
         late_copies += case.late_copies
-        if violations:
-            failed_seeds.append(seed)
-            print("\n".join(violations))
-        if time.monotonic() >= end:
-            break
+        return violations
+
+    cases, failed_seeds = play_seeds(
+        play_seed, first_seed=FIRST_SEED.value, minutes=MINUTES.value
+    )
     print(
         f"cases: {cases}, requests: {cases * REQUESTS.value}, "
         f"late copies: {late_copies}, failed seeds: {failed_seeds}"
--- a/scripts/play_request_ends.py
+++ b/scripts/play_request_ends.py
@@ -3,19 +3,16 @@
 Prints the requests that ended in a way that must not be; exits with 1 if there was any.
 """
 
-import itertools
 import logging
 import sys
-import time
 from collections.abc import Sequence
 
 import trio
 from absl import app, flags
 
+from scripts.seeded_plays import play_seeds
 from tests import request_ends
 
-SECONDS_PER_MINUTE = 60.0
-
 MINUTES = flags.DEFINE_float("minutes", 3.0, "How long to play.", lower_bound=0.0)
 FIRST_SEED = flags.DEFINE_integer("first_seed", 1000, "The seed of the first play.")
 SILENT_SHARE = flags.DEFINE_float(
@@ -29,19 +26,18 @@
         raise app.UsageError("this command takes no arguments")
     # The router logs each failed attempt.
     logging.disable(logging.CRITICAL)
-    end = time.monotonic() + MINUTES.value * SECONDS_PER_MINUTE
-    failed_seeds = []
     requests = 0
-    for plays in itertools.count(1):
-        seed = FIRST_SEED.value + plays - 1
+
+    def play_seed(seed: int) -> list[str]:
+        nonlocal requests
         play = request_ends.RequestEnds(seed, silent_share=SILENT_SHARE.value)
         violations = trio.run(play.run)
         requests += len(play.sent)
-        if violations:
-            failed_seeds.append(seed)
-            print("\n".join(violations))
-        if time.monotonic() >= end:
-            break
+        return violations
+
+    plays, failed_seeds = play_seeds(
+        play_seed, first_seed=FIRST_SEED.value, minutes=MINUTES.value
+    )
     print(f"plays: {plays}, requests: {requests}, failed seeds: {failed_seeds}")
     sys.exit(1 if failed_seeds else 0)
 
