--- a/src/lavenderfold/agent/_agent.py
+++ b/src/lavenderfold/agent/_agent.py
@@ -6,7 +6,6 @@
 import logging
 import secrets
 import signal
-from functools import partial
 
 import msgspec
 import trio
@@ -23,10 +22,10 @@
     make_load_report,
 )
 from lavenderfold.agent._router_links import RouterLink, RouterLinks
-from lavenderfold.agent._run_table import Abort, Delivery, RunTable
-from lavenderfold.agent._runs import RunRecord, SubmitResult, is_model_order
-from lavenderfold.agent._settings import AgentSettings, TargetKind
-from lavenderfold.agent._target import CompleteAnswer, TargetResult, build_app_caller
+from lavenderfold.agent._run_executor import RunExecutor
+from lavenderfold.agent._run_table import Delivery, RunTable
+from lavenderfold.agent._runs import RunRecord, SubmitResult
+from lavenderfold.agent._settings import AgentSettings
 from lavenderfold.agent._usage import UnsettledUsage
 from lavenderfold.http import HttpClient
 from lavenderfold.links import Link, LinkClosedError, Listener
@@ -42,9 +41,10 @@
     ResumeRun,
     RouterHello,
     Run,
+    UsageRecord,
     UsageStored,
 )
-from lavenderfold.outcomes import MayHaveRun, Reason
+from lavenderfold.outcomes import Ran
 from lavenderfold.settings import Address
 from lavenderfold.store import Store
 from lavenderfold.timers import TimerService
@@ -87,12 +87,15 @@
             tick_s=settings.limits.report_period_s,
         )
         self._engine_client = HttpClient(address=settings.target_address)
-        if settings.kind is TargetKind.MODEL:
-            self._call_target = _engine.build_model_caller(
-                client=self._engine_client, max_resumes=settings.limits.engine_resumes
-            )
-        else:
-            self._call_target = build_app_caller(address=settings.target_address)
+        self._executor = RunExecutor(
+            settings=settings,
+            table=self._run_table,
+            engine_client=self._engine_client,
+            timers=timers,
+            metrics=self._metrics,
+            on_append=self._schedule_flush,
+            on_end=self._handle_run_end,
+        )
         self._boot_id = secrets.token_hex(8)
         self._config_revision = 0
         self._highest_fencing_token = 0
@@ -100,8 +103,6 @@
         self._tick_due_at: float | None = None
         self._drained = trio.Event()
         self._flush_scheduled = False
-        self._scope_by_run_id: dict[str, trio.CancelScope] = {}
-        self._abort_by_run_id: dict[str, Abort] = {}
         self._overdue_run_ids: set[str] = set()
         self._nursery: trio.Nursery | None = None
 
@@ -185,8 +186,7 @@
         now = self._timers.now()
         self._router_links.remove(router)
         self._run_table.remove_link(router.number, now=now)
-        routers = self._router_links.connected_routers()
-        if all(other.incarnation != router.incarnation for other in routers):
+        if not self._router_links.is_connected(router.incarnation):
             self._usage.handle_router_loss(
                 link_number=router.number, incarnation=router.incarnation, now=now
             )
@@ -214,7 +214,7 @@
             case CancelRun(run_id=run_id):
                 abort = self._run_table.cancel(run_id, router.number, now=now)
                 if abort is not None:
-                    self._abort_run(abort)
+                    self._executor.abort(abort)
             case UsageStored(run_ids=run_ids):
                 self._usage.mark_stored(run_ids)
             case Fence(incarnation=incarnation):
@@ -299,110 +299,32 @@
         )
 
     def _start_runs(self) -> None:
-        while (
-            record := self._run_table.start_next(now=self._timers.now())
-        ) is not None:
-            scope = trio.CancelScope()
-            self._scope_by_run_id[record.run_id] = scope
-            self._nursery.start_soon(self._execute_run, record, scope)
-
-    async def _execute_run(self, record: RunRecord, scope: trio.CancelScope) -> None:
-        order = record.order
-        log_event(
-            logger,
-            "run_start",
-            run_id=order.run_id,
-            request=order.key,
-            attempt=order.attempt,
-            payer=order.payer,
-            priority=order.priority,
-            running=self._run_table.running_count,
-            queued=self._run_table.queued_count,
-        )
-        self._metrics.incr("started")
-        result: TargetResult | None = None
-        with scope:
-            try:
-                result = await self._call_target(
-                    order, partial(self._append_to_answer, order.run_id)
-                )
-            except Exception as error:
-                # An exception that left this task would cancel the nursery and with
-                # it the runs of all other requests.
-                logger.exception("run_failed", extra={"run_id": order.run_id})
-                result = MayHaveRun(Reason.TARGET_FAILED, repr(error))
-        if result is None:
-            result = self._abort_by_run_id[order.run_id].outcome
-        self._scope_by_run_id.pop(order.run_id)
-        self._abort_by_run_id.pop(order.run_id, None)
-        self._end_run(order, result)
-        if scope.cancelled_caught and is_model_order(order):
-            await _engine.cancel_at_engine(self._engine_client, order)
-
-    def _append_to_answer(self, run_id: str, data: bytes, tokens: int) -> object:
-        append_result = self._run_table.append(run_id, data, tokens)
-        self._schedule_flush()
-        return append_result
-
-    def _end_run(self, order: Run, result: TargetResult) -> None:
-        now = self._timers.now()
-        if isinstance(result, CompleteAnswer):
-            record = self._run_table.complete(
-                order.run_id,
-                status=result.status,
-                content_type=result.content_type,
-                now=now,
-            )
-        else:
-            record = self._run_table.end(order.run_id, result, now=now)
-        usage = record.usage_record()
+        self._executor.start_queued(self._nursery)
+
+    def _handle_run_end(self, record: RunRecord, usage: UsageRecord | None) -> None:
         if usage is not None:
             # RunEnded of a complete answer carries the tokens to its router. Any other
             # outcome has no token count, so its usage needs a report right away.
-            report_immediately = not isinstance(
-                result, CompleteAnswer
-            ) or not self._is_connected(record.sender_incarnation)
+            is_sender_connected = self._router_links.is_connected(
+                record.sender_incarnation
+            )
+            is_complete = isinstance(record.outcome, Ran)
             self._usage.add(
                 usage,
                 sender_incarnation=record.sender_incarnation,
-                report_immediately=report_immediately,
-                now=now,
+                report_immediately=not (is_complete and is_sender_connected),
+                now=record.ended_at,
             )
             self._report_due_usage()
-        self._metrics.incr("ended")
-        log_event(
-            logger,
-            "run_end",
-            run_id=order.run_id,
-            request=order.key,
-            outcome=type(record.outcome).__name__,
-            reason=getattr(record.outcome, "reason", None),
-            detail=getattr(record.outcome, "detail", None),
-            tokens=usage.tokens if usage is not None else 0,
-            status=record.status,
-            run_s=now - record.started_at,
-        )
         self._start_runs()
         self._flush_replies()
 
-    def _is_connected(self, incarnation: int | None) -> bool:
-        return any(
-            other.incarnation == incarnation
-            for other in self._router_links.connected_routers()
-        )
-
-    def _abort_run(self, abort: Abort) -> None:
-        scope = self._scope_by_run_id.get(abort.run_id)
-        if scope is not None:
-            self._abort_by_run_id.setdefault(abort.run_id, abort)
-            scope.cancel()
-
     def _tick(self, now: float) -> None:
         # A tick may come late, after a suspension of the process. What targets and
         # routers sent meanwhile is read before the next tick, which stops the runs.
         overdue = {abort.run_id: abort for abort in self._run_table.expire(now=now)}
         for run_id in overdue.keys() & self._overdue_run_ids:
-            self._abort_run(overdue[run_id])
+            self._executor.abort(overdue[run_id])
         self._overdue_run_ids = set(overdue)
         self._start_runs()
         self._report_due_usage()
--- a/src/lavenderfold/agent/_router_links.py
+++ b/src/lavenderfold/agent/_router_links.py
@@ -113,6 +113,12 @@
             if router.hello is not None and not router.link.closed
         ]
 
+    def is_connected(self, incarnation: int | None) -> bool:
+        """Return whether an open link's router said that it has an incarnation."""
+        return any(
+            router.incarnation == incarnation for router in self.connected_routers()
+        )
+
     def post(self, number: int, message: MessageToRouter) -> None:
         """Post a message to a link, or drop it if the link is closed."""
         router = self._by_number.get(number)
