--- a/src/lavenderfold/agent/_run_table.py
+++ b/src/lavenderfold/agent/_run_table.py
@@ -11,20 +11,10 @@
 import msgspec
 
 from lavenderfold.agent._answer_cache import AnswerCache
-from lavenderfold.agent._deliveries import (
-    Delivery,
-    make_end_messages,
-    take_new_frames,
-    truncate_to_words,
-)
+from lavenderfold.agent._deliveries import Delivery, truncate_to_words
+from lavenderfold.agent._outbox import Outbox
 from lavenderfold.agent._queue import RunQueue
-from lavenderfold.agent._runs import (
-    AppendResult,
-    RunRecord,
-    RunState,
-    SubmitResult,
-    Subscription,
-)
+from lavenderfold.agent._runs import AppendResult, RunRecord, RunState, SubmitResult
 from lavenderfold.agent._settings import Limits
 from lavenderfold.identifiers import RequestKey
 from lavenderfold.messages import Run, RunAccepted, RunEnded, RunUnknown
@@ -66,8 +56,7 @@
         self._ended_by_age: deque[RunRecord] = deque()
         self._answer_cache = AnswerCache(limits=limits)
         self._dropped_at_by_id: OrderedDict[str, float] = OrderedDict()
-        self._replies: list[Delivery] = []
-        self._updated_by_id: dict[str, RunRecord] = {}
+        self._outbox = Outbox()
 
     @property
     def running_count(self) -> int:
@@ -120,13 +109,11 @@
             sender_incarnation=sender_incarnation,
             now=now,
         )
-        record.subscriptions.append(
-            Subscription(link=link_number, name=order.run_id, position=0)
-        )
+        record.subscribe(link_number, order.run_id, position=0)
         self._record_by_id[order.run_id] = record
         self._records_by_key[order.key].append(record)
         self._queue.push(record)
-        self._replies.append(Delivery(link_number, RunAccepted(order.run_id)))
+        self._outbox.add_reply(link_number, RunAccepted(order.run_id))
         return SubmitResult.ACCEPTED
 
     def start_next(self, *, now: float) -> RunRecord | None:
@@ -153,7 +140,7 @@
         if data:
             answer.append(data, tokens)
             self._answer_cache.add_bytes(len(data))
-            self._updated_by_id[run_id] = record
+            self._outbox.mark_updated(record)
         return (
             AppendResult.TOKEN_LIMIT_REACHED if limit_reached else AppendResult.APPENDED
         )
@@ -181,7 +168,7 @@
         record.discard_input()
         self._ended_by_idempotency[record.order.idempotent][run_id] = record
         self._ended_by_age.append(record)
-        self._updated_by_id.pop(run_id, None)
+        self._outbox.clear_updated(record)
         self._answer_cache.add_ended(record)
         self._send_remainder(record)
         return record
@@ -202,28 +189,20 @@
         record = self._find_resumable(key)
         has_ended = record is not None and record.state is RunState.ENDED
         if record is None or offset < 0 or (has_ended and offset > len(record.answer)):
-            self._replies.append(Delivery(link_number, RunUnknown(subscription)))
+            self._outbox.add_reply(link_number, RunUnknown(subscription))
             return False
-        record.subscriptions = [
-            other
-            for other in record.subscriptions
-            if (other.link, other.name) != (link_number, subscription)
-        ]
-        record.subscriptions.append(
-            Subscription(link=link_number, name=subscription, position=offset)
-        )
-        record.idle_since = None
+        record.subscribe(link_number, subscription, position=offset)
         if has_ended:
             self._send_remainder(record)
         else:
-            self._updated_by_id[record.run_id] = record
+            self._outbox.mark_updated(record)
         return True
 
     def remove_link(self, link_number: int, *, now: float) -> None:
         """Remove a closed link's subscriptions and replies. Its runs continue."""
         for record in self._open_records():
-            _unsubscribe(record, link_number, None, now)
-        self._replies = [reply for reply in self._replies if reply.link != link_number]
+            record.unsubscribe(link_number, None, now=now)
+        self._outbox.remove_link(link_number)
 
     def cancel(self, name: str, link_number: int, *, now: float) -> Abort | None:
         """Cancel a run, or only the subscription if others read the same run.
@@ -234,13 +213,10 @@
         record = self._record_by_id.get(name)
         if record is None or record.state is RunState.ENDED:
             for other in self._open_records():
-                _unsubscribe(other, link_number, name, now)
+                other.unsubscribe(link_number, name, now=now)
             return None
-        if any(
-            (subscription.link, subscription.name) != (link_number, name)
-            for subscription in record.subscriptions
-        ):
-            _unsubscribe(record, link_number, name, now)
+        if record.has_other_subscription(link_number, name):
+            record.unsubscribe(link_number, name, now=now)
             return None
         if record.state is RunState.QUEUED:
             self._remove_from_queue(record, Reason.CONNECTION_LOST, "cancelled", now)
@@ -277,31 +253,20 @@
 
     def take_replies(self) -> list[Delivery]:
         """Return and remove the messages to send immediately."""
-        replies, self._replies = self._replies, []
-        return replies
+        return self._outbox.take_replies()
 
     def take_frames(self) -> list[Delivery]:
         """Return the frames with new parts of running runs' answers.
 
         The parts since the last call are joined for each subscription.
         """
-        updated, self._updated_by_id = self._updated_by_id, {}
-        return [
-            frame
-            for record in updated.values()
-            for subscription in record.subscriptions
-            for frame in take_new_frames(record, subscription)
-        ]
+        return self._outbox.take_frames()
 
     def _send_remainder(self, record: RunRecord) -> None:
         """Queue the unsent part of an answer and ``RunEnded`` for its subscriptions."""
-        if not record.subscriptions:
-            return
-        for subscription in record.subscriptions:
-            self._replies += take_new_frames(record, subscription)
-        self._replies += make_end_messages(record)
-        record.subscriptions = []
-        self._answer_cache.mark_delivered(record)
+        if record.subscriptions:
+            self._outbox.add_remainder(record)
+            self._answer_cache.mark_delivered(record)
 
     def _open_records(self) -> list[RunRecord]:
         return [*self._running_by_id.values(), *self._queue]
@@ -331,7 +296,7 @@
             outcome = MayHaveRun(outcome.reason, outcome.detail)
         self._remember_dropped_id(order.run_id, now)
         ended = RunEnded(run_id=order.run_id, outcome=outcome)
-        self._replies.append(Delivery(link_number, ended))
+        self._outbox.add_reply(link_number, ended)
         return outcome
 
     def _remove_from_queue(
@@ -344,7 +309,7 @@
         record.state = RunState.ENDED
         record.outcome = outcome
         record.ended_at = now
-        self._replies += make_end_messages(record)
+        self._outbox.add_end(record)
         self._drop_record(record)
 
     def _remember_dropped_id(self, run_id: str, now: float) -> None:
@@ -358,28 +323,15 @@
     def _expire_queue(self, now: float) -> None:
         for record in self._queue:
             if record.queue_deadline <= now:
-                self._remove_from_queue(
-                    record,
-                    Reason.DEADLINE_PASSED,
-                    "queued",
-                    now,
-                )
+                self._remove_from_queue(record, Reason.DEADLINE_PASSED, "queued", now)
             elif self._is_orphaned(record, now):
-                self._remove_from_queue(
-                    record,
-                    Reason.CONNECTION_LOST,
-                    "orphaned",
-                    now,
-                )
+                self._remove_from_queue(record, Reason.CONNECTION_LOST, "orphaned", now)
 
     def _check_overdue(self, record: RunRecord, now: float) -> Abort | None:
         if now >= record.started_at + self._limits.run_limit_s:
             outcome = MayHaveRun(Reason.DEADLINE_PASSED, "run limit")
         elif record.is_model and self._is_orphaned(record, now):
-            outcome = MayHaveRun(
-                Reason.CONNECTION_LOST,
-                "orphaned",
-            )
+            outcome = MayHaveRun(Reason.CONNECTION_LOST, "orphaned")
         else:
             return None
         return Abort(record.run_id, outcome)
@@ -409,7 +361,7 @@
 
     def _drop_record(self, record: RunRecord) -> None:
         self._answer_cache.evict(record)
-        self._updated_by_id.pop(record.run_id, None)
+        self._outbox.clear_updated(record)
         self._ended_by_idempotency[record.order.idempotent].pop(record.run_id, None)
         del self._record_by_id[record.run_id]
         self._remember_dropped_id(record.run_id, record.ended_at)
@@ -430,17 +382,3 @@
 def _resume_preference(record: RunRecord) -> tuple[bool, bool, int]:
     is_complete = isinstance(record.outcome, Ran)
     return is_complete, record.state is not RunState.ENDED, record.sequence
-
-
-def _unsubscribe(
-    record: RunRecord, link_number: int, name: str | None, now: float
-) -> None:
-    """Remove a link's subscription ``name``, or all of its subscriptions for None."""
-    kept = [
-        subscription
-        for subscription in record.subscriptions
-        if subscription.link != link_number or name not in (None, subscription.name)
-    ]
-    if record.subscriptions and not kept:
-        record.idle_since = now
-    record.subscriptions = kept
--- a/src/lavenderfold/agent/_runs.py
+++ b/src/lavenderfold/agent/_runs.py
@@ -101,6 +101,25 @@
     def is_model(self) -> bool:
         return is_model_order(self.order)
 
+    def subscribe(self, link_number: int, name: str, *, position: int) -> None:
+        """Add a link's subscription ``name``, or replace it if there is one."""
+        self.subscriptions = self._other_subscriptions(link_number, name)
+        self.subscriptions.append(
+            Subscription(link=link_number, name=name, position=position)
+        )
+        self.idle_since = None
+
+    def unsubscribe(self, link_number: int, name: str | None, *, now: float) -> None:
+        """Remove a link's subscription ``name``, or all of them for None."""
+        kept = self._other_subscriptions(link_number, name)
+        if self.subscriptions and not kept:
+            self.idle_since = now
+        self.subscriptions = kept
+
+    def has_other_subscription(self, link_number: int, name: str) -> bool:
+        """Return whether there is a subscription other than a link's ``name``."""
+        return bool(self._other_subscriptions(link_number, name))
+
     def complete_outcome(self) -> Ran:
         """Return the outcome of a run whose answer is complete."""
         tokens = self.order.cost_tokens
@@ -120,6 +139,15 @@
         """Discard prompt and body, which aren't needed after the run has ended."""
         self.order = msgspec.structs.replace(self.order, prompt="", body=b"")
 
+    def _other_subscriptions(
+        self, link_number: int, name: str | None
+    ) -> list[Subscription]:
+        return [
+            other
+            for other in self.subscriptions
+            if other.link != link_number or name not in (None, other.name)
+        ]
+
 
 def is_model_order(order: Run) -> bool:
     """Return whether an order is for a model rather than a plain service."""
