Tell lateness of the test's event loop from that of the router's answer

test_caller_patience failed in 4 of 12 runs at a load of 20 to 26 on 8 cores: the event loop, which router, target and caller share there, was late by more than the router's margin, which the design doesn't cover.

--- a/tests/patience_support.py
+++ b/tests/patience_support.py
@@ -13,6 +13,8 @@
 
 # Enough to fill the queue of a listener with a backlog of 0.
 QUEUE_FILLERS = 4
+# An event loop that is late by less than this counts as running.
+LATENESS_STEP_S = 0.01
 # Time for the router to read a changed registration.
 REGISTRATION_S = 0.3
 
@@ -31,6 +33,22 @@
     )
 
 
+class EventLoopLateness:
+    """Adds up, in ``total_s``, for how long the event loop didn't run."""
+
+    def __init__(self):
+        self.total_s = 0.0
+
+    async def measure(self) -> None:
+        """Measure until cancelled."""
+        while True:
+            due_at = trio.current_time() + LATENESS_STEP_S
+            await trio.sleep(LATENESS_STEP_S)
+            late_s = trio.current_time() - due_at
+            if late_s > LATENESS_STEP_S:
+                self.total_s += late_s
+
+
 @contextmanager
 def silent_address() -> Iterator[Address]:
     """Yield an address that neither accepts nor refuses connections."""
