--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from lavenderfold.direct._answer_heads import is_event_stream, relayed_headers
 from lavenderfold.direct._events import (
     CompleteEvents,
     EventSplitter,
@@ -36,7 +37,6 @@
 )
 from lavenderfold.quarantine import BEGINNING_S
 
-EVENT_STREAM_TYPE = "text/event-stream"
 ANSWER_BYTES_LIMIT = 16 * 1024 * 1024
 # How long to wait for the head or the next event of an answer before another target
 # may take over, as a multiple of the route's latency objective or pause limit,
@@ -50,10 +50,6 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 # The message of an error can contain a whole line of the target's.
 DETAIL_CHARACTERS_LIMIT = 100
-# Headers of the connection or of the message framing, which aren't relayed.
-FRAMING_HEADERS = frozenset(
-    ("connection", "content-length", "keep-alive", "transfer-encoding", "date")
-)
 
 
 class Attempt:
@@ -257,7 +253,7 @@
         return None
 
     async def _read_first(self, response: StreamedResponse) -> AttemptOutcome | None:
-        if not (self._head.is_success and _is_event_stream(self._head)):
+        if not (self._head.is_success and is_event_stream(self._head)):
             return await self._read_answer(response)
         self._chunks = response.chunks()
         self._first_events = await self._next_events()
@@ -274,7 +270,7 @@
                 raise InvalidAnswerError(InvalidCause.TOO_LONG)
         head = self._head
         answer = HttpResponse(
-            status=head.status, headers=_relayed_headers(head), body=bytes(body)
+            status=head.status, headers=relayed_headers(head), body=bytes(body)
         )
         if head.is_success:
             self._answer = answer
@@ -312,9 +308,9 @@
         return None
 
     async def _relay(self) -> AttemptOutcome:
-        self._on_relaying()
         if self._answer is None:
             return await self._relay_events()
+        self._on_relaying()
         self._progress.first_byte_at = trio.current_time()
         if await self._write(self._writer.send(self._answer)):
             return AttemptOutcome.DELIVERED
@@ -366,7 +362,7 @@
     async def _start(self) -> bool:
         if self._writer.started:
             return True
-        headers = _relayed_headers(self._head)
+        headers = relayed_headers(self._head)
         return await self._write(self._writer.start(self._head.status, headers))
 
     async def _write(self, write: Awaitable[None]) -> bool:
@@ -405,14 +401,3 @@
     def _event_wait_s(self) -> float:
         limit_s = self._call.route.pause_limit_s
         return max(EVENT_WAIT_MIN_S, EVENT_WAIT_FACTOR * limit_s)
-
-
-def _is_event_stream(head: AnswerHead) -> bool:
-    return any(
-        name == "content-type" and value.startswith(EVENT_STREAM_TYPE)
-        for name, value in head.headers
-    )
-
-
-def _relayed_headers(head: AnswerHead) -> list[tuple[str, str]]:
-    return [item for item in head.headers if item[0] not in FRAMING_HEADERS]
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -6,7 +6,6 @@
 
 import re
 import socket
-import struct
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -20,6 +19,7 @@
     decode_headers,
     encode_headers,
 )
+from lavenderfold.http._resets import reset_on_close
 from lavenderfold.settings import Address
 
 RECEIVE_BYTES = 65536
@@ -37,8 +37,6 @@
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 STATES_AFTER_RESPONSE = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
-# A linger time of 0 s.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
@@ -262,7 +260,7 @@
         After an ordinary close, a peer that stood still would first read the request
         and run it.
         """
-        self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        reset_on_close(self.stream)
 
     def is_reusable(self) -> bool:
         states = (self.protocol.our_state, self.protocol.their_state)
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -5,13 +5,11 @@
 import sys
 from collections.abc import Awaitable, Callable
 from functools import partial
-from socket import SO_LINGER, SOL_SOCKET
 
 import h11
 import msgspec
 import trio
 
-from lavenderfold.http._client import RESET_ON_CLOSE
 from lavenderfold.http._messages import (
     BodyTooLargeError,
     HttpRequest,
@@ -19,6 +17,8 @@
     decode_headers,
     json_response,
 )
+from lavenderfold.http._request_head import check_head
+from lavenderfold.http._resets import reset_on_close
 from lavenderfold.http._response_writer import (
     ResponseWriter,
     SlowCallerError,
@@ -119,7 +119,7 @@
         self._options = options
         self._limits = options.limits()
         # h11's own limit is fixed for the life of the connection, while
-        # _check_incomplete and _check_head enforce the one in force for each request.
+        # _check_incomplete and check_head enforce the one in force for each request.
         self._connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=sys.maxsize
         )
@@ -182,7 +182,7 @@
         To callers of HTTP/1.0 the close of the connection is the end of the answer.
         """
         if self._connection.their_http_version < b"1.1":
-            self._stream.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+            reset_on_close(self._stream)
 
     async def _handle_until_disconnect(
         self, request: HttpRequest, writer: ResponseWriter
@@ -242,7 +242,7 @@
         if not isinstance(head, h11.Request):
             return None
         writer.is_for_head_request = head.method == b"HEAD"
-        _check_head(head, limit=self._limits.header_bytes)
+        check_head(head, limit=self._limits.header_bytes)
         with trio.move_on_after(self._limits.read_timeout_s):
             return await self._read_body(head)
         raise MalformedRequestError("the request took too long", status=408)
@@ -344,23 +344,6 @@
         await writer.send(response)
 
 
-def _check_head(head: h11.Request, *, limit: int) -> None:
-    """Make the checks of a request head that h11 doesn't.
-
-    Raises MalformedRequestError.
-    """
-    # h11 applies its own limit only to a head that arrives in several parts.
-    size = sum(len(name) + len(value) for name, value in head.headers)
-    if size + len(head.target) > limit:
-        message = f"the head is longer than {limit} bytes"
-        raise MalformedRequestError(message, status=431)
-    # Request smuggling: a proxy in front that uses Content-Length could take the rest
-    # of a chunked body for another request.
-    names = {name for name, _ in head.headers}
-    if {b"content-length", b"transfer-encoding"} <= names:
-        raise MalformedRequestError("both a length and chunks are given")
-
-
 async def serve(
     handler: Handler,
     *,
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -215,6 +215,23 @@
     run_scenario(scenario, script, script, config=make_config(routes=(route,)))
 
 
+def answer_late_or(other):
+    """Return a script for two targets: the first one asked answers after a silence.
+
+    The target that takes over runs ``other``.
+    """
+
+    async def script(request, writer):
+        if script.begun:
+            await other(request, writer)
+            return
+        script.begun = True
+        await pause_before_answer(request, writer)
+
+    script.begun = False
+    return script
+
+
 async def refuse_and_close(request, writer):
     raise RuntimeError("the target closes the connection before an answer")
 
@@ -222,19 +239,12 @@
 @pytest.mark.parametrize("other", [reject, fail, refuse_and_close])
 def test_request_is_answered_whatever_the_other_target_does_with_it(other):
     """Guards against a failure instead of an answer that its target was to send."""
-    begun = []
-
-    async def script(request, writer):
-        if begun:
-            await other(request, writer)
-            return
-        begun.append(request)
-        await pause_before_answer(request, writer)
 
     async def scenario(fleet):
         answer = await fleet.send_request("/read/x", patience="6")
         assert (answer.status, answer.body) == (200, b"done")
 
+    script = answer_late_or(other)
     run_scenario(scenario, script, script, config=PATIENT_CONFIG)
 
 
@@ -253,14 +263,6 @@
 @pytest.mark.parametrize("other", [never_answer, delayed(reject), delayed(fail)])
 def test_plain_request_is_answered_if_the_other_target_does_not_answer_soon(other):
     """Guards against 504 for a request that its silent target was about to answer."""
-    begun = []
-
-    async def script(request, writer):
-        if begun:
-            await other(request, writer)
-            return
-        begun.append(request)
-        await pause_before_answer(request, writer)
 
     async def scenario(fleet):
         answer = await fleet.send_request("/read/x", patience="6", tokens="")
@@ -268,6 +270,7 @@
 
     plain_service = Service(name="service", connection_limit=9)
     config = msgspec.structs.replace(PATIENT_CONFIG, services=(plain_service,))
+    script = answer_late_or(other)
     run_scenario(scenario, script, script, config=config)
 
 
