--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -66,6 +66,15 @@
 """
 
 
+# A loopback network of this run, as a router listens on a fixed port for its metrics.
+NETWORK = f"127.{100 + os.getpid() % 100}.{os.getpid() // 100 % 250}"
+
+
+def machine_ip(number):
+    """Return the address of a machine."""
+    return f"{NETWORK}.{number}"
+
+
 def free_port(ip="127.0.0.1"):
     with socket.socket() as probe:
         probe.bind((ip, 0))
