--- a/review/lib/client.py
+++ b/review/lib/client.py
@@ -55,18 +55,19 @@
         deadline_ms=2000,
         headers=(),
         fresh=False,
+        leaves_after_s=None,
     ):
         result = Result(attempt_id, kind)
         try:
             await asyncio.wait_for(
                 self._exchange(result, path, method, body, deadline_ms, headers, fresh),
-                deadline_ms / 1000 + 1.0,
+                leaves_after_s or deadline_ms / 1000 + 1.0,
             )
         except (OSError, asyncio.IncompleteReadError, ValueError) as error:
             result.error = repr(error)
             self.close()
         except TimeoutError:
-            result.error = "no answer until 1 s after the deadline"
+            result.error = "left without an answer"
             self.close()
         result.ended_at = time.monotonic()
         return result
--- a/review/lib/config.py
+++ b/review/lib/config.py
@@ -35,6 +35,21 @@
                 "stream_resumption": False,
                 "target_itl_ms": 0,
             },
+            {
+                "name": "r-read",
+                "hostname": "ficu95.example",
+                "path_prefix": "/read/",
+                "route_type": "idempotent",
+                "timeout_ms": 2000,
+                "target_latency_ms": 250,
+                "priority": 2,
+                "backend": "ledger",
+                "max_attempts": 2,
+                "anonymous": False,
+                "session_affinity": False,
+                "stream_resumption": False,
+                "target_itl_ms": 0,
+            },
         ],
         "backends": [
             {
--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -20,6 +20,7 @@
         self.answer = answer
         self.slots = slots
         self.ran = []
+        self.run_at = {}
         self.records = []
         self.port = 0
 
@@ -54,6 +55,7 @@
                     continue
                 async with self._free:
                     self.ran.append(attempt_id)
+                    self.run_at.setdefault(attempt_id, time.monotonic())
                     self.records.append(
                         f"run {attempt_id} at {time.monotonic():.3f} by {self.id}"
                     )
