--- a/review/lib/client.py
+++ b/review/lib/client.py
@@ -5,6 +5,9 @@
 
 from review.lib.wire import Head
 
+# The error of a request whose client closed the connection itself.
+LEFT = "left without an answer"
+
 
 class Result:
     """One client attempt: ``status`` is None if its connection ended without one."""
@@ -67,7 +70,7 @@
             result.error = repr(error)
             self.close()
         except TimeoutError:
-            result.error = "left without an answer"
+            result.error = LEFT
             self.close()
         result.ended_at = time.monotonic()
         return result
