Tell tokens lost with dead routers from spent ones

A refusal line gave rest and rest_of_others, both 0; a spent balance gives the same line. Cause of the gap: a grant that is written off leaves the ledger without a trace, and its line didn't say why nobody could prove the tokens unspent. Hypotheses for the 402: (1) grants were written off, by one of three causes; (2) a transfer was charged twice; (3) unused parts of reservations stayed charged; (4) the router's view of the balance was old. Done: the ledger keeps written_off for each balance (pages without it are read); it is in the views, in the balance and refusal lines, in the metric and in "refusals"; grant_written_off has cause and witness.

--- a/src/lavenderfold/ctl/_refusals.py
+++ b/src/lavenderfold/ctl/_refusals.py
@@ -18,6 +18,7 @@
     NO_VIEW = "the router had no state of the balance yet"
     FREE_IN_LEDGER = "the ledger had enough, the grant came too late"
     HELD_ELSEWHERE = "other routers held enough"
+    WRITTEN_OFF = "enough stayed charged for dead routers that may not have spent it"
     SPENT = "less was left than the request needed"
 
 
@@ -27,6 +28,7 @@
     reserved: int
     rest: int | None = None
     rest_of_others: int = 0
+    written_off: int = 0
 
 
 class _RefusalFields(msgspec.Struct):
@@ -72,10 +74,13 @@
     if balance.rest is None:
         return Cause.NO_VIEW
     own = max(0, balance.granted - balance.spent - balance.reserved)
-    if refusal.needed <= balance.rest + own:
+    missing = refusal.needed - balance.rest - own
+    if missing <= 0:
         return Cause.FREE_IN_LEDGER
-    if refusal.needed <= balance.rest + own + balance.rest_of_others:
+    if missing <= balance.rest_of_others:
         return Cause.HELD_ELSEWHERE
+    if missing <= balance.rest_of_others + balance.written_off:
+        return Cause.WRITTEN_OFF
     return Cause.SPENT
 
 
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -215,6 +215,9 @@
             self._balance.labels(state.organisation, "reserved").set(state.reserved)
             if state.rest is not None:
                 self._balance.labels(state.organisation, "rest").set(state.rest)
+                self._balance.labels(state.organisation, "written_off").set(
+                    state.written_off
+                )
         for prefix, age_s in snapshot.watch_age_by_prefix.items():
             self._watch_age.labels(prefix).set(age_s)
         for name in ROUTER_STATES:
--- a/src/lavenderfold/escrow/_balance_manager.py
+++ b/src/lavenderfold/escrow/_balance_manager.py
@@ -50,8 +50,9 @@
 class LocalBalanceState(msgspec.Struct, frozen=True, kw_only=True):
     """What a router knows of one balance, in tokens, as it is logged and reported.
 
-    ``rest`` is what the ledger can still grant and ``rest_of_others`` what other
-    routers hold unspent, both as of ``age_ms`` milliseconds ago.
+    ``rest`` is what the ledger can still grant, ``rest_of_others`` what other
+    routers hold unspent and ``written_off`` what stays charged although no router is
+    known to have spent it, all as of ``age_ms`` milliseconds ago.
     """
 
     organisation: str
@@ -61,6 +62,7 @@
     reserved: int
     rest: int | None
     rest_of_others: int
+    written_off: int
     age_ms: int | None
 
 
@@ -188,6 +190,7 @@
             reserved=balance.reserved,
             rest=balance.rest,
             rest_of_others=balance.rest_of_others,
+            written_off=balance.written_off,
             age_ms=None
             if balance.rest is None
             else round((now - balance.updated_at) * 1000),
--- a/src/lavenderfold/escrow/_ledger.py
+++ b/src/lavenderfold/escrow/_ledger.py
@@ -39,13 +39,15 @@
     """One organisation's prepaid tokens.
 
     ``charged`` are the tokens in all grants, and those that reclaimed grants left
-    charged.
+    charged. ``written_off`` is the part of them that dead holders weren't known to
+    have spent, and that nobody could prove unspent.
     """
 
     limit: int
     limit_version: int
     charged: int = 0
     grant_by_holder: dict[str, Grant] = msgspec.field(default_factory=dict)
+    written_off: int = 0
 
     @property
     def available(self) -> int:
@@ -181,10 +183,18 @@
     """
     grants = dict(balance.grant_by_holder)
     returned = 0
+    written_off = 0
     for holder, max_spent in reclaims:
         grant = grants.pop(holder, None)
-        if grant is not None and max_spent is not None:
-            returned += grant.total - min(grant.total, max(grant.spent, max_spent))
+        if grant is None:
+            continue
+        if max_spent is None:
+            written_off += grant.unspent
+            continue
+        returned += grant.total - min(grant.total, max(grant.spent, max_spent))
     return msgspec.structs.replace(
-        balance, charged=balance.charged - returned, grant_by_holder=grants
+        balance,
+        charged=balance.charged - returned,
+        grant_by_holder=grants,
+        written_off=balance.written_off + written_off,
     )
--- a/src/lavenderfold/escrow/_local_balances.py
+++ b/src/lavenderfold/escrow/_local_balances.py
@@ -42,8 +42,9 @@
     """One organisation's grant at this router. All amounts are in tokens.
 
     ``number`` is that of the last transfer. ``rest`` is what the ledger can still
-    grant, ``rest_of_others`` what other routers hold unspent and ``routers`` the
-    number of routers with a grant, as of ``updated_at``. While it ``is_short``, no
+    grant, ``rest_of_others`` what other routers hold unspent, ``routers`` the
+    number of routers with a grant and ``written_off`` what was lost with dead
+    routers, as of ``updated_at``. While it ``is_short``, no
     tokens are held for later requests. ``refresh_interval_s`` is
     the age at which these figures are too old to decide how many tokens to keep.
     """
@@ -58,6 +59,7 @@
         "rest_of_others",
         "routers",
         "is_short",
+        "written_off",
         "updated_at",
         "refresh_interval_s",
         "waiting_tokens_by_id",
@@ -79,6 +81,7 @@
         self.rest_of_others = 0
         self.routers = MIN_ROUTER_COUNT
         self.is_short = False
+        self.written_off = 0
         self.updated_at = -math.inf
         self.refresh_interval_s = MAX_REFRESH_S
         self.waiting_tokens_by_id: dict[int, int] = {}
@@ -226,6 +229,7 @@
         self.rest_of_others = view.unspent_by_others
         self.routers = max(MIN_ROUTER_COUNT, view.routers)
         self.is_short = view.is_short
+        self.written_off = view.written_off
         self.updated_at = now
         grant = view.grant
         if grant is None or self.pending is None or grant.number < self.number:
--- a/src/lavenderfold/escrow/_orders.py
+++ b/src/lavenderfold/escrow/_orders.py
@@ -80,7 +80,8 @@
 
     ``routers`` is the number of routers with a grant from the balance; several
     incarnations of one router count once. ``is_short`` tells that requests of some
-    router lately waited for more than was available.
+    router lately waited for more than was available. ``written_off`` is that of the
+    balance.
     """
 
     available: int
@@ -88,6 +89,7 @@
     grant: Grant | None
     routers: int = 1
     is_short: bool = False
+    written_off: int = 0
 
     @classmethod
     def of(cls, balance: Balance, holder: str) -> "BalanceView":
@@ -120,4 +122,5 @@
             grant=grant,
             routers=self._routers,
             is_short=self._is_short,
+            written_off=self._balance.written_off,
         )
--- a/src/lavenderfold/escrow/_page_codec.py
+++ b/src/lavenderfold/escrow/_page_codec.py
@@ -34,10 +34,13 @@
 
 
 class _StoredBalance(msgspec.Struct, frozen=True, array_like=True):
+    """A balance; pages of earlier versions have no ``written_off``."""
+
     limit: int
     limit_version: int
     charged: int
     grants: list[_StoredGrant]
+    written_off: int = 0
 
 
 class _StoredPage(msgspec.Struct, frozen=True, array_like=True):
@@ -99,7 +102,13 @@
         holder = (name, grant.witness, grant.witness_address)
         index = index_by_holder.setdefault(holder, len(index_by_holder))
         grants.append(_StoredGrant(index, grant.total, grant.spent, grant.number))
-    return _StoredBalance(balance.limit, balance.limit_version, balance.charged, grants)
+    return _StoredBalance(
+        limit=balance.limit,
+        limit_version=balance.limit_version,
+        charged=balance.charged,
+        grants=grants,
+        written_off=balance.written_off,
+    )
 
 
 def _balance(stored: _StoredBalance, holders: list[_StoredHolder]) -> Balance:
@@ -120,4 +129,5 @@
         limit_version=stored.limit_version,
         charged=stored.charged,
         grant_by_holder=grant_by_holder,
+        written_off=stored.written_off,
     )
--- a/src/lavenderfold/escrow/_reclaim.py
+++ b/src/lavenderfold/escrow/_reclaim.py
@@ -1,5 +1,6 @@
 """Reclaims the tokens that earlier incarnations of a router left unspent."""
 
+import enum
 import logging
 
 import msgspec
@@ -21,6 +22,14 @@
 logger = logging.getLogger(__name__)
 
 
+class WriteOffCause(enum.Enum):
+    """Why nobody can tell how much of a dead holder's grant was spent."""
+
+    NO_WITNESS = "no_witness"
+    WITNESS_RESTARTED = "witness_restarted"
+    WITNESS_UNREACHABLE = "witness_unreachable"
+
+
 class OrphanedGrant(msgspec.Struct, frozen=True):
     """A grant of an earlier incarnation, as recorded in the ledger.
 
@@ -55,7 +64,7 @@
         self._order_sender = order_sender
         self._holder = holder
         self._witnesses = witnesses
-        self._max_spent_by_grant: dict[OrphanedGrant, int | None] = {}
+        self._max_spent_by_grant: dict[OrphanedGrant, int | WriteOffCause] = {}
 
     async def run(self) -> None:
         """Reclaim orphaned grants; write off those whose witness doesn't answer.
@@ -76,7 +85,7 @@
                 return
             await trio.sleep(RECLAIM_RETRY_DELAY_S)
         self._max_spent_by_grant.update(
-            (grant, None)
+            (grant, WriteOffCause.WITNESS_UNREACHABLE)
             for grant in unresolved
             if grant not in self._max_spent_by_grant
         )
@@ -106,7 +115,7 @@
             if grant in self._max_spent_by_grant:
                 continue
             if not grant.witness:
-                self._max_spent_by_grant[grant] = None
+                self._max_spent_by_grant[grant] = WriteOffCause.NO_WITNESS
                 continue
             seal = Seal(grant.witness, grant.holder)
             if seal not in tokens_by_seal and seal not in failed:
@@ -127,7 +136,7 @@
         if not grants:
             return True
         reclaims = [
-            Reclaim(grant.organisation, grant.holder, self._max_spent_by_grant[grant])
+            Reclaim(grant.organisation, grant.holder, self._known_max_spent(grant))
             for grant in grants
         ]
         try:
@@ -138,23 +147,32 @@
             logger.info("reclaim_failed", extra={"cause": str(error)})
             return False
         for grant in grants:
-            fields = {
-                "organisation": grant.organisation,
-                "holder": grant.holder,
-                "unspent": grant.unspent,
-                "kept": self._max_spent_by_grant[grant],
-            }
-            if fields["kept"] is None:
-                logger.warning("grant_written_off", extra=fields)
-            else:
-                logger.info("grant_reclaimed", extra=fields)
+            self._log_end(grant)
         return True
 
+    def _known_max_spent(self, grant: OrphanedGrant) -> int | None:
+        """Return the most spent from a resolved grant, or None if that is unknown."""
+        max_spent = self._max_spent_by_grant[grant]
+        return None if isinstance(max_spent, WriteOffCause) else max_spent
+
+    def _log_end(self, grant: OrphanedGrant) -> None:
+        fields = {
+            "organisation": grant.organisation,
+            "holder": grant.holder,
+            "unspent": grant.unspent,
+        }
+        max_spent = self._max_spent_by_grant[grant]
+        if isinstance(max_spent, WriteOffCause):
+            fields |= {"witness": grant.witness, "cause": max_spent.value}
+            logger.warning("grant_written_off", extra=fields)
+            return
+        logger.info("grant_reclaimed", extra={**fields, "kept": max_spent})
+
 
 def _max_spent(
     tokens_by_organisation: dict[str, int] | None, organisation: str
-) -> int | None:
-    """Return the most spent from a grant, or None if its statements are lost."""
+) -> int | WriteOffCause:
+    """Return the most spent from a grant, by the statement that its witness gave."""
     if tokens_by_organisation is None:
-        return None
+        return WriteOffCause.WITNESS_RESTARTED
     return tokens_by_organisation.get(organisation, 0)
--- a/tests/test_ledger_size.py
+++ b/tests/test_ledger_size.py
@@ -120,6 +120,14 @@
     assert decode_page(msgspec.msgpack.encode(page)) == page
 
 
+def test_page_without_the_tokens_written_off_is_read():
+    """A fleet that is upgraded must keep its balances, also from the second format."""
+    page = LedgerPage({"a": new_balance(2)})
+    version, holders, balances = msgspec.msgpack.decode(encode_page(page))
+    earlier = [version, holders, {"a": balances["a"][:4]}]
+    assert decode_page(msgspec.msgpack.encode(earlier)) == page
+
+
 @pytest.mark.parametrize(
     "value",
     [
--- a/tests/test_refusal_report.py
+++ b/tests/test_refusal_report.py
@@ -28,6 +28,8 @@
         (refusal(needed=600, rest=500), Cause.FREE_IN_LEDGER),
         (refusal(needed=601, rest=500, rest_of_others=1), Cause.HELD_ELSEWHERE),
         (refusal(needed=602, rest=500, rest_of_others=1), Cause.SPENT),
+        (refusal(needed=602, rest=500, written_off=2), Cause.WRITTEN_OFF),
+        (refusal(needed=603, rest=500, written_off=2), Cause.SPENT),
         (refusal(needed=9, reason="overloaded", rest=1), None),
         (LogLine(1.0, "edge-1", "request", {"refusal": "budget_spent"}), None),
         (LogLine(1.0, "edge-1", "balance", {}), None),
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -1,5 +1,7 @@
 """Tests that exactly the unspent tokens of a dead router are reclaimed."""
 
+import logging
+
 import trio
 import trio.testing
 from hypothesis import settings, strategies as st
@@ -253,6 +255,28 @@
     run_site(scenario, limit=LIMIT)
 
 
+def test_lost_tokens_are_told_from_spent_ones(caplog):
+    """Refusals for tokens lost with dead routers looked like those for spent ones."""
+    caplog.set_level(logging.INFO)
+
+    async def scenario(site):
+        await spend_and_die(site, "router/1", trio.CancelScope())
+        unspent = site.balance().grant_by_holder["router/1"].unspent
+        address = site.directory.relays[0].address
+        site.relay_scope.cancel()
+        await site.start_relay(address)
+        manager = await site.start_manager("router/2", trio.CancelScope())
+        assert await site.grant_ends("router/1", within_s=2.0)
+        assert site.balance().written_off == unspent > 0
+        until = TimerService().now() + 0.7
+        assert await manager.reserve("org", LIMIT, until=until) is Funding.SPENT
+        assert manager.local_balance_state("org").written_off == unspent
+
+    run_site(scenario, limit=LIMIT)
+    line = next(each for each in caplog.records if each.msg == "grant_written_off")
+    assert line.cause == "witness_restarted"
+
+
 def test_grants_of_a_restarted_witness_are_soon_no_longer_counted_as_held():
     """While they counted, callers were told to come back for tokens that were lost."""
 
