Read a ledger write back while its answer is late

Callers saw: prepaid requests that waited 0.4 s to 0.7 s for tokens, and some 503 budget_unavailable, while the store lost answers. Cause: the combiner writes one batch after the other. A write whose answer is lost held up the orders of all routers until it timed out (0.6 s); some gave up after 0.8 s and went to a second combiner, whose writes then met the first's. Done: after 80 ms, or four times the usual time of a write, the pages are read. If they hold what was written, the write is confirmed (ledger_write_read_back); else its answer is waited for as before. Why it holds: reads are linearizable, and the drafts carry the numbers of all transfers, so equal pages mean that the write took effect. A page that was read meanwhile isn't replaced by an older one. Test: test_orders_don_t_wait_for_an_answer_that_was_lost failed before.

--- a/src/lavenderfold/escrow/_pages.py
+++ b/src/lavenderfold/escrow/_pages.py
@@ -17,8 +17,16 @@
     ListingWait,
     SharedStore,
     SharedStoreError,
+    WriteConflictError,
 )
 
+# A write without an answer is read back after this time, or after this many times the
+# usual one if that is longer. Orders of all routers wait behind each write.
+READ_BACK_DELAY_S = 0.08
+READ_BACK_DELAY_WRITES = 4
+# Weight of the newest write in the moving average of their times.
+WRITE_TIME_SMOOTHING = 0.2
+
 logger = logging.getLogger(__name__)
 
 
@@ -40,6 +48,7 @@
         self.prefix = prefix
         self._store = store
         self._page_by_key: dict[str, _CachedPage] = {}
+        self._usual_write_s = 0.0
 
     def content_by_key(self) -> dict[str, LedgerPage]:
         return {key: page.content for key, page in self._page_by_key.items()}
@@ -95,15 +104,49 @@
     async def commit(self, draft_by_key: dict[str, LedgerPage]) -> None:
         """Write drafts if the cached pages are current.
 
-        Raises the errors of the store's ``write``.
+        If the answer takes unusually long, the pages are read meanwhile: a write that
+        is seen in them needs no answer. Raises the errors of the store's ``write``.
         """
         writes = [
             ConditionalWrite(key, encode_page(draft), self._revision(key))
             for key, draft in draft_by_key.items()
         ]
-        revision = await self._store.write(writes)
+        revision: int | None = None
+        failure: SharedStoreError | WriteConflictError | None = None
+        started_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_back, draft_by_key, nursery.cancel_scope)
+            try:
+                revision = await self._store.write(writes)
+            except (SharedStoreError, WriteConflictError) as error:
+                failure = error
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        if revision is None:
+            # The pages were read back and are cached.
+            return
+        self._record_write_time(trio.current_time() - started_at)
         for key, draft in draft_by_key.items():
-            self._page_by_key[key] = _CachedPage(content=draft, revision=revision)
+            # A page that was read meanwhile may be newer than the write.
+            if self._revision(key) < revision:
+                self._page_by_key[key] = _CachedPage(content=draft, revision=revision)
+
+    async def _read_back(
+        self, draft_by_key: dict[str, LedgerPage], write_scope: trio.CancelScope
+    ) -> None:
+        """Cancel a write if its effect is read before its answer arrives."""
+        usual_s = self._usual_write_s * READ_BACK_DELAY_WRITES
+        await trio.sleep(max(READ_BACK_DELAY_S, usual_s))
+        if not await self.load():
+            return
+        if all(self.content(key) == draft for key, draft in draft_by_key.items()):
+            logger.info("ledger_write_read_back", extra={"pages": len(draft_by_key)})
+            write_scope.cancel()
+
+    def _record_write_time(self, write_s: float) -> None:
+        difference_s = write_s - self._usual_write_s
+        self._usual_write_s += difference_s * WRITE_TIME_SMOOTHING
 
     def _revision(self, key: str) -> int:
         known = self._page_by_key.get(key)
--- a/tests/test_ledger_orders.py
+++ b/tests/test_ledger_orders.py
@@ -30,6 +30,7 @@
 from standins.memory_store import MemoryStore, WriteFault
 
 PREFIX = "ledger/"
+ANSWER_TIMEOUT_S = 0.6
 LIMIT = 100_000
 ORGANISATIONS = [f"org-{n}" for n in range(10)]
 
@@ -204,6 +205,59 @@
     run_scenario(scenario)
 
 
+class SilentStore(SlowStore):
+    """A slow store whose first write takes effect and gets no answer in time."""
+
+    def __init__(self, store: MemoryStore):
+        super().__init__(store)
+        self._is_answering = False
+
+    async def write(self, writes):
+        try:
+            return await super().write(writes)
+        finally:
+            if not self._is_answering:
+                self._is_answering = True
+                await trio.sleep(ANSWER_TIMEOUT_S)
+
+
+class LateStore(SlowStore):
+    """A slow store whose writes take effect just before they time out."""
+
+    async def write(self, writes):
+        await trio.sleep(ANSWER_TIMEOUT_S)
+        return await super().write(writes)
+
+
+def test_orders_don_t_wait_for_an_answer_that_was_lost():
+    """Each lost answer held up the requests of all routers for the whole timeout."""
+
+    async def scenario(nursery, store):
+        pages = LedgerPages(store=SilentStore(store), prefix=PREFIX)
+        writer = LedgerWriter(pages=pages)
+        started_at = trio.current_time()
+        views = await writer.apply([new_order("router/1")])
+        assert views[0]["org-0"].grant.total == 100
+        assert trio.current_time() - started_at < ANSWER_TIMEOUT_S / 3
+        views = await writer.apply([new_order("router/2")])
+        assert views[0]["org-0"].grant.total == 100
+        assert charged(store, "org-0") == 200
+
+    run_scenario(scenario)
+
+
+def test_write_that_has_no_effect_yet_is_waited_for():
+    """If it were given up for a read, each write to a slow store would be repeated."""
+
+    async def scenario(nursery, store):
+        pages = LedgerPages(store=LateStore(store), prefix=PREFIX)
+        views = await LedgerWriter(pages=pages).apply([new_order("router/1")])
+        assert views[0]["org-0"].grant.total == 100
+        assert charged(store, "org-0") == 100
+
+    run_scenario(scenario)
+
+
 def test_reclaim_is_applied_once():
     """A repeated reclaim must not return the same tokens twice."""
 
