Ask an unreachable witness for a minute before writing grants off

Cause: a witness that couldn't be reached was asked 12 times within about 6 s; after that its grants were written off, while cuts last 9 s and longer. Done: it is asked for 60 s, with delays that double from 0.5 s to 4 s. One that has restarted still answers at once that its statements are lost. Test: test_grant_is_reclaimed_when_its_witness_can_be_reached_again failed before for cuts of 9 s and 40 s, and passed without one. Price: if its VM is gone for good, these tokens count as held by others for a minute instead of 6 s; until then the last requests of a balance get 503 instead of 402.

--- a/src/lavenderfold/escrow/_reclaim.py
+++ b/src/lavenderfold/escrow/_reclaim.py
@@ -13,8 +13,12 @@
 from lavenderfold.escrow._witness import Seal, WitnessClient, WitnessError
 from lavenderfold.settings import parse_address
 
-MAX_RECLAIM_ATTEMPTS = 12
+# How long a witness that can't be reached is asked again: it may be alive behind a cut,
+# and what it knows is lost once the grant is written off.
+RECLAIM_PERIOD_S = 60.0
 RECLAIM_RETRY_DELAY_S = 0.5
+# The delay doubles with each attempt up to this.
+MAX_RECLAIM_RETRY_DELAY_S = 4.0
 # Reclaims start this long after the router, because grants that requests wait for go
 # first when all routers restart.
 RECLAIM_START_DELAY_S = 1.0
@@ -67,14 +71,16 @@
         self._max_spent_by_grant: dict[OrphanedGrant, int | WriteOffCause] = {}
 
     async def run(self) -> None:
-        """Reclaim orphaned grants; write off those whose witness doesn't answer.
+        """Reclaim orphaned grants; write off those whose witness never answers.
 
         The tokens of a grant that is written off stay charged, but no longer count
         as held by a router.
         """
         unresolved = self._find_orphaned_grants()
         await trio.sleep(RECLAIM_START_DELAY_S)
-        for _ in range(MAX_RECLAIM_ATTEMPTS):
+        end_at = trio.current_time() + RECLAIM_PERIOD_S
+        delay_s = RECLAIM_RETRY_DELAY_S
+        while trio.current_time() < end_at:
             await self._seal_statements(unresolved)
             resolved = [
                 grant for grant in unresolved if grant in self._max_spent_by_grant
@@ -83,7 +89,8 @@
                 unresolved = [each for each in unresolved if each not in resolved]
             if not unresolved:
                 return
-            await trio.sleep(RECLAIM_RETRY_DELAY_S)
+            await trio.sleep(delay_s)
+            delay_s = min(MAX_RECLAIM_RETRY_DELAY_S, 2 * delay_s)
         self._max_spent_by_grant.update(
             (grant, WriteOffCause.WITNESS_UNREACHABLE)
             for grant in unresolved
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -2,6 +2,7 @@
 
 import logging
 
+import pytest
 import trio
 import trio.testing
 from hypothesis import settings, strategies as st
@@ -16,16 +17,26 @@
 from lavenderfold.escrow import (
     Balance,
     Funding,
+    LedgerOrder,
+    LedgerPages,
+    LedgerWriter,
+    Limit,
+    OrderSender,
     Seal,
     Statement,
     Transfer,
     WitnessRecords,
+    decode_page,
+    page_key,
     reclaim,
     transfer,
 )
+from lavenderfold.escrow._reclaim import Reclaimer
+from lavenderfold.escrow._witness import WitnessError
 from lavenderfold.shared import RelayDirectory
 from lavenderfold.timers import TimerService
-from tests.escrow_site import RELAYS, Site, run_site
+from standins.memory_store import MemoryStore
+from tests.escrow_site import LEDGER, RELAYS, Site, run_site
 
 LIMIT = 1000
 
@@ -294,6 +305,50 @@
     run_site(scenario, limit=LIMIT)
 
 
+@pytest.mark.parametrize("unreachable_s", [0.0, 9.0, 40.0])
+def test_grant_is_reclaimed_when_its_witness_can_be_reached_again(unreachable_s):
+    """A cut of some seconds wrote the tokens off that a living witness could prove."""
+
+    async def main():
+        store = MemoryStore()
+        pages = LedgerPages(store=store, prefix=LEDGER)
+        writer = LedgerWriter(pages=pages)
+        grant = Transfer(
+            number=1, wanted=100, witness="w", witness_address="127.0.0.1:1"
+        )
+        order = LedgerOrder(
+            holder="router/1",
+            limit_by_organisation={"org": Limit(LIMIT, 1)},
+            transfer_by_organisation={"org": grant},
+        )
+        await writer.apply([order])
+        reclaimer = Reclaimer(
+            pages=pages,
+            order_sender=OrderSender(writer=writer, timers=TimerService(), relays=None),
+            holder="router/2",
+            witnesses=UnreachableWitness(until=trio.current_time() + unreachable_s),
+        )
+        await reclaimer.run()
+        page = decode_page(store.value(page_key(LEDGER, "org")))
+        balance = page.balance_by_organisation["org"]
+        assert (balance.charged, balance.written_off) == (30, 0)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class UnreachableWitness:
+    """A witness behind a cut; it knows that 30 tokens were spent."""
+
+    def __init__(self, *, until: float):
+        self._until = until
+
+    async def seal(self, address, seal):
+        await trio.sleep(0.2)
+        if trio.current_time() < self._until:
+            raise WitnessError("no answer")
+        return {"org": 30}
+
+
 def test_request_waits_for_the_witness():
     """Tokens of a request sent before its statement could be spent twice."""
 
