Bound the memory of all incomplete answers of a router

Cause: answers without an end were bounded one by one, at 16 MiB a body and 1 MiB an event, but not together. Done: AnswerMemory counts the bytes of all incomplete answers and events. Beyond 48 MiB the longest one is dropped; its attempt ends as invalid, too_long. The metric lavenderfold_incomplete_answer_bytes shows the sum. Why it works: an answer without an end becomes the longest, so others go on; what is dropped is never taken for complete, as taking it raises an error.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -7,6 +7,11 @@
 import trio
 
 from lavenderfold.direct._answer_heads import is_event_stream, relayed_headers
+from lavenderfold.direct._answer_memory import (
+    ANSWER_BYTES_LIMIT,
+    AnswerMemory,
+    AnswerTooLongError,
+)
 from lavenderfold.direct._events import (
     CompleteEvents,
     EventSplitter,
@@ -37,7 +42,6 @@
 )
 from lavenderfold.quarantine import BEGINNING_S
 
-ANSWER_BYTES_LIMIT = 16 * 1024 * 1024
 # How long to wait for the head or the next event of an answer before another target
 # may take over, as a multiple of the route's latency objective or pause limit,
 # but at least the minimum.
@@ -75,6 +79,7 @@
         writer: ResponseWriter,
         progress: RelayProgress,
         target_wait: TargetWait,
+        answer_memory: AnswerMemory,
         on_answering: Callable[[], None],
         on_head: Callable[[AnswerHead], None],
         on_sign: Callable[[], None],
@@ -105,7 +110,9 @@
         self._head: AnswerHead | None = None
         self._answer: HttpResponse | None = None
         self._chunks: AsyncIterator[bytes] | None = None
-        self._splitter = EventSplitter()
+        self._buffer = answer_memory.open_buffer()
+        self._exchange.callback(self._buffer.close)
+        self._splitter = EventSplitter(buffer=self._buffer)
         self._first_events: CompleteEvents | None = None
 
     @property
@@ -263,14 +270,10 @@
         if self._writer.started:
             # The caller has already received part of another target's stream.
             return AttemptOutcome.FAILED
-        body = bytearray()
-        async for chunk in response.chunks():
-            body += chunk
-            if len(body) > ANSWER_BYTES_LIMIT:
-                raise InvalidAnswerError(InvalidCause.TOO_LONG)
+        body = await self._read_body(response)
         head = self._head
         answer = HttpResponse(
-            status=head.status, headers=relayed_headers(head), body=bytes(body)
+            status=head.status, headers=relayed_headers(head), body=body
         )
         if head.is_success:
             self._answer = answer
@@ -279,6 +282,16 @@
             self.failure_response = answer
         return AttemptOutcome.FAILED
 
+    async def _read_body(self, response: StreamedResponse) -> bytes:
+        try:
+            async for chunk in response.chunks():
+                self._buffer.append(chunk)
+                if len(self._buffer) > ANSWER_BYTES_LIMIT:
+                    raise InvalidAnswerError(InvalidCause.TOO_LONG)
+            return self._buffer.take(len(self._buffer))
+        except AnswerTooLongError as error:
+            raise InvalidAnswerError(InvalidCause.TOO_LONG, str(error)) from error
+
     async def _next_events(self) -> CompleteEvents | None:
         """Return the next complete events of the stream, or None at its end."""
         while True:
--- a/src/lavenderfold/direct/_attempt_starter.py
+++ b/src/lavenderfold/direct/_attempt_starter.py
@@ -101,6 +101,7 @@
                 try_take_over=try_take_over,
                 patience=self._patience,
             ),
+            answer_memory=self._services.answer_memory,
             on_answering=self._recorder.record_answering,
             on_head=partial(self._recorder.record_head, target),
             on_sign=partial(self._recorder.record_sign, target),
--- a/src/lavenderfold/direct/_events.py
+++ b/src/lavenderfold/direct/_events.py
@@ -2,6 +2,12 @@
 
 import msgspec
 
+from lavenderfold.direct._answer_memory import (
+    AnswerBuffer,
+    AnswerMemory,
+    AnswerTooLongError,
+)
+
 EVENT_SEPARATOR = b"\n\n"
 EVENT_BYTES_LIMIT = 1024 * 1024
 # Each part costs processor time, however short it is.
@@ -30,29 +36,35 @@
 class EventSplitter:
     """Returns events once they are complete.
 
-    An incomplete event is held back, so that the caller never receives part of an
-    event if the target's connection breaks.
+    An incomplete event is held back in ``buffer``, so that the caller never receives
+    part of an event if the target's connection breaks.
     """
 
-    __slots__ = ("_partial_event", "_parts")
+    __slots__ = ("_buffer", "_parts")
 
-    def __init__(self):
-        self._partial_event = bytearray()
+    def __init__(self, *, buffer: AnswerBuffer | None = None):
+        self._buffer = AnswerMemory().open_buffer() if buffer is None else buffer
         self._parts = 0
 
     @property
     def has_partial_event(self) -> bool:
         """Return whether the bytes received so far end in an incomplete event."""
-        return bool(self._partial_event)
+        return len(self._buffer) > 0
 
     def feed(self, data: bytes) -> CompleteEvents | None:
-        """Add received bytes; return the events that they complete, if any."""
-        buffer = self._partial_event
+        """Add received bytes; return the events that they complete, if any.
+
+        Raises InvalidEventError.
+        """
+        buffer = self._buffer
         # Only the new bytes are searched, or a long event in short parts would take
         # time by the square of its length. The separator may have begun before them.
         start = max(0, len(buffer) - len(EVENT_SEPARATOR) + 1)
-        buffer += data
-        end = buffer.rfind(EVENT_SEPARATOR, start)
+        try:
+            buffer.append(data)
+        except AnswerTooLongError as error:
+            raise InvalidEventError(str(error)) from error
+        end = buffer.data.rfind(EVENT_SEPARATOR, start)
         if end < 0:
             self._parts += 1
             if len(buffer) > EVENT_BYTES_LIMIT or self._parts > EVENT_PARTS_LIMIT:
@@ -63,8 +75,7 @@
             return None
         self._parts = 0
         end += len(EVENT_SEPARATOR)
-        complete = bytes(buffer[:end])
-        del buffer[:end]
+        complete = buffer.take(end)
         if _has_status_line(complete):
             raise InvalidEventError("a response head stands between the events")
         return CompleteEvents(
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -22,6 +22,7 @@
     """
 
     active: int
+    incomplete_answer_bytes: int
     balances: list[LocalBalanceState]
     log_lines_left_out: int
     quarantine: QuarantineSnapshot
@@ -126,6 +127,11 @@
             "Requests in progress.",
             registry=self._registry,
         )
+        self._incomplete_answers = Gauge(
+            "lavenderfold_incomplete_answer_bytes",
+            "Bytes of all answers that are kept until they are complete.",
+            registry=self._registry,
+        )
         self._states = Gauge(
             "lavenderfold_router_state",
             "Whether the router is ready, draining, isolated or overloaded.",
@@ -229,6 +235,7 @@
         self._prompts.labels("quarantined").set(quarantine.quarantined)
         self._crashes_on_record.set(quarantine.crashes)
         self._active.set(snapshot.active)
+        self._incomplete_answers.set(snapshot.incomplete_answer_bytes)
         self._log_lines_left_out.set(snapshot.log_lines_left_out)
         return generate_latest(self._registry)
 
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -307,6 +307,7 @@
         options = self._options
         return RouterSnapshot(
             active=self._caller_api.active,
+            incomplete_answer_bytes=self._services.answer_memory.held_bytes,
             balances=self._balance_manager.local_balance_states(),
             log_lines_left_out=self._log_lines_left_out(),
             quarantine=self._quarantine.snapshot(),
--- a/src/lavenderfold/direct/_router_services.py
+++ b/src/lavenderfold/direct/_router_services.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lavenderfold.direct._answer_memory import AnswerMemory
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
 from lavenderfold.direct._first_event_times import FirstEventTimes
@@ -38,6 +39,7 @@
     timers: TimerService
     new_retry_budget: Callable[[], RetryBudget]
     domain: str
+    answer_memory: AnswerMemory = msgspec.field(default_factory=AnswerMemory)
     first_event_times: FirstEventTimes = msgspec.field(default_factory=FirstEventTimes)
     retry_budget_by_service: dict[str, RetryBudget] = msgspec.field(
         default_factory=dict
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -5,12 +5,13 @@
 below add what the sockets of a connection hold.
 """
 
+import tracemalloc
 from collections.abc import Callable
 
 import pytest
 import trio
 
-from lavenderfold.direct._attempt import ANSWER_BYTES_LIMIT
+from lavenderfold.direct._answer_memory import ANSWER_BYTES_LIMIT
 from lavenderfold.direct._events import EVENT_BYTES_LIMIT, EVENT_PARTS_LIMIT
 from lavenderfold.fleet import RepeatPolicy
 from tests.direct_support import (
@@ -27,6 +28,11 @@
 
 HEAD_BYTES_LIMIT = 16 * 1024
 SOCKET_BYTES = 16 * 1024 * 1024
+# Half of the memory that a router has on the smallest VMs.
+MEMORY_BYTES_LIMIT = 150_000_000
+REQUESTS_AT_ONCE = 20
+# So many bytes show that the endless answers have begun.
+ENDLESS_BEGUN_BYTES = 4 * 1024 * 1024
 # The size of a chunk that holds one byte.
 SMALL_CHUNK_BYTES = 6
 # The router must go on with other work meanwhile.
@@ -224,6 +230,48 @@
     run_scenario(scenario, answer)
 
 
+@pytest.mark.parametrize("place", ["unframed body", "body with a length", "chunk"])
+def test_many_endless_answers_at_once_leave_memory_for_other_requests(place):
+    """Guards against a router that ends for its memory, with all its requests.
+
+    Each answer is ended at its own limit, but many together kept gigabytes.
+    """
+    target = EndlessTarget(ENDLESS_BY_PLACE[place])
+    peak_bytes = 0
+
+    async def answer(request, writer):
+        if request.path.startswith("/read/"):
+            await answer_successfully(request, writer)
+        else:
+            await target.answer(request, writer)
+
+    async def scenario(fleet):
+        nonlocal peak_bytes
+        statuses = []
+
+        async def ask():
+            answer = await fleet.send_request("/sign/x", patience="60")
+            statuses.append(answer.status)
+
+        tracemalloc.start()
+        async with trio.open_nursery() as nursery:
+            for _ in range(REQUESTS_AT_ONCE):
+                nursery.start_soon(ask)
+            await fleet.wait_until(lambda: target.sent > ENDLESS_BEGUN_BYTES)
+            assert (await fleet.send_request("/read/x", patience="60")).status == 200
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert statuses == [502] * REQUESTS_AT_ONCE
+
+    routes = (
+        make_route("sign", RepeatPolicy.SINGLE_RUN, timeout_s=60.0),
+        make_route("read", RepeatPolicy.IDEMPOTENT, timeout_s=60.0),
+    )
+    config = make_config(routes=routes)
+    run_scenario(scenario, answer, answer, config=config)
+    assert peak_bytes < MEMORY_BYTES_LIMIT
+
+
 async def find_chosen_target(fleet, path: str) -> str:
     """Return the id of the target that a request goes to when both are idle."""
     await fleet.send_request(path)
