Bound what an agent keeps of a model engine's answers

Callers would see: runs of an agent that end as it runs out of memory. Cause: an event of an engine's stream had no bound, nor had the answers to probes, cancellations and placement orders. Done: limits for an event (256 KiB), a probe (4 MiB) and an answer of which only the status counts (64 KiB); HttpClient.request ends at 64 MiB otherwise. Why it works: each read ends at its limit and closes the connection, however long the engine goes on.

--- a/src/lavenderfold/agent/_engine.py
+++ b/src/lavenderfold/agent/_engine.py
@@ -27,6 +27,9 @@
 from lavenderfold.messages import PlacementOrder, Run
 from lavenderfold.outcomes import MayHaveRun, NotRun, Reason
 
+# Longest event, and longest answer of which only the status matters.
+EVENT_BYTES_LIMIT = 256 * 1024
+STATUS_BYTES_LIMIT = 64 * 1024
 COMPLETIONS_PATH = "/v1/completions"
 EVENT_TERMINATOR = b"\n\n"
 EVENT_PREFIX = b"data: "
@@ -170,6 +173,8 @@
         *events, remaining = (remaining + chunk).split(EVENT_TERMINATOR)
         for event in events:
             yield _decode_event(event)
+        if len(remaining) > EVENT_BYTES_LIMIT:
+            raise MalformedStreamError(f"{len(remaining)} bytes without an event's end")
 
 
 def _decode_event(event: bytes) -> EngineEvent:
@@ -215,7 +220,8 @@
 ) -> int | None:
     with trio.move_on_after(timeout_s):
         try:
-            return (await client.request(request)).status
+            answer = await client.request(request, limit_bytes=STATUS_BYTES_LIMIT)
+            return answer.status
         except (RequestNotSentError, ResponseLostError):
             return None
     return None
--- a/src/lavenderfold/agent/_platform.py
+++ b/src/lavenderfold/agent/_platform.py
@@ -19,6 +19,8 @@
 FAILURES_PER_LOG_LINE = 40
 VM_LIST_PERIOD_S = 1.0
 CALL_TIMEOUT_S = 2.0
+# Longest answer to a probe; cache events of a busy target are the longest.
+PROBE_BYTES_LIMIT = 4 * 1024 * 1024
 OK_STATUS = 200
 LEAVING_STATE = "leaving"
 
@@ -127,7 +129,8 @@
     """
     with trio.move_on_after(timeout_s):
         try:
-            response = await client.request(HttpRequest(method="GET", target=path))
+            request = HttpRequest(method="GET", target=path)
+            response = await client.request(request, limit_bytes=PROBE_BYTES_LIMIT)
             if response.status == OK_STATUS:
                 return decode_json(response.body, response_type)
         except (HttpClientError, msgspec.MsgspecError):
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -30,6 +30,8 @@
 RECENT_EXCHANGES_LIMIT = 64
 # A response is preceded by a few interim responses (1xx) at most.
 INTERIM_RESPONSES_LIMIT = 16
+# Longest body that is read as a whole, unless the caller names another limit.
+BODY_BYTES_LIMIT = 64 * 1024 * 1024
 # A longer body may fill the peer's receive window, so that sending it blocks until
 # the peer reads it.
 SEND_FIRST_LIMIT_BYTES = 8192
@@ -113,12 +115,18 @@
             else:
                 raise ResponseLostError(self._connection.address, "body was cut")
 
-    async def read(self) -> HttpResponse:
-        """Return the response with its complete body."""
-        parts = [part async for part in self.chunks()]
-        return HttpResponse(
-            status=self.status, headers=self.headers, body=b"".join(parts)
-        )
+    async def read(self, *, limit_bytes: int = BODY_BYTES_LIMIT) -> HttpResponse:
+        """Return the response with its complete body.
+
+        Raises ResponseLostError if the body ends early or is longer than the limit.
+        """
+        body = bytearray()
+        async for part in self.chunks():
+            body += part
+            if len(body) > limit_bytes:
+                cause = f"the body is longer than {limit_bytes} bytes"
+                raise ResponseLostError(self._connection.address, cause)
+        return HttpResponse(status=self.status, headers=self.headers, body=bytes(body))
 
 
 class _ClientConnection:
@@ -290,14 +298,17 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle_connections: deque[_ClientConnection] = deque()
 
-    async def request(self, request: HttpRequest) -> HttpResponse:
+    async def request(
+        self, request: HttpRequest, *, limit_bytes: int = BODY_BYTES_LIMIT
+    ) -> HttpResponse:
         """Send a request and return its complete response.
 
-        Raises RequestNotSentError or ResponseLostError. There is no timeout apart
-        from that for connecting; use a trio cancel scope.
+        ``limit_bytes`` bounds its body. Raises RequestNotSentError or
+        ResponseLostError. There is no timeout apart from that for connecting; use a
+        trio cancel scope.
         """
         async with self.stream(request) as response:
-            return await response.read()
+            return await response.read(limit_bytes=limit_bytes)
 
     @asynccontextmanager
     async def stream(
