Don't report a grant as written off that holds nothing

Cause: a router that hands its tokens back names no witness any more, and the grant of a dead holder without a witness counted as written off. Done: a grant whose tokens were all stated as spent or handed back is reclaimed without asking anybody. Why it holds: the ledger is read after the holder has ended, so a transfer that is applied later can't have been spent from. Test: test_grant_that_was_handed_back_is_not_reported_as_written_off failed before.

--- a/src/lavenderfold/escrow/_reclaim.py
+++ b/src/lavenderfold/escrow/_reclaim.py
@@ -121,6 +121,10 @@
         for grant in grants:
             if grant in self._max_spent_by_grant:
                 continue
+            if not grant.unspent:
+                # All of it was stated as spent or handed back: there is nothing to ask.
+                self._max_spent_by_grant[grant] = 0
+                continue
             if not grant.witness:
                 self._max_spent_by_grant[grant] = WriteOffCause.NO_WITNESS
                 continue
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -349,6 +349,28 @@
         return {"org": 30}
 
 
+def test_grant_that_was_handed_back_is_not_reported_as_written_off(caplog):
+    """Each planned stop of a router warned of tokens lost, and none were."""
+    caplog.set_level(logging.INFO)
+
+    async def scenario(site):
+        scope = trio.CancelScope()
+        manager = await site.start_manager("router/1", scope)
+        until = TimerService().now() + 2
+        assert await manager.reserve("org", 100, until=until) is Funding.RESERVED
+        manager.settle("org", reserved=100, used=60)
+        await manager.return_all()
+        scope.cancel()
+        await site.start_manager("router/2", trio.CancelScope())
+        assert await site.grant_ends("router/1", within_s=3.0)
+        assert (site.charged(), site.balance().written_off) == (60, 0)
+
+    run_site(scenario, limit=LIMIT)
+    events = [each.msg for each in caplog.records]
+    assert "grant_reclaimed" in events
+    assert "grant_written_off" not in events
+
+
 def test_request_waits_for_the_witness():
     """Tokens of a request sent before its statement could be spent twice."""
 
