Wait for witness and combiner as long as a request waits for tokens

Over a full link each takes longer, and the next relay is reached over the same link, so no call ever succeeded: witness_lost "all attempts to connect failed" for seven relays, age_ms 12,650 in its balance line. Done: connections have 0.6 s, statements 0.7 s, the time for which a request waits for its tokens. Price: a relay whose VM went dark is noticed 0.4 s later.

--- a/src/lavenderfold/escrow/_combiner.py
+++ b/src/lavenderfold/escrow/_combiner.py
@@ -23,7 +23,7 @@
 # Longer than a batch of all routers takes right after they restarted: a router that
 # gives up sends its order to another combiner, and their writes conflict.
 CALL_TIMEOUT_S = 0.8
-CONNECT_TIMEOUT_S = 0.2
+CONNECT_TIMEOUT_S = 0.6
 
 logger = logging.getLogger(__name__)
 
--- a/src/lavenderfold/escrow/_witness.py
+++ b/src/lavenderfold/escrow/_witness.py
@@ -17,8 +17,10 @@
 WITNESS_PREFIX = "/witness/"
 STATEMENT_PATH = "/witness/state"
 SEAL_PATH = "/witness/seal"
-CALL_TIMEOUT_S = 0.25
-CONNECT_TIMEOUT_S = 0.2
+# As long as a request waits for its tokens: on a link that is full an answer takes half
+# a second, and other relays are reached over the same link.
+CALL_TIMEOUT_S = 0.7
+CONNECT_TIMEOUT_S = 0.6
 
 logger = logging.getLogger(__name__)
 
