--- a/src/lavenderfold/escrow/_local_balances.py
+++ b/src/lavenderfold/escrow/_local_balances.py
@@ -42,11 +42,11 @@
     """One organisation's grant at this router. All amounts are in tokens.
 
     ``number`` is that of the last transfer. ``rest`` is what the ledger can still
-    grant, ``rest_of_others`` what other routers hold unspent, ``part`` this router's
-    part of what all routers may hold and ``written_off`` what was lost with dead
-    routers, as of ``updated_at``. While it ``is_short``, no
-    tokens are held for later requests. ``refresh_interval_s`` is
-    the age at which these figures are too old to decide how many tokens to keep.
+    grant, ``rest_of_others`` what other routers hold unspent, ``routers`` the number
+    of routers with a grant, ``part`` this router's part of what all routers may hold
+    and ``written_off`` what was lost with dead routers, as of ``updated_at``. While it
+    ``is_short``, no tokens are held for later requests. ``refresh_interval_s`` is the
+    age at which these figures are too old to decide how many tokens to keep.
     """
 
     __slots__ = (
