Log when a router reads the store because no hub answers

Done: hubs_lost names how many hubs of the region are known and usable and the last cause, once until a hub answers again; hubs_regained says after how long. Test: test_router_that_reads_the_store_without_a_hub_says_so_once. No decision changes.

--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -46,6 +46,7 @@
 # A router that starts lists from the store itself after this time without data from a
 # hub, lengthened by a random part up to its double.
 STORE_DELAY_S = 2.0
+MS_PER_S = 1000
 
 logger = logging.getLogger(__name__)
 
@@ -73,6 +74,7 @@
         self._prefixes = prefixes
         self._large_prefixes = large_prefixes
         self._standby_called_at_by_prefix: dict[str, float] = {}
+        self._without_hub_since_by_prefix: dict[str, float] = {}
 
     async def list_items(
         self, prefix: str, *, wait: ListingWait | None = None
@@ -81,7 +83,8 @@
             return await self._list_at_start(prefix, wait)
         try:
             answer = await self._call_hubs(FollowCall(prefix, 0, 0.0))
-        except HubError:
+        except HubError as error:
+            self._report_without_hub(prefix, error)
             return await self._store.list_items(prefix)
         return Listing(items=answer.items, revision=answer.revision, source=HUB_SOURCE)
 
@@ -110,7 +113,8 @@
             # isn't asked for longer than the hub would be.
             wait_s = call.wait_s
             return await self._store.wait_changes(prefix, after=after, wait_s=wait_s)
-        except HubError:
+        except HubError as error:
+            self._report_without_hub(prefix, error)
             return await self._store.wait_changes(prefix, after=after, wait_s=wait_s)
         changes = [Change(item.key, item.revision, item) for item in answer.items]
         changes += [
@@ -149,13 +153,39 @@
                     break
                 except HubListingError as error:
                     failure = error
-                except HubError:
+                except HubError as error:
+                    if not isinstance(failure, HubListingError):
+                        failure = error
                     call = _shortened(call, trio.current_time() - started_at)
             nursery.cancel_scope.cancel()
         if answer is None:
             raise failure
+        self._report_with_hub(call.prefix)
         return answer
 
+    def _report_without_hub(self, prefix: str, error: HubError) -> None:
+        """Log that this router reads from the store what a hub reads for all."""
+        known = self._hubs.known()
+        is_logged = prefix in self._without_hub_since_by_prefix
+        if is_logged or not known or prefix not in self._prefixes:
+            return
+        self._without_hub_since_by_prefix[prefix] = trio.current_time()
+        fields = {
+            "prefix": prefix,
+            "known": len(known),
+            "usable": len(self._hubs.ranked()),
+            "cause": str(error),
+        }
+        logger.warning("hubs_lost", extra=fields)
+
+    def _report_with_hub(self, prefix: str) -> None:
+        since = self._without_hub_since_by_prefix.pop(prefix, None)
+        if since is None:
+            return
+        elapsed_ms = round((trio.current_time() - since) * MS_PER_S)
+        fields = {"prefix": prefix, "elapsed_ms": elapsed_ms}
+        logger.info("hubs_regained", extra=fields)
+
     def _is_standby_due(self, prefix: str) -> bool:
         if prefix not in self._large_prefixes:
             return False
--- a/src/lavenderfold/shared/_relay_selector.py
+++ b/src/lavenderfold/shared/_relay_selector.py
@@ -93,11 +93,11 @@
         The second one is in another failure domain than the first, and comes first
         as long as that one has failed.
         """
-        relays = self._directory.relays
-        if relays is not self._known:
-            self._known = relays
-            self._ordered = self._order(relays)
-        return self._keep([each for each in self._ordered if self._is_usable(each)])
+        return self._keep([each for each in self._in_order() if self._is_usable(each)])
+
+    def known(self) -> list[Relay]:
+        """Return the relays that are considered, with those that failed lately."""
+        return self._keep(self._in_order())
 
     async def wait_listed(self) -> None:
         """Wait until the relays were listed, even if none is registered."""
@@ -116,6 +116,13 @@
         """Reset the failures of a relay that answered."""
         self._failures_by_incarnation.pop(relay.incarnation, None)
 
+    def _in_order(self) -> list[Relay]:
+        relays = self._directory.relays
+        if relays is not self._known:
+            self._known = relays
+            self._ordered = self._order(relays)
+        return self._ordered
+
     def _order(self, relays: list[Relay]) -> list[Relay]:
         """Order by rank, the first of each failure domain before all second ones."""
         by_rank = sorted(relays, key=lambda each: rank(self._purpose, each.address))
--- a/tests/test_hub_takeover.py
+++ b/tests/test_hub_takeover.py
@@ -3,6 +3,8 @@
 What happens to one hub must not make each router of its region ask the store.
 """
 
+import logging
+
 import trio
 
 from lavenderfold.settings import Address
@@ -129,3 +131,31 @@
         assert region.fallback_store.calls == 0
 
     run(scenario)
+
+
+def test_router_that_reads_the_store_without_a_hub_says_so_once(caplog):
+    """Nothing showed that all hubs of a region were left out."""
+    caplog.set_level(logging.INFO)
+
+    async def scenario(region):
+        region.hub_store.put(CONFIG, b"v1")
+        region.fallback_store.put(CONFIG, b"v1")
+        await region.start()
+        store = region.router_store()
+        await store.list_items(CONFIG)
+        region.hub_store.is_down = True
+        for _ in range(2):
+            await store.wait_changes(CONFIG, after=2, wait_s=0.1)
+            # The hub notices the outage after its watch.
+            await trio.sleep(1.0)
+        await store.wait_changes(CONFIG, after=2, wait_s=0.1)
+        region.hub_store.is_down = False
+        while "hubs_regained" not in caplog.text:
+            await trio.sleep(0.2)
+            await store.wait_changes(CONFIG, after=2, wait_s=0.1)
+        lost = [each for each in caplog.records if each.message == "hubs_lost"]
+        assert len(lost) == 1
+        assert lost[0].known == 1
+        assert "status 503" in lost[0].cause
+
+    run(scenario)
