--- a/tests/test_large_configurations.py
+++ b/tests/test_large_configurations.py
@@ -30,6 +30,12 @@
 VERSION_PERIOD_S = 0.35
 # A platform expects a version to be in force everywhere this long after it was written.
 PROPAGATION_S = 4.0
+# Hubs of a region in which one hub after the other could be left out.
+MANY_HUBS = 10
+# An outage of the store in which a hub could be left out three times.
+OUTAGE_S = 11.0
+# A platform expects routers to be up to date again this long after an outage.
+CONNECTIVITY_S = 5.0
 LISTEN = Address(host="127.0.0.1", port=0)
 
 
@@ -44,6 +50,7 @@
         self.revision = 0
         self.written_at: list[float] = []
         self.forgotten_revision = 0
+        self.is_refusing = False
         self._changed = trio.Event()
         self._link = trio.Lock()
 
@@ -55,6 +62,9 @@
         self._changed = trio.Event()
 
     async def answer(self, request, writer) -> None:
+        if self.is_refusing:
+            await writer.send(json_response(503, {}))
+            return
         query = parse_qs(urlsplit(request.target).query)
         if request.path == "/kv-range":
             rows = {"entries": [self._row(self.revision)], "at": self.revision}
@@ -118,11 +128,12 @@
 class DistantRegion:
     """Hubs and routers of one region, and the store in the other one."""
 
-    def __init__(self, *, nursery: trio.Nursery):
+    def __init__(self, *, nursery: trio.Nursery, hubs: int):
         self.store = DistantStore()
         self.sinks = [SeenVersions() for _ in range(ROUTERS)]
         self.hub_scope_by_address: dict[Address, trio.CancelScope] = {}
         self._nursery = nursery
+        self._hubs = hubs
         self._timers = TimerService()
         self._store_address: Address | None = None
 
@@ -131,7 +142,7 @@
         self.store.write()
         start_store = partial(serve, self.store.answer, address=LISTEN)
         self._store_address = await self._nursery.start(start_store)
-        for _ in range(HUBS):
+        for _ in range(self._hubs):
             await self._nursery.start(self._run_hub)
         for sink in self.sinks:
             self._nursery.start_soon(self._run_router, sink)
@@ -201,11 +212,11 @@
         return RelaySelector(directory=directory, timers=self._timers, purpose="hub")
 
 
-def run(scenario) -> None:
+def run(scenario, *, hubs: int = HUBS) -> None:
     async def main():
         with trio.fail_after(60):
             async with trio.open_nursery() as nursery:
-                region = DistantRegion(nursery=nursery)
+                region = DistantRegion(nursery=nursery, hubs=hubs)
                 await region.start()
                 await scenario(region)
                 nursery.cancel_scope.cancel()
@@ -245,6 +256,20 @@
     run(scenario)
 
 
+def test_versions_are_in_force_in_time_after_the_store_refused_calls():
+    """All hubs were left out for the outage, and each router read every version."""
+
+    async def scenario(region):
+        region.store.is_refusing = True
+        await trio.sleep(OUTAGE_S)
+        region.store.is_refusing = False
+        await trio.sleep(CONNECTIVITY_S)
+        await region.write_versions()
+        assert await region.longest_delay_s() < PROPAGATION_S
+
+    run(scenario, hubs=MANY_HUBS)
+
+
 def test_follower_behind_a_full_link_skips_superseded_versions():
     """It fetched every version and fell behind further with each one."""
 
