Ask a failing store less often

Operators saw: in an outage in which the store refuses calls at once, each router asked its hubs and the store for each prefix every 0.15 s, and the store counts and prices refused calls. Done: the pause between failed reads doubles from 0.15 s to 0.6 s and is shortened by a random part; 0.6 s is far below the time that routers have after an outage. Test: test_reads_of_a_store_that_fails_at_once_become_fewer fails with the constant pause.

--- a/src/lavenderfold/fleet/_follower.py
+++ b/src/lavenderfold/fleet/_follower.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+import random
 from collections.abc import Callable, Collection
 from typing import Protocol
 
@@ -22,7 +23,10 @@
 WATCH_WAIT_S = 1.0
 # The wait of a watch that only asks for the present revision.
 REFRESH_WAIT_S = 0.02
+# Pause after a failed read. It doubles with each further one up to the limit, and is
+# shortened by a random part, so that processes don't ask in step.
 RETRY_PAUSE_S = 0.15
+RETRY_PAUSE_LIMIT_S = 0.6
 # A key that is removed this soon after a failed call may be a registration that
 # expired only because the store was unavailable.
 OUTAGE_AFTERMATH_S = 2.0
@@ -57,7 +61,8 @@
     connection that stopped responding is detected within one watch of ``wait_s``
     seconds. ``on_answer`` is called after each answer of the store. ``on_changed`` is
     called with the prefix after each answer with changes, and with the seconds since
-    the answer before: none of the changes is older.
+    the answer before: none of the changes is older. ``retry_limit_s`` is the longest
+    pause after failed reads.
     """
 
     def __init__(
@@ -70,6 +75,7 @@
         wait_s: float = WATCH_WAIT_S,
         on_answer: Callable[[], None] | None = None,
         on_changed: Callable[[str, float], None] | None = None,
+        retry_limit_s: float = RETRY_PAUSE_LIMIT_S,
     ):
         self.wait_s = wait_s
         # The revision up to which all changes were read; 0 before a listing.
@@ -84,8 +90,10 @@
         self._sink = sink
         self._on_answer = on_answer
         self._on_changed = on_changed
+        self._retry_limit_s = retry_limit_s
         self._must_list = True
         self._failed_at = -math.inf
+        self._retry_pause_s = RETRY_PAUSE_S
         self._listing_waits = ListingWaits()
         self._fails_fast = False
         self._watch_scope = trio.CancelScope()
@@ -103,7 +111,7 @@
                 continue
             except SharedStoreError as error:
                 self._record_failure(error)
-                await trio.sleep(RETRY_PAUSE_S)
+                await trio.sleep(self._next_retry_pause_s())
                 continue
             if is_answered:
                 self._record_success()
@@ -209,6 +217,11 @@
             key, revision=revision, is_certain=is_certain and not is_aftermath
         )
 
+    def _next_retry_pause_s(self) -> float:
+        pause_s = self._retry_pause_s
+        self._retry_pause_s = min(self._retry_limit_s, 2 * pause_s)
+        return random.uniform(pause_s / 2, pause_s)
+
     def _record_failure(self, error: SharedStoreError) -> None:
         self._failed_at = self._timers.now()
         if self.is_reachable:
@@ -218,6 +231,7 @@
 
     def _record_success(self) -> None:
         self.answered_at = self._timers.now()
+        self._retry_pause_s = RETRY_PAUSE_S
         if self._on_answer is not None:
             self._on_answer()
         if not self.is_reachable:
--- a/tests/test_prefix_follower.py
+++ b/tests/test_prefix_follower.py
@@ -9,6 +9,7 @@
 from lavenderfold.fleet._follower import LOGGED_READ_BYTES, LOGGED_READ_DELAY_S
 from lavenderfold.shared import Change, Changes, Item, Listing
 from lavenderfold.timers import TimerService
+from standins.memory_store import MemoryStore
 from tests.test_hub import SeenKeys
 
 KEY = "config"
@@ -77,3 +78,30 @@
     assert [each.revision for each in reads(caplog)] == [3]
     assert [prefix for prefix, _ in reported] == [KEY, KEY]
     assert abs(reported[1][1] - LOGGED_READ_DELAY_S) < 0.01
+
+
+def test_reads_of_a_store_that_fails_at_once_become_fewer():
+    """Each router asked its hubs and the store six times a second in an outage."""
+    store = MemoryStore()
+    store.is_down = True
+    sink = SeenKeys()
+    outage_s, recovery_s = 6.0, 0.65
+
+    async def main():
+        follower = PrefixFollower(
+            store=store,
+            timers=TimerService(clock=trio.current_time),
+            prefix=KEY,
+            sink=sink,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.run)
+            await trio.sleep(outage_s)
+            assert store.calls <= 24
+            store.is_down = False
+            store.put(KEY, b"v1")
+            await trio.sleep(recovery_s)
+            assert sink.keys == {KEY}
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
