Keep hubs that refuse calls while the store is away

Cause: a hub whose own read failed answers 503, and a router counted that as a failure of the hub: not asked for 3 s, doubled each time up to 48 s. In an outage in which the store refuses calls, each read fails at once and uses up two more hubs, for three prefixes, until none is left. After the outage every router read every version over the link between the regions, and so did all the hubs that had been asked. Besides, a router without a hub waited up to 3.1 s at the store and as long at a relay although its hubs had recovered. Done: a refusal counts as a failure only if the hub refuses again after another hub or the store has answered (RelayRefusals). A router whose hubs refuse asks the store for as long as it would ask a hub. Why it works: in an outage all paths fail, so the first two hubs stay first, and all routers return to them within their next read; no further hub begins to list. A hub that is cut off alone is still left out, one read later.

--- a/src/lavenderfold/fleet/_hub.py
+++ b/src/lavenderfold/fleet/_hub.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from lavenderfold.fleet._follower import PrefixFollower
+from lavenderfold.fleet._follower import RETRY_PAUSE_S, PrefixFollower
 from lavenderfold.http import HttpResponse
 from lavenderfold.shared import Item, SharedStore
 from lavenderfold.timers import TimerService
@@ -21,6 +21,8 @@
 HUB_SOURCE = "hub"
 # Status of the answer while the first listing of the prefix is in progress.
 LISTING_STATUS = 202
+# Status of the answer of a hub that may have missed changes.
+REFUSED_STATUS = 503
 # A hub that has had no answer from the store for this time refuses calls, so that
 # routers that can reach the store don't use outdated items.
 MAX_STALENESS_S = 2.0
@@ -152,8 +154,9 @@
     async def answer(self, body: bytes) -> HttpResponse:
         """Answer a router's call.
 
-        The status is 503 if the hub may have missed changes, and LISTING_STATUS while
-        its first listing is in progress and no attempt at it has failed.
+        The status is REFUSED_STATUS if the hub may have missed changes, and
+        LISTING_STATUS while its first listing is in progress and no attempt at it has
+        failed.
         """
         try:
             call = msgspec.msgpack.decode(body, type=FollowCall)
@@ -162,7 +165,7 @@
             return HttpResponse(status=400)
         followed = self._ensure_followed(call.prefix)
         if followed is None:
-            return HttpResponse(status=503)
+            return HttpResponse(status=REFUSED_STATUS)
         if call.wait_s:
             followed.follower.wait_s = WATCH_WAIT_S
             if call.after > followed.follower.revision:
@@ -187,7 +190,7 @@
         if not follower.is_listed and follower.is_reachable:
             return HttpResponse(status=LISTING_STATUS)
         if not self._is_up_to_date(followed):
-            return HttpResponse(status=503)
+            return HttpResponse(status=REFUSED_STATUS)
         answer = followed.answer(call.after)
         return HttpResponse(status=200, body=msgspec.msgpack.encode(answer))
 
@@ -202,6 +205,8 @@
                 sink=followed,
                 wait_s=WATCH_WAIT_S,
                 on_answer=followed.notify_changed,
+                # All routers of the region wait for this hub after an outage.
+                retry_limit_s=RETRY_PAUSE_S,
             )
             self._followed_by_prefix[prefix] = followed
             self._nursery.start_soon(self._follow, prefix, followed)
--- a/src/lavenderfold/fleet/_hub_client.py
+++ b/src/lavenderfold/fleet/_hub_client.py
@@ -6,6 +6,7 @@
 from lavenderfold.fleet._hub import (
     HUB_PATH,
     LISTING_STATUS,
+    REFUSED_STATUS,
     FollowAnswer,
     FollowCall,
 )
@@ -34,6 +35,10 @@
     """The hub is still listing the prefix for the first time."""
 
 
+class HubRefusedError(HubError):
+    """The hub can't read the store, so what it knows may be outdated."""
+
+
 class HubCallLimits(msgspec.Struct, frozen=True, kw_only=True):
     """The longest waits of one call, in seconds.
 
@@ -113,6 +118,8 @@
 def _decode(address: Address, status: int, body: bytes) -> FollowAnswer:
     if status == LISTING_STATUS:
         raise HubListingError(f"{address}: still listing")
+    if status == REFUSED_STATUS:
+        raise HubRefusedError(f"{address}: status {status}")
     if status != 200:
         raise HubError(f"{address}: status {status}")
     try:
--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -3,6 +3,8 @@
 import logging
 import math
 import random
+from collections.abc import Awaitable
+from typing import TypeVar
 
 import trio
 
@@ -12,6 +14,7 @@
     HubClient,
     HubError,
     HubListingError,
+    HubRefusedError,
 )
 from lavenderfold.fleet._hub_listing import HubListing
 from lavenderfold.shared import (
@@ -22,10 +25,14 @@
     Listing,
     ListingWait,
     Relay,
+    RelayRefusals,
     RelaySelector,
     SharedStore,
+    SharedStoreError,
 )
 
+Answer = TypeVar("Answer")
+
 # A hub must begin its answer within this time after the wait that it was asked for,
 # and send each further part within it.
 ANSWER_MARGIN_S = 0.6
@@ -69,6 +76,7 @@
     ):
         self._store = store
         self._hubs = hubs
+        self._refusals = RelayRefusals(relays=hubs)
         self._client = HubClient()
         self._hub_listing = HubListing(hubs=hubs, client=self._client)
         self._prefixes = prefixes
@@ -85,7 +93,7 @@
             answer = await self._call_hubs(FollowCall(prefix, 0, 0.0))
         except HubError as error:
             self._report_without_hub(prefix, error)
-            return await self._store.list_items(prefix)
+            return await self._read_store(prefix, self._store.list_items(prefix))
         return Listing(items=answer.items, revision=answer.revision, source=HUB_SOURCE)
 
     async def _list_at_start(self, prefix: str, wait: ListingWait) -> Listing:
@@ -108,14 +116,14 @@
         call = FollowCall(prefix, after, min(wait_s, MAX_HUB_WAIT_S))
         try:
             answer = await self._call_hubs(call)
-        except HubListingError:
-            # The store would send the next change to each router of the region, so it
-            # isn't asked for longer than the hub would be.
-            wait_s = call.wait_s
-            return await self._store.wait_changes(prefix, after=after, wait_s=wait_s)
         except HubError as error:
             self._report_without_hub(prefix, error)
-            return await self._store.wait_changes(prefix, after=after, wait_s=wait_s)
+            if isinstance(error, HubListingError | HubRefusedError):
+                # A hub may be of use again soon. Until then the store would send each
+                # change to all routers of the region.
+                wait_s = call.wait_s
+            read = self._store.wait_changes(prefix, after=after, wait_s=wait_s)
+            return await self._read_store(prefix, read)
         changes = [Change(item.key, item.revision, item) for item in answer.items]
         changes += [
             Change(each.key, each.revision, None, each.is_certain)
@@ -132,12 +140,23 @@
     async def write(self, writes: list[ConditionalWrite]) -> int:
         return await self._store.write(writes)
 
+    async def _read_store(self, prefix: str, read: Awaitable[Answer]) -> Answer:
+        """Return the result of a call to the store; it tells why hubs refused."""
+        try:
+            answer = await read
+        except SharedStoreError:
+            self._refusals.record_store_failure(prefix)
+            raise
+        self._refusals.record_other_path(prefix)
+        return answer
+
     async def _call_hubs(self, call: FollowCall) -> FollowAnswer:
         """Return the answer of the first hub that has one.
 
         The hubs together wait for changes as long as the call says. Meanwhile the last
         one is called as the standby if that is due. Raises HubError if the store must
-        be asked instead, and HubListingError if a hub will soon have listed the prefix.
+        be asked instead: HubListingError if a hub will soon have listed the prefix,
+        HubRefusedError if one is there but can't read the store.
         """
         hubs = self._hubs.ranked() if call.prefix in self._prefixes else []
         hubs = hubs[:HUBS_ASKED]
@@ -151,15 +170,13 @@
                 try:
                     answer = await self._call_hub(hub, call)
                     break
-                except HubListingError as error:
-                    failure = error
                 except HubError as error:
-                    if not isinstance(failure, HubListingError):
-                        failure = error
+                    failure = max(failure, error, key=_hope)
                     call = _shortened(call, trio.current_time() - started_at)
             nursery.cancel_scope.cancel()
         if answer is None:
             raise failure
+        self._refusals.record_other_path(call.prefix)
         self._report_with_hub(call.prefix)
         return answer
 
@@ -197,7 +214,7 @@
             touch = FollowCall(call.prefix, call.after, 0.0)
             await self._call_hub(hub, touch, is_standby=True)
         except HubError:
-            # Logged already; another relay is the standby from now on.
+            # Logged already; the hub, or another one, is called with the next call.
             return
         self._standby_called_at_by_prefix[call.prefix] = trio.current_time()
 
@@ -209,7 +226,8 @@
         A standby reads the store at other times than the hub, so it may know less.
 
         A hub that is listing hasn't failed: if it were left out for that, one hub after
-        the other would list the prefix.
+        the other would list the prefix. Neither has one that can't read the store, as
+        long as this router can't either.
         """
         limits = HubCallLimits(
             first_s=call.wait_s + ANSWER_MARGIN_S,
@@ -225,14 +243,25 @@
         except HubListingError:
             logger.info("hub_listing", extra=fields)
             raise
+        except HubRefusedError as error:
+            if self._refusals.record_refusal(call.prefix, hub):
+                logger.info("hub_failed", extra=fields | {"cause": str(error)})
+            raise
         except HubError as error:
             self._hubs.record_failure(hub)
             logger.info("hub_failed", extra=fields | {"cause": str(error)})
             raise
-        self._hubs.record_success(hub)
+        self._refusals.record_answer(call.prefix, hub)
         return answer
 
 
+def _hope(error: HubError) -> int:
+    """Rank the failures of hubs by how soon the hub may be of use again."""
+    if isinstance(error, HubListingError):
+        return 2
+    return 1 if isinstance(error, HubRefusedError) else 0
+
+
 def _shortened(call: FollowCall, elapsed_s: float) -> FollowCall:
     """Return a call for the time that is left, but for long enough to be answered."""
     wait_s = max(MIN_HUB_WAIT_S, call.wait_s - elapsed_s)
--- a/src/lavenderfold/shared/__init__.py
+++ b/src/lavenderfold/shared/__init__.py
@@ -11,6 +11,7 @@
     FirstListing,
     ListingWaits,
 )
+from lavenderfold.shared._relay_refusals import RelayRefusals
 from lavenderfold.shared._relay_selector import RelaySelector, in_region, near_store
 from lavenderfold.shared._relays import Relay, RelayDirectory, RelayRecord
 from lavenderfold.shared._store import (
@@ -42,9 +43,10 @@
     "ListingWait",
     "ListingWaits",
     "Relay",
-    "RelaySelector",
     "RelayDirectory",
     "RelayRecord",
+    "RelayRefusals",
+    "RelaySelector",
     "SharedStore",
     "SharedStoreError",
     "StoreCall",
