Keep combiners that refuse orders while the store is away

After an outage of the store all routers wrote the ledger themselves, and their writes conflict (docs/platform.md has the cost by number of writers). Done: as for hubs, a combiner that refuses counts as failed only if it refuses again after another combiner or the router itself has written. Combiners that don't respond are left out at once as before. Test: test_combiner_that_refused_during_an_outage_is_used_after_it fails without the change of the order sender.

--- a/src/lavenderfold/escrow/_combiner.py
+++ b/src/lavenderfold/escrow/_combiner.py
@@ -12,7 +12,12 @@
 
 from lavenderfold.escrow._orders import BalanceView, LedgerOrder, LedgerUnavailableError
 from lavenderfold.escrow._writer import LedgerWriter
-from lavenderfold.http import CallFailedError, HttpResponse, PeerClient
+from lavenderfold.http import (
+    CallFailedError,
+    CallRefusedError,
+    HttpResponse,
+    PeerClient,
+)
 from lavenderfold.settings import Address
 
 ORDER_PATH = "/ledger/order"
@@ -28,6 +33,10 @@
 logger = logging.getLogger(__name__)
 
 
+class CombinerRefusedError(LedgerUnavailableError):
+    """A combiner is there, but can't write the ledger now."""
+
+
 class _PendingOrder:
     """An order whose sender waits for the result; without views it has failed."""
 
@@ -113,7 +122,7 @@
     ) -> dict[str, BalanceView]:
         """Submit an order and return the resulting views by organisation.
 
-        Raises LedgerUnavailableError.
+        Raises LedgerUnavailableError, or CombinerRefusedError.
         """
         body = msgspec.json.encode(order)
         try:
@@ -121,5 +130,7 @@
                 address, ORDER_PATH, body, timeout_s=CALL_TIMEOUT_S
             )
             return msgspec.json.decode(answer, type=dict[str, BalanceView])
+        except CallRefusedError as error:
+            raise CombinerRefusedError(str(error)) from error
         except (CallFailedError, msgspec.DecodeError) as error:
             raise LedgerUnavailableError(str(error)) from error
--- a/src/lavenderfold/escrow/_order_sender.py
+++ b/src/lavenderfold/escrow/_order_sender.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from lavenderfold.escrow._combiner import OrderCombinerClient
+from lavenderfold.escrow._combiner import CombinerRefusedError, OrderCombinerClient
 from lavenderfold.escrow._orders import (
     BalanceView,
     LedgerOrder,
@@ -12,7 +12,13 @@
     urgent_part,
 )
 from lavenderfold.escrow._writer import LedgerWriter
-from lavenderfold.shared import Relay, RelayDirectory, RelaySelector, near_store
+from lavenderfold.shared import (
+    Relay,
+    RelayDirectory,
+    RelayRefusals,
+    RelaySelector,
+    near_store,
+)
 from lavenderfold.timers import TimerService
 
 # Combiners that an order is sent to before its router writes the ledger itself. If all
@@ -22,6 +28,9 @@
 # of all processes relays come up while routers already send orders.
 NEXT_COMBINER_DELAY_S = 0.05
 
+# The subject of refusals: a combiner writes all of the ledger or nothing.
+LEDGER = "ledger"
+
 logger = logging.getLogger(__name__)
 
 
@@ -42,13 +51,12 @@
     ):
         self._writer = writer
         self._client = OrderCombinerClient()
-        self._combiner_selector = (
-            RelaySelector(
+        self._combiners: RelaySelector | None = None
+        if relays is not None:
+            self._combiners = RelaySelector(
                 directory=relays, timers=timers, purpose="combiner", keep=near_store
             )
-            if relays
-            else None
-        )
+            self._refusals = RelayRefusals(relays=self._combiners)
 
     async def submit(self, order: LedgerOrder) -> dict[str, BalanceView]:
         """Apply an order and return the resulting views by organisation.
@@ -57,29 +65,47 @@
         that it changes few pages that others write; the views are of that part.
         Raises LedgerUnavailableError.
         """
-        for failures in range(MAX_COMBINERS):
-            await trio.sleep(NEXT_COMBINER_DELAY_S * failures)
-            combiner = self._best_combiner()
-            if combiner is None:
+        if self._combiners is None:
+            return await self._write(order)
+        tried: list[Relay] = []
+        while len(tried) < MAX_COMBINERS:
+            await trio.sleep(NEXT_COMBINER_DELAY_S * len(tried))
+            untried = [each for each in self._combiners.ranked() if each not in tried]
+            if not untried:
                 break
-            views = await self._submit_to_combiner(combiner, order)
+            tried.append(untried[0])
+            views = await self._submit_to_combiner(untried[0], order)
             if views is not None:
+                self._refusals.record_other_path(LEDGER)
                 return views
-        return (await self._writer.apply([urgent_part(order)]))[0]
+        try:
+            views = await self._write(order)
+        except LedgerUnavailableError:
+            self._refusals.record_store_failure(LEDGER)
+            raise
+        self._refusals.record_other_path(LEDGER)
+        return views
 
-    def _best_combiner(self) -> Relay | None:
-        return self._combiner_selector.best() if self._combiner_selector else None
+    async def _write(self, order: LedgerOrder) -> dict[str, BalanceView]:
+        return (await self._writer.apply([urgent_part(order)]))[0]
 
     async def _submit_to_combiner(
         self, combiner: Relay, order: LedgerOrder
     ) -> dict[str, BalanceView] | None:
-        """Return the views from a combiner, or None if it failed."""
+        """Return the views from a combiner, or None if it failed.
+
+        One that can't write hasn't failed as long as this router can't either.
+        """
+        fields = {"address": str(combiner.address)}
         try:
             views = await self._client.submit(combiner.address, order)
+        except CombinerRefusedError as error:
+            if self._refusals.record_refusal(LEDGER, combiner):
+                logger.warning("combiner_failed", extra=fields | {"cause": str(error)})
+            return None
         except LedgerUnavailableError as error:
-            fields = {"address": str(combiner.address), "cause": str(error)}
-            logger.warning("combiner_failed", extra=fields)
-            self._combiner_selector.record_failure(combiner)
+            logger.warning("combiner_failed", extra=fields | {"cause": str(error)})
+            self._combiners.record_failure(combiner)
             return None
-        self._combiner_selector.record_success(combiner)
+        self._refusals.record_answer(LEDGER, combiner)
         return views
--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -17,7 +17,11 @@
     MalformedRequestError,
     json_response,
 )
-from lavenderfold.http._peer_client import CallFailedError, PeerClient
+from lavenderfold.http._peer_client import (
+    CallFailedError,
+    CallRefusedError,
+    PeerClient,
+)
 from lavenderfold.http._response_writer import ResponseWriter, SlowCallerError
 from lavenderfold.http._server import (
     IDLE_GRACE_S,
@@ -30,6 +34,7 @@
 __all__ = [
     "BodyTooLargeError",
     "CallFailedError",
+    "CallRefusedError",
     "CloseReason",
     "HttpClient",
     "HttpClientError",
--- a/src/lavenderfold/http/_peer_client.py
+++ b/src/lavenderfold/http/_peer_client.py
@@ -11,6 +11,10 @@
     """A peer didn't respond with status 200 within the timeout."""
 
 
+class CallRefusedError(CallFailedError):
+    """A peer responded that it can't serve the call now."""
+
+
 class PeerClient:
     """Sends POST requests to peers and keeps one HTTP client for each address."""
 
@@ -23,7 +27,8 @@
     ) -> bytes:
         """Send a POST request and return the body of the response.
 
-        Raises CallFailedError if no response with status 200 arrives in time.
+        Raises CallFailedError if no response with status 200 arrives in time, and
+        CallRefusedError if the status is 503.
         """
         request = HttpRequest(method="POST", target=path, body=body)
         response = None
@@ -34,6 +39,8 @@
             raise CallFailedError(str(error)) from error
         if response is None:
             raise CallFailedError(f"{address}: no response within {timeout_s:g} s")
+        if response.status == 503:
+            raise CallRefusedError(f"{address}: status {response.status}")
         if response.status != 200:
             raise CallFailedError(f"{address}: status {response.status}")
         return response.body
--- a/tests/test_ledger_orders.py
+++ b/tests/test_ledger_orders.py
@@ -11,6 +11,7 @@
 from lavenderfold.escrow import (
     LedgerOrder,
     LedgerPages,
+    LedgerUnavailableError,
     LedgerWriter,
     Limit,
     OrderCombiner,
@@ -305,6 +306,40 @@
     trio.run(main)
 
 
+def test_combiner_that_refused_during_an_outage_is_used_after_it():
+    """All combiners were left out, and every router wrote the ledger itself."""
+
+    async def main():
+        store = MemoryStore()
+        combiner = OrderCombiner(writer=new_writer(store))
+        served = []
+
+        async def handle(request, writer):
+            answer = await combiner.answer(request.body)
+            served.append(answer.status)
+            await writer.send(answer)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(combiner.run)
+            start = partial(serve, handle, address=Address(host="127.0.0.1", port=0))
+            address = await nursery.start(start)
+            relays = RelayDirectory(store=store, prefix="relays/", failure_domain="d")
+            relays.relays = [Relay(address, "d", "alive", store_ms=1)]
+            sender = OrderSender(
+                writer=new_writer(store), timers=TimerService(), relays=relays
+            )
+            store.is_down = True
+            for _ in range(3):
+                with pytest.raises(LedgerUnavailableError):
+                    await sender.submit(new_order("router/1"))
+            store.is_down = False
+            await sender.submit(new_order("router/1"))
+            assert served == [503, 503, 503, 200]
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_routers_prefer_a_combiner_near_the_store():
     """A combiner in the other region adds its way to the store to each order."""
     near, also_near, far, unknown = (
