Don't leave hubs out at a start while the store is away

Done: a hub that refuses is passed over within this listing only. The first two are asked, then the store, as before if all have failed. Test: test_hub_that_refuses_while_the_store_is_away_is_used_after_it fails without the change.

--- a/src/lavenderfold/fleet/_hub_listing.py
+++ b/src/lavenderfold/fleet/_hub_listing.py
@@ -17,9 +17,16 @@
     HubClient,
     HubError,
     HubListingError,
+    HubRefusedError,
     HubUnreachableError,
 )
-from lavenderfold.shared import Listing, ListingWait, RelaySelector, SharedStoreError
+from lavenderfold.shared import (
+    Listing,
+    ListingWait,
+    Relay,
+    RelaySelector,
+    SharedStoreError,
+)
 
 # A hub answers within 0.4 s unless its link is full. After this time without data
 # another hub is asked.
@@ -28,6 +35,9 @@
 # A hub that is still listing counts as sending data for this time. Its own path to the
 # store may be broken, so routers don't rely on it for longer.
 HUB_LISTING_LIMIT_S = 3.0
+# Hubs that are asked before the store if they refuse. If the store is away all of them
+# do, and each further one would fetch a copy of the prefix after the outage.
+HUBS_ASKED = 2
 # Pause before the next call, lengthened by a random part up to its double: relays that
 # start at the same time as the routers refuse the first calls.
 PAUSE_S = 0.2
@@ -45,14 +55,17 @@
     async def list_items(self, prefix: str, wait: ListingWait) -> Listing:
         """Return the listing of a hub.
 
-        Raises SharedStoreError if all hubs have failed lately, one doesn't respond at
-        all, or none had a listing within ``wait.timeout_s``.
+        Raises SharedStoreError if all hubs have failed lately or refuse, one doesn't
+        respond at all, or none had a listing within ``wait.timeout_s``.
         """
         started_at = trio.current_time()
+        refused: list[Relay] = []
         while trio.current_time() - started_at < wait.timeout_s:
-            hub = self._hubs.best()
+            hubs = self._hubs.ranked()[:HUBS_ASKED]
+            hub = next((each for each in hubs if each not in refused), None)
             if hub is None:
-                raise SharedStoreError("no usable hub is known")
+                cause = "all hubs refuse" if hubs else "no usable hub is known"
+                raise SharedStoreError(cause)
             call = FollowCall(prefix, 0, 0.0)
             try:
                 answer = await self._client.call(hub.address, call, LIMITS, wait)
@@ -60,6 +73,9 @@
                 self._hubs.record_success(hub)
                 if trio.current_time() - started_at < HUB_LISTING_LIMIT_S:
                     wait.record_data()
+            except HubRefusedError:
+                # Not a failure of the hub: the store may be away.
+                refused.append(hub)
             except HubError as error:
                 self._hubs.record_failure(hub)
                 fields = {"address": str(hub.address), "cause": str(error)}
--- a/tests/test_hub_start.py
+++ b/tests/test_hub_start.py
@@ -135,6 +135,24 @@
     run_at_start(scenario, listing_s=0.0)
 
 
+def test_hub_that_refuses_while_the_store_is_away_is_used_after_it():
+    """A router that started in an outage had no hub for many seconds after it."""
+
+    async def scenario(region):
+        region.hub_store.is_down = True
+        region.fallback_store.is_down = True
+        await region.start()
+        store = region.router_store()
+        sink = await region.follow(store)
+        await trio.sleep(1.0)
+        region.hub_store.is_down = False
+        started_at = trio.current_time()
+        await sink.become(CONFIG)
+        assert trio.current_time() - started_at < 1.5
+
+    run_at_start(scenario, listing_s=0.0)
+
+
 def test_store_is_asked_if_the_hub_sends_nothing():
     """A hub that is paused or whose link is cut keeps its connections open."""
 
