Ask the next hubs before all routers read the store

Cause: when hub and standby ended together, each router read the store, for up to 2.5 s. While 30 copies of the first version passed the narrow link, more versions were written; the next watch of each router returned all of them. Such copies also delay the listing of the hub that is to take over. Done: up to four hubs are asked within a call until two have responded. One that lists a large prefix is asked three times (1.2 s) before the store. The store is asked no longer than a hub as long as one is usable.

--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections.abc import Awaitable
+from contextlib import suppress
 from typing import TypeVar
 
 import trio
@@ -42,8 +43,13 @@
 MAX_HUB_WAIT_S = 0.7
 # In this time a hub can ask the store once, to know as much as another one did.
 MIN_HUB_WAIT_S = 0.1
-# Hubs that a call is sent to, one after the other, before the store is asked.
-HUBS_ASKED = 2
+# Hubs that a call is sent to, one after the other, before the store is asked: so many
+# that respond, and so many in all.
+RESPONDING_HUBS_ASKED = 2
+HUBS_ASKED = 4
+# Calls to a hub that is listing a large prefix. The store would send a copy to each
+# router, over the link that the hub's listing needs.
+LISTING_CALLS = 3
 # The second hub is called this often, so that it follows the prefix as well and can
 # answer at once when the first one fails.
 STANDBY_PERIOD_S = 4.0
@@ -118,8 +124,8 @@
             answer = await self._call_hubs(call)
         except HubError as error:
             self._report_without_hub(prefix, error)
-            if isinstance(error, HubListingError | HubRefusedError):
-                # A hub may be of use again soon. Until then the store would send each
+            if self._hubs.best() is not None:
+                # The next call asks a hub again. Until then the store would send each
                 # change to all routers of the region.
                 wait_s = call.wait_s
             read = self._store.wait_changes(prefix, after=after, wait_s=wait_s)
@@ -153,29 +159,31 @@
     async def _call_hubs(self, call: FollowCall) -> FollowAnswer:
         """Return the answer of the first hub that has one.
 
-        The hubs together wait for changes as long as the call says. Meanwhile the last
-        one is called as the standby if that is due. Raises HubError if the store must
-        be asked instead: HubListingError if a hub will soon have listed the prefix,
-        HubRefusedError if one is there but can't read the store.
+        The hubs together wait for changes as long as the call says. Meanwhile the
+        second one is called as the standby if that is due. Raises HubError if the store
+        must be asked instead: HubListingError if a hub will soon have listed the
+        prefix, HubRefusedError if one is there but can't read the store.
         """
         hubs = self._hubs.ranked() if call.prefix in self._prefixes else []
-        hubs = hubs[:HUBS_ASKED]
         started_at = trio.current_time()
         answer = None
-        failure = HubError("no usable hub is known")
+        failures: list[HubError] = []
         async with trio.open_nursery() as nursery:
             if len(hubs) > 1 and self._is_standby_due(call.prefix):
-                nursery.start_soon(self._call_standby, hubs[-1], call)
-            for hub in hubs:
+                nursery.start_soon(self._call_standby, hubs[1], call)
+            for hub in hubs[:HUBS_ASKED]:
                 try:
-                    answer = await self._call_hub(hub, call)
+                    answer = await self._call_until_listed(hub, call)
                     break
                 except HubError as error:
-                    failure = max(failure, error, key=_hope)
+                    failures.append(error)
                     call = _shortened(call, trio.current_time() - started_at)
+                if sum(map(_is_response, failures)) == RESPONDING_HUBS_ASKED:
+                    break
             nursery.cancel_scope.cancel()
         if answer is None:
-            raise failure
+            failures.append(HubError("no usable hub is known"))
+            raise next(filter(_is_response, failures), failures[0])
         self._refusals.record_other_path(call.prefix)
         self._report_with_hub(call.prefix)
         return answer
@@ -203,6 +211,14 @@
         fields = {"prefix": prefix, "elapsed_ms": elapsed_ms}
         logger.info("hubs_regained", extra=fields)
 
+    async def _call_until_listed(self, hub: Relay, call: FollowCall) -> FollowAnswer:
+        """Return the hub's answer; wait a little longer if it lists a large prefix."""
+        if call.prefix in self._large_prefixes:
+            for _ in range(LISTING_CALLS - 1):
+                with suppress(HubListingError):
+                    return await self._call_hub(hub, call)
+        return await self._call_hub(hub, call)
+
     def _is_standby_due(self, prefix: str) -> bool:
         if prefix not in self._large_prefixes:
             return False
@@ -255,11 +271,9 @@
         return answer
 
 
-def _hope(error: HubError) -> int:
-    """Rank the failures of hubs by how soon the hub may be of use again."""
-    if isinstance(error, HubListingError):
-        return 2
-    return 1 if isinstance(error, HubRefusedError) else 0
+def _is_response(error: HubError) -> bool:
+    """Whether the hub responded and may be of use again soon."""
+    return isinstance(error, HubListingError | HubRefusedError)
 
 
 def _shortened(call: FollowCall, elapsed_s: float) -> FollowCall:
