Let hubs send a large configuration for as long as it makes progress

Callers could see: a router with a full link that has the configuration late. Cause: a hub's answer was given up 2 s after its wait although its parts kept arriving; the next hub and then the store sent the same bytes again. Done: the answer of a large prefix may take 8 s, the limit of a store's answer; each part must still arrive within 0.6 s. Targets keep the 2 s, which their drain bound needs.

--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -37,8 +37,10 @@
 # A hub must begin its answer within this time after the wait that it was asked for,
 # and send each further part within it.
 ANSWER_MARGIN_S = 0.6
-# A hub must have sent a whole answer within this time after that wait.
+# A hub must have sent a whole answer within this time after that wait, and one of a
+# large prefix within the second time: the next hub would send the same bytes again.
 TRANSFER_LIMIT_S = 2.0
+LARGE_TRANSFER_LIMIT_S = 8.0
 # A hub that is paused is found by the end of this wait and the margin.
 MAX_HUB_WAIT_S = 0.7
 # In this time a hub can ask the store once, to know as much as another one did.
@@ -245,10 +247,12 @@
         the other would list the prefix. Neither has one that can't read the store, as
         long as this router can't either.
         """
+        is_large = call.prefix in self._large_prefixes
+        transfer_s = LARGE_TRANSFER_LIMIT_S if is_large else TRANSFER_LIMIT_S
         limits = HubCallLimits(
             first_s=call.wait_s + ANSWER_MARGIN_S,
             next_s=ANSWER_MARGIN_S,
-            total_s=call.wait_s + TRANSFER_LIMIT_S,
+            total_s=call.wait_s + transfer_s,
         )
         fields = {"prefix": call.prefix, "address": str(hub.address)}
         try:
