Keep the wait of watches that no hub serves

A watch of a prefix that hubs don't follow would have been shortened to 0.7 s while any hub is usable. No such watch exists today; found on rereading. Test: test_watch_of_a_prefix_that_no_hub_follows_keeps_its_wait. OrderSender names its refusals also without relays.

--- a/src/lavenderfold/escrow/_order_sender.py
+++ b/src/lavenderfold/escrow/_order_sender.py
@@ -28,7 +28,7 @@
 # of all processes relays come up while routers already send orders.
 NEXT_COMBINER_DELAY_S = 0.05
 
-# The subject of refusals: a combiner writes all of the ledger or nothing.
+# What combiners refuse to write.
 LEDGER = "ledger"
 
 logger = logging.getLogger(__name__)
@@ -52,6 +52,7 @@
         self._writer = writer
         self._client = OrderCombinerClient()
         self._combiners: RelaySelector | None = None
+        self._refusals: RelayRefusals | None = None
         if relays is not None:
             self._combiners = RelaySelector(
                 directory=relays, timers=timers, purpose="combiner", keep=near_store
--- a/src/lavenderfold/fleet/_regional.py
+++ b/src/lavenderfold/fleet/_regional.py
@@ -126,7 +126,7 @@
             answer = await self._call_hubs(call)
         except HubError as error:
             self._report_without_hub(prefix, error)
-            if self._hubs.best() is not None:
+            if prefix in self._prefixes and self._hubs.best() is not None:
                 # The next call asks a hub again. Until then the store would send each
                 # change to all routers of the region.
                 wait_s = call.wait_s
--- a/tests/test_hub_takeover.py
+++ b/tests/test_hub_takeover.py
@@ -134,6 +134,20 @@
     run(scenario)
 
 
+def test_watch_of_a_prefix_that_no_hub_follows_keeps_its_wait():
+    """It would cost several calls of the store in place of one."""
+
+    async def scenario(region):
+        await region.start()
+        store = region.router_store()
+        revision = region.fallback_store.revision
+        started_at = trio.current_time()
+        await store.wait_changes("other", after=revision, wait_s=1.0)
+        assert trio.current_time() - started_at >= 1.0
+
+    run(scenario)
+
+
 def test_router_that_reads_the_store_without_a_hub_says_so_once(caplog):
     """Nothing showed that all hubs of a region were left out."""
     caplog.set_level(logging.INFO)
