--- a/src/lavenderfold/fleet/_hub_listing.py
+++ b/src/lavenderfold/fleet/_hub_listing.py
@@ -37,7 +37,7 @@
 HUB_LISTING_LIMIT_S = 3.0
 # Hubs that are asked before the store if they refuse. If the store is away all of them
 # do, and each further one would fetch a copy of the prefix after the outage.
-HUBS_ASKED = 2
+REFUSING_HUBS_ASKED = 2
 # Pause before the next call, lengthened by a random part up to its double: relays that
 # start at the same time as the routers refuse the first calls.
 PAUSE_S = 0.2
@@ -61,7 +61,7 @@
         started_at = trio.current_time()
         refused: list[Relay] = []
         while trio.current_time() - started_at < wait.timeout_s:
-            hubs = self._hubs.ranked()[:HUBS_ASKED]
+            hubs = self._hubs.ranked()[:REFUSING_HUBS_ASKED]
             hub = next((each for each in hubs if each not in refused), None)
             if hub is None:
                 cause = "all hubs refuse" if hubs else "no usable hub is known"
