Show how long requests wait before a router reads them

New: the lines connections_waited and event_loop_stalled, unread_ms in the line of each request, and two metrics.

The server accepts with a class of its own, because trio's listener doesn't tell when the queue was last empty. It still accepts one connection in a turn, and no decision uses the new figures.

--- a/src/lavenderfold/direct/_caller_api.py
+++ b/src/lavenderfold/direct/_caller_api.py
@@ -42,7 +42,7 @@
         request = self._services.codec.read_request(http_request)
         self.active += 1
         try:
-            await self._serve(request, writer)
+            await self._serve(request, writer, _arrived_after(http_request))
         finally:
             self.active -= 1
             if self.active == 0:
@@ -59,8 +59,12 @@
         for execution in self._executions:
             execution.stop_unless_answering()
 
-    async def _serve(self, request: CallerRequest, writer: ResponseWriter) -> None:
+    async def _serve(
+        self, request: CallerRequest, writer: ResponseWriter, arrived_after: float
+    ) -> None:
         read_at = trio.current_time()
+        unread_s = read_at - arrived_after
+        self._services.metrics.record_unread(unread_s)
         table = self._config.table
         if table is None:
             table = await self._config.wait_installed(STARTUP_WAIT_S)
@@ -98,6 +102,7 @@
             organisation=organisation,
             writer=writer,
             read_at=read_at,
+            unread_s=unread_s,
         )
         self._executions.add(execution)
         try:
@@ -122,6 +127,11 @@
         await writer.send(refusal_response(refusal, headers))
 
 
+def _arrived_after(http_request: HttpRequest) -> float:
+    arrived_after = http_request.arrived_after
+    return trio.current_time() if arrived_after is None else arrived_after
+
+
 def _rejection(status: int, reason: str) -> Refusal:
     return Refusal(status=status, reason=reason, outcome="not_run")
 
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -18,12 +18,14 @@
 class RouterSnapshot(msgspec.Struct, frozen=True, kw_only=True):
     """State of a router at the time its metrics are read. Ages are in seconds.
 
+    ``longest_turn_s`` is the duration of the event loop's longest turn.
     ``targets_by_notice`` counts the listed targets that leave or pause.
     """
 
     active: int
     incomplete_answer_bytes: int
     balances: list[LocalBalanceState]
+    longest_turn_s: float
     log_lines_left_out: int
     quarantine: QuarantineSnapshot
     states: frozenset[str]
@@ -97,6 +99,17 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._unread_time = Histogram(
+            "lavenderfold_unread_seconds",
+            "Upper bound of the time that a request waited before it was read.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._longest_turn = Gauge(
+            "lavenderfold_longest_event_loop_turn_seconds",
+            "Duration of the longest turn of the event loop.",
+            registry=self._registry,
+        )
         self._longest_pause = Histogram(
             "lavenderfold_longest_pause_seconds",
             "Longest pause between the events of a stream.",
@@ -166,6 +179,10 @@
             registry=self._registry,
         )
 
+    def record_unread(self, wait_s: float) -> None:
+        """Record how long a request may have waited before it was read."""
+        self._unread_time.observe(wait_s)
+
     def record_attempt(self, outcome: str) -> None:
         self._attempts.labels(outcome).inc()
 
@@ -235,6 +252,7 @@
         self._prompts.labels("quarantined").set(quarantine.quarantined)
         self._crashes_on_record.set(quarantine.crashes)
         self._active.set(snapshot.active)
+        self._longest_turn.set(snapshot.longest_turn_s)
         self._incomplete_answers.set(snapshot.incomplete_answer_bytes)
         self._log_lines_left_out.set(snapshot.log_lines_left_out)
         return generate_latest(self._registry)
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -39,7 +39,8 @@
 class RequestExecution:
     """Executes one request on a route, up to the last byte of its answer.
 
-    ``read_at`` is when the request was read, on the trio clock.
+    ``read_at`` is when the request was read, on the trio clock. Before that it may
+    have waited for ``unread_s`` seconds.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         organisation: Organisation | None,
         writer: ResponseWriter,
         read_at: float,
+        unread_s: float,
     ):
         self._services = services
         self._table = table
@@ -84,7 +86,9 @@
         self._last_outcome: AttemptOutcome | None = None
         self._failure_response: HttpResponse | None = None
         self._running: StartedAttempt | None = None
-        self._log = RequestLog(request=request, metrics=services.metrics)
+        self._log = RequestLog(
+            request=request, metrics=services.metrics, unread_s=unread_s
+        )
         self._choice_reason = ""
         self._not_repeated: str | None = None
         self._selection = TargetSelection(
--- a/src/lavenderfold/direct/_request_log.py
+++ b/src/lavenderfold/direct/_request_log.py
@@ -98,11 +98,17 @@
 
 
 class RequestLog:
-    """Collects the attempts of one request and writes its lines."""
+    """Collects the attempts of one request and writes its lines.
 
-    def __init__(self, *, request: CallerRequest, metrics: RouterMetrics):
+    The request may have waited for ``unread_s`` seconds before it was read.
+    """
+
+    def __init__(
+        self, *, request: CallerRequest, metrics: RouterMetrics, unread_s: float
+    ):
         self._request = request
         self._metrics = metrics
+        self._unread_s = unread_s
         self._attempts: list[str] = []
 
     def record_attempt(
@@ -182,6 +188,7 @@
             "reserved": result.reserved_tokens or None,
             "events": progress.events,
             "funded_ms": _duration_ms(result.funded_at, result.started_at),
+            "unread_ms": round(self._unread_s * 1000),
             "first_ms": _duration_ms(first, result.started_at),
             "pause_ms": round(progress.longest_pause_s * 1000),
             "total_ms": _duration_ms(now, result.started_at),
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -19,6 +19,7 @@
 from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.direct._sinks import ConfigSink, RecordReader, TargetSink
 from lavenderfold.escrow import BalanceManager
+from lavenderfold.event_loop import event_loop_turns
 from lavenderfold.fleet import PrefixFollower, RouteTable, Target
 from lavenderfold.http import (
     HttpRequest,
@@ -309,6 +310,7 @@
             active=self._caller_api.active,
             incomplete_answer_bytes=self._services.answer_memory.held_bytes,
             balances=self._balance_manager.local_balance_states(),
+            longest_turn_s=event_loop_turns().longest_s,
             log_lines_left_out=self._log_lines_left_out(),
             quarantine=self._quarantine.snapshot(),
             states=frozenset(name for name, holds in is_true_by_state.items() if holds),
--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -23,13 +23,8 @@
     PeerClient,
 )
 from lavenderfold.http._response_writer import ResponseWriter, SlowCallerError
-from lavenderfold.http._server import (
-    IDLE_GRACE_S,
-    CloseReason,
-    ServerLimits,
-    ServerOptions,
-    serve,
-)
+from lavenderfold.http._server import IDLE_GRACE_S, serve
+from lavenderfold.http._server_options import CloseReason, ServerLimits, ServerOptions
 
 __all__ = [
     "BodyTooLargeError",
--- a/src/lavenderfold/http/_messages.py
+++ b/src/lavenderfold/http/_messages.py
@@ -34,13 +34,15 @@
 class HttpRequest(msgspec.Struct, kw_only=True):
     """A request with its complete body.
 
-    Header names are lower case; values are Latin-1 text.
+    Header names are lower case; values are Latin-1 text. The first byte of a request
+    that a server has read didn't arrive before ``arrived_after``, on the trio clock.
     """
 
     method: str
     target: str
     headers: list[tuple[str, str]] = msgspec.field(default_factory=list)
     body: bytes = b""
+    arrived_after: float | None = None
 
     @property
     def path(self) -> str:
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -1,15 +1,19 @@
 """HTTP server with one trio task per connection; h11 implements the protocol."""
 
-import enum
 import logging
 import sys
 from collections.abc import Awaitable, Callable
-from functools import partial
+from contextlib import ExitStack
 
 import h11
-import msgspec
 import trio
 
+from lavenderfold.accepting import (
+    AcceptedConnection,
+    Acceptor,
+    open_listening_sockets,
+)
+from lavenderfold.http._arrivals import ArrivalBound
 from lavenderfold.http._messages import (
     BodyTooLargeError,
     HttpRequest,
@@ -23,19 +27,11 @@
     ResponseWriter,
     SlowCallerError,
 )
-from lavenderfold.http._stop import (
-    IdleConnections,
-    accept_waiting,
-    duplicate_sockets,
-    wait_for_close,
-)
+from lavenderfold.http._server_options import CloseReason, ServerOptions
+from lavenderfold.http._stop import IdleConnections, wait_for_close
 from lavenderfold.settings import Address
 
 RECEIVE_BYTES = 65536
-HEADER_BYTES_LIMIT = 32768
-BODY_BYTES_LIMIT = 4 * 1024 * 1024
-IDLE_TIMEOUT_S = 75.0
-REQUEST_READ_TIMEOUT_S = 20.0
 # Callers may learn of a lowered idle timeout this much later than the server, and of
 # a raised one that much sooner.
 IDLE_GRACE_S = 3.0
@@ -50,55 +46,6 @@
 logger = logging.getLogger(__name__)
 
 
-class ServerLimits(msgspec.Struct, frozen=True, kw_only=True):
-    """Limits on the size of a request and on the time that it may take to arrive.
-
-    A caller that reads nothing of a response counts as idle as well.
-    """
-
-    header_bytes: int = HEADER_BYTES_LIMIT
-    body_bytes: int = BODY_BYTES_LIMIT
-    idle_timeout_s: float = IDLE_TIMEOUT_S
-    read_timeout_s: float = REQUEST_READ_TIMEOUT_S
-
-
-class CloseReason(enum.Enum):
-    """Why the connection of a caller ended.
-
-    IDLE: no request came within the idle timeout.
-    LEFT: the caller closed it.
-    ANSWERED: it was closed after a whole answer.
-    CUT: it was closed without a whole answer to a request.
-    """
-
-    IDLE = "idle"
-    LEFT = "left"
-    ANSWERED = "answered"
-    CUT = "cut"
-
-
-def _ignore_close(reason: CloseReason) -> None:
-    """Ignore the end of a connection."""
-
-
-class ServerOptions(msgspec.Struct, kw_only=True):
-    """Options of a server.
-
-    ``limits`` is called for each request and returns the limits in force.
-    ``is_closing`` returns whether responses should close their connections. With
-    ``cancels_on_disconnect`` a handler is cancelled when its caller closes the
-    connection. ``on_closed`` is called with the reason when a connection ends. When
-    ``stop_requested`` is set, the server accepts no more connections, closes those
-    that are idle, answers the requests that have begun to arrive, and ends.
-    """
-
-    limits: Callable[[], ServerLimits] = ServerLimits
-    is_closing: Callable[[], bool] = bool
-    cancels_on_disconnect: bool = False
-    on_closed: Callable[[CloseReason], None] = _ignore_close
-    stop_requested: trio.Event = msgspec.field(default_factory=trio.Event)
-
-
 Handler = Callable[[HttpRequest, ResponseWriter], Awaitable[None]]
 
 
@@ -108,13 +55,15 @@
     def __init__(
         self,
         *,
-        stream: trio.SocketStream,
+        accepted: AcceptedConnection,
         handler: Handler,
         options: ServerOptions,
         idle_connections: IdleConnections,
     ):
         self._idle_connections = idle_connections
-        self._stream = stream
+        self._stream = accepted.stream
+        self._arrival_bound = ArrivalBound(unread_since=accepted.queued_since)
+        self._arrived_after = 0.0
         self._handler = handler
         self._options = options
         self._limits = options.limits()
@@ -132,6 +81,7 @@
             async with self._stream:
                 while await self._serve_one():
                     self._connection.start_next_cycle()
+                    self._arrival_bound.begin_request()
                 if self._is_request_answered:
                     await wait_for_close(self._stream, timeout_s=LINGER_S)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -249,6 +199,7 @@
 
     async def _read_head(self) -> h11.Event | None:
         """Return the next request head, or None if the idle timeout expired first."""
+        self._arrived_after = trio.current_time()
         event = self._connection.next_event()
         if event is not h11.NEED_DATA:
             self._limits = self._options.limits()
@@ -283,10 +234,13 @@
         idle_since = trio.current_time()
         timeout_s = self._options.limits().idle_timeout_s
         while True:
+            self._arrival_bound.begin_wait()
             with trio.move_on_at(idle_since + timeout_s + IDLE_GRACE_S):
                 data = await self._stream.receive_some(RECEIVE_BYTES)
+                self._arrived_after = self._arrival_bound.arrived_after()
                 self._connection.receive_data(data)
                 return True
+            self._arrival_bound.begin_request()
             latest_timeout_s = self._options.limits().idle_timeout_s
             if latest_timeout_s <= timeout_s:
                 return False
@@ -311,6 +265,7 @@
             target=head.target.decode("ascii", "replace"),
             headers=decode_headers(head.headers),
             body=bytes(body),
+            arrived_after=self._arrived_after,
         )
 
     async def _next_event(self) -> h11.Event:
@@ -358,9 +313,9 @@
     options = options or ServerOptions()
     idle_connections = IdleConnections()
 
-    async def serve_connection(stream: trio.SocketStream) -> None:
+    async def serve_connection(accepted: AcceptedConnection) -> None:
         connection = _ServerConnection(
-            stream=stream,
+            accepted=accepted,
             handler=handler,
             options=options,
             idle_connections=idle_connections,
@@ -374,21 +329,26 @@
             logger.exception("connection_failed")
 
     async with trio.open_nursery() as connections:
-        async with trio.open_nursery() as listening:
-            start_listening = partial(
-                trio.serve_tcp,
-                serve_connection,
-                address.port,
-                host=address.host,
-                handler_nursery=connections,
-            )
-            listeners = await listening.start(start_listening)
-            host, port = listeners[0].socket.getsockname()[:2]
-            task_status.started(Address(host=host, port=port))
-            await options.stop_requested.wait()
-            sockets = duplicate_sockets(listeners)
-            listening.cancel_scope.cancel()
-        for stream in accept_waiting(sockets):
-            connections.start_soon(serve_connection, stream)
+
+        def start_serving(accepted: AcceptedConnection) -> None:
+            connections.start_soon(serve_connection, accepted)
+
+        # Closed before the connections end, so that a cancelled server takes no more.
+        with ExitStack() as open_sockets:
+            sockets = await open_listening_sockets(address.host, address.port)
+            for each in sockets:
+                open_sockets.enter_context(each)
+            acceptors = [
+                Acceptor(listening=each, on_accepted=start_serving) for each in sockets
+            ]
+            async with trio.open_nursery() as accepting:
+                for acceptor in acceptors:
+                    accepting.start_soon(acceptor.run)
+                host, port = sockets[0].getsockname()[:2]
+                task_status.started(Address(host=host, port=port))
+                await options.stop_requested.wait()
+                accepting.cancel_scope.cancel()
+            for acceptor in acceptors:
+                acceptor.accept_rest()
         await trio.sleep(LAST_REQUESTS_S)
         idle_connections.close()
--- a/src/lavenderfold/http/_stop.py
+++ b/src/lavenderfold/http/_stop.py
@@ -1,7 +1,5 @@
 """Parts of the stop of a server, and of connections, that lose nothing."""
 
-import os
-import socket
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 
@@ -41,32 +39,6 @@
             scope.cancel()
 
 
-def duplicate_sockets(listeners: list[trio.SocketListener]) -> list[socket.socket]:
-    """Return second handles of listening sockets.
-
-    With these the connections that wait to be accepted outlast the listeners; closing
-    the last handle of a listening socket resets them. Listeners that were closed
-    already, by a cancellation in the same turn, are left out.
-    """
-    descriptors = [listener.socket.fileno() for listener in listeners]
-    return [socket.socket(fileno=os.dup(each)) for each in descriptors if each >= 0]
-
-
-def accept_waiting(sockets: list[socket.socket]) -> list[trio.SocketStream]:
-    """Close listening sockets; return the connections that waited to be accepted.
-
-    Nothing is awaited here, so that no more arrive between the last one and the close.
-    """
-    streams = []
-    for listening in sockets:
-        with listening, suppress(OSError):
-            listening.setblocking(False)
-            while True:
-                accepted = trio.socket.from_stdlib_socket(listening.accept()[0])
-                streams.append(trio.SocketStream(accepted))
-    return streams
-
-
 async def wait_for_close(stream: trio.SocketStream, *, timeout_s: float) -> None:
     """End the sending side, then drop what arrives until the peer closes as well.
 
--- a/tests/patience_simulation.py
+++ b/tests/patience_simulation.py
@@ -259,6 +259,7 @@
             organisation=None,
             writer=writer,
             read_at=read_at,
+            unread_s=0.0,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._leave, call, nursery.cancel_scope)
