Accept all connections that wait, instead of one in a turn of the event loop

Cause: trio's listeners accept one connection in a turn of the event loop. On a saturated processor a turn takes tens of milliseconds, and a new connection waits one turn for each connection before it. The class of the fault: work that waits where nothing measures or bounds the wait.

The bound keeps open streams from waiting for a flood of new connections.

--- a/src/lavenderfold/accepting.py
+++ b/src/lavenderfold/accepting.py
@@ -5,13 +5,15 @@
 import math
 import socket
 from collections.abc import Callable
+from contextlib import ExitStack
 
 import msgspec
 import trio
 
 from lavenderfold.event_loop import event_loop_turns
 
-ACCEPTS_PER_TURN = 1
+# More would keep the connections that are open already waiting for longer.
+ACCEPTS_PER_TURN = 32
 # Connections that may have waited for as long as this are logged, once in a period.
 LOGGED_WAIT_S = 0.5
 LOG_PERIOD_S = 1.0
@@ -134,3 +136,19 @@
             "accepted": self._accepted_count,
         }
         logger.warning("connections_waited", extra=fields)
+
+
+async def accept_until_cancelled(
+    sockets: list[socket.socket], on_accepted: Callable[[AcceptedConnection], None]
+) -> None:
+    """Accept from listening sockets, and close them when cancelled.
+
+    Raises OSError if one of them can't be used.
+    """
+    with ExitStack() as open_sockets:
+        for each in sockets:
+            open_sockets.enter_context(each)
+        async with trio.open_nursery() as nursery:
+            for each in sockets:
+                acceptor = Acceptor(listening=each, on_accepted=on_accepted)
+                nursery.start_soon(acceptor.run)
--- a/src/lavenderfold/links/_transport.py
+++ b/src/lavenderfold/links/_transport.py
@@ -4,12 +4,17 @@
 traffic. The figures are in docs/measurements.md.
 """
 
+import socket
 from collections.abc import Awaitable, Callable
-from functools import partial
 from typing import Any
 
 import trio
 
+from lavenderfold.accepting import (
+    AcceptedConnection,
+    accept_until_cancelled,
+    open_listening_sockets,
+)
 from lavenderfold.links._link import BATCH_WINDOW_S, Link
 from lavenderfold.settings import Address
 
@@ -48,16 +53,19 @@
 
         The bound address is passed to ``task_status``. Raises ListenError.
         """
-        listeners = await self._bind()
-        host, port = listeners[0].socket.getsockname()[:2]
+        sockets = await self._bind()
+        host, port = sockets[0].getsockname()[:2]
         task_status.started(Address(host=host, port=port))
-        await trio.serve_listeners(partial(self._serve_stream, serve_link), listeners)
+        async with trio.open_nursery() as links:
 
-    async def _bind(self) -> list[trio.SocketListener]:
+            def start_link(accepted: AcceptedConnection) -> None:
+                links.start_soon(self._serve_stream, serve_link, accepted.stream)
+
+            await accept_until_cancelled(sockets, start_link)
+
+    async def _bind(self) -> list[socket.socket]:
         try:
-            return await trio.open_tcp_listeners(
-                self._address.port, host=self._address.host
-            )
+            return await open_listening_sockets(self._address.host, self._address.port)
         except OSError as error:
             raise ListenError(self._address, error) from error
 
