Don't handle requests whose callers left before they were read

Cause: the handler started in the same turn in which the request was read, and the watcher of the connection had its first turn after it. The end of the connection, which had been there all along, was seen when the request had been sent on. The server looks at the connection after it has read a request: one more system call a request.

Pipelined bytes are counted over the whole request, also by the new check.

--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -74,6 +74,7 @@
         )
         self._is_caller_disconnected = False
         self._is_request_answered = False
+        self._pipelined_bytes = 0
         self._close_reason = CloseReason.LEFT
 
     async def run(self) -> None:
@@ -93,6 +94,7 @@
         """Serve one request and return whether the connection can be used again."""
         self._close_reason = CloseReason.LEFT
         self._is_request_answered = False
+        self._pipelined_bytes = 0
         writer = ResponseWriter(
             connection=self._connection,
             stream=self._stream,
@@ -107,6 +109,9 @@
             return False
         if request is None:
             return False
+        if self._options.cancels_on_disconnect and await self._has_caller_left():
+            logger.info("caller_left_unread", extra={"path": request.path})
+            return False
         self._close_reason = CloseReason.CUT
         try:
             if self._options.cancels_on_disconnect:
@@ -150,25 +155,42 @@
         if handler_error is not None:
             raise handler_error
 
-    async def _cancel_on_disconnect(self, handler_scope: trio.CancelScope) -> None:
-        pipelined_bytes = 0
+    async def _has_caller_left(self) -> bool:
+        """Return whether the end of the connection has arrived with the request.
+
+        A busy server reads requests long after they arrived.
+        """
         try:
-            while pipelined_bytes <= self._limits.header_bytes:
+            while self._stream.socket.is_readable():
                 data = await self._stream.receive_some(RECEIVE_BYTES)
                 if not data:
-                    break
-                # The caller has sent its next request already. It stays buffered in h11
-                # and is read after this response. Watching ends when more than
-                # header_bytes are buffered.
-                self._connection.receive_data(data)
-                pipelined_bytes += len(data)
-            else:
-                return
+                    return True
+                if not self._keep_pipelined(data):
+                    return False
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            logger.debug("caller_connection_broken")
+            return True
+        return False
+
+    async def _cancel_on_disconnect(self, handler_scope: trio.CancelScope) -> None:
+        try:
+            while data := await self._stream.receive_some(RECEIVE_BYTES):
+                if not self._keep_pipelined(data):
+                    return
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             logger.debug("caller_connection_broken")
         self._is_caller_disconnected = True
         handler_scope.cancel()
 
+    def _keep_pipelined(self, data: bytes) -> bool:
+        """Buffer what a caller sends before it is answered, to be read after that.
+
+        Returns False if it is so much that no more should be received until then.
+        """
+        self._connection.receive_data(data)
+        self._pipelined_bytes += len(data)
+        return self._pipelined_bytes <= self._limits.header_bytes
+
     async def _handle(self, request: HttpRequest, writer: ResponseWriter) -> None:
         try:
             await self._call_handler(request, writer)
