Count the time limits of a request from its arrival

Cause: deadline, timeout and patience counted from the moment at which a request was read. How long it had waited before that was nowhere known.

Evidence: a request that waited 0.4 s at a timeout of 0.6 s was answered after 1.0 s, one that waited 0.8 s was sent to a target; both tests fail before. The bound is at most one turn too early, so limits end at most that much too soon.

--- a/src/lavenderfold/direct/_caller_api.py
+++ b/src/lavenderfold/direct/_caller_api.py
@@ -42,7 +42,7 @@
         request = self._services.codec.read_request(http_request)
         self.active += 1
         try:
-            await self._serve(request, writer, _arrived_after(http_request))
+            await self._serve(request, writer, _waits_since(http_request))
         finally:
             self.active -= 1
             if self.active == 0:
@@ -60,30 +60,14 @@
             execution.stop_unless_answering()
 
     async def _serve(
-        self, request: CallerRequest, writer: ResponseWriter, arrived_after: float
+        self, request: CallerRequest, writer: ResponseWriter, waits_since: float
     ) -> None:
-        read_at = trio.current_time()
-        unread_s = read_at - arrived_after
-        self._services.metrics.record_unread(unread_s)
+        self._services.metrics.record_unread(trio.current_time() - waits_since)
         table = self._config.table
         if table is None:
             table = await self._config.wait_installed(STARTUP_WAIT_S)
-        if self.is_closed:
-            refusal = not_run(Reason.DRAINING, retry_after_s=OTHER_ROUTER_RETRY_AFTER_S)
-            await self._refuse(request, refusal, writer)
-            return
-        if self._services.event_loop_monitor.is_refusing:
-            refusal = not_run(
-                Reason.OVERLOADED, retry_after_s=OTHER_ROUTER_RETRY_AFTER_S
-            )
-            await self._refuse(request, refusal, writer)
-            return
-        if self._services.reachability.is_isolated:
-            refusal = not_run(Reason.ISOLATED, retry_after_s=OTHER_ROUTER_RETRY_AFTER_S)
-            await self._refuse(request, refusal, writer)
-            return
-        if table is None:
-            refusal = not_run(Reason.NOT_READY, retry_after_s=NOT_READY_RETRY_AFTER_S)
+        refusal = self._refuse_all(table)
+        if refusal is not None:
             await self._refuse(request, refusal, writer)
             return
         route = table.route(request.host, request.path)
@@ -94,6 +78,10 @@
         if organisation is None and table.requires_keys and not route.is_public:
             await self._refuse(request, _rejection(401, "unknown_key"), writer)
             return
+        if trio.current_time() >= _answer_due_at(route, request, waits_since):
+            # It was read too late. Another router may still have time for a new one.
+            await self._refuse(request, _at_other_router(Reason.OVERLOADED), writer)
+            return
         execution = RequestExecution(
             services=self._services,
             table=table,
@@ -101,8 +89,7 @@
             route=route,
             organisation=organisation,
             writer=writer,
-            read_at=read_at,
-            unread_s=unread_s,
+            waits_since=waits_since,
         )
         self._executions.add(execution)
         try:
@@ -110,6 +97,18 @@
         finally:
             self._executions.discard(execution)
 
+    def _refuse_all(self, table: RouteTable | None) -> Refusal | None:
+        """Return why no request is served now, if that is so."""
+        if self.is_closed:
+            return _at_other_router(Reason.DRAINING)
+        if self._services.event_loop_monitor.is_refusing:
+            return _at_other_router(Reason.OVERLOADED)
+        if self._services.reachability.is_isolated:
+            return _at_other_router(Reason.ISOLATED)
+        if table is None:
+            return not_run(Reason.NOT_READY, retry_after_s=NOT_READY_RETRY_AFTER_S)
+        return None
+
     async def _refuse(
         self, request: CallerRequest, refusal: Refusal, writer: ResponseWriter
     ) -> None:
@@ -127,11 +126,21 @@
         await writer.send(refusal_response(refusal, headers))
 
 
-def _arrived_after(http_request: HttpRequest) -> float:
+def _waits_since(http_request: HttpRequest) -> float:
     arrived_after = http_request.arrived_after
     return trio.current_time() if arrived_after is None else arrived_after
 
 
+def _answer_due_at(route: Route, request: CallerRequest, waits_since: float) -> float:
+    """Return until when the caller waits for an answer, or for its first event."""
+    limits_s = (route.timeout_s, request.caller_timeout_s, route.patience_s)
+    return waits_since + min(each for each in limits_s if each is not None)
+
+
+def _at_other_router(reason: Reason) -> Refusal:
+    return not_run(reason, retry_after_s=OTHER_ROUTER_RETRY_AFTER_S)
+
+
 def _rejection(status: int, reason: str) -> Refusal:
     return Refusal(status=status, reason=reason, outcome="not_run")
 
--- a/src/lavenderfold/direct/_patience.py
+++ b/src/lavenderfold/direct/_patience.py
@@ -26,32 +26,38 @@
 
     The caller leaves after ``patience_s`` without an event, also before the first one;
     None means that it waits until its deadline. ``first_event_s`` is the usual time to
-    the first event of a target, ``read_at`` is when the request was read. Patience
+    the first event of a target; the caller waits since ``waits_since``. Patience
     begins anew with each event in ``progress``, not with other bytes. Times are those
     of the trio clock.
     """
 
-    __slots__ = ("_patience_s", "_first_event_s", "_margin_s", "_read_at", "_progress")
+    __slots__ = (
+        "_patience_s",
+        "_first_event_s",
+        "_margin_s",
+        "_waits_since",
+        "_progress",
+    )
 
     def __init__(
         self,
         *,
         patience_s: float | None,
         first_event_s: float,
-        read_at: float,
+        waits_since: float,
         progress: RelayProgress,
     ):
         self._patience_s = math.inf if patience_s is None else patience_s
         self._first_event_s = first_event_s
         self._margin_s = min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * self._patience_s)
-        self._read_at = read_at
+        self._waits_since = waits_since
         self._progress = progress
 
     @property
     def leaves_at(self) -> float:
         """When the caller leaves, unless an event is written before."""
         last_event_at = self._progress.last_event_at
-        since = self._read_at if last_event_at is None else last_event_at
+        since = self._waits_since if last_event_at is None else last_event_at
         return since + self._patience_s
 
     def answer_by(self, deadline: float) -> float:
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -39,8 +39,8 @@
 class RequestExecution:
     """Executes one request on a route, up to the last byte of its answer.
 
-    ``read_at`` is when the request was read, on the trio clock. Before that it may
-    have waited for ``unread_s`` seconds.
+    Its caller waits since ``waits_since``, on the trio clock: all time limits count
+    from then, although the request may have been read later.
     """
 
     def __init__(
@@ -52,8 +52,7 @@
         route: Route,
         organisation: Organisation | None,
         writer: ResponseWriter,
-        read_at: float,
-        unread_s: float,
+        waits_since: float,
     ):
         self._services = services
         self._table = table
@@ -61,7 +60,7 @@
         self._route = route
         self._organisation = organisation
         self._writer = writer
-        self._started_at = read_at
+        self._started_at = waits_since
         caller_timeout_s = request.caller_timeout_s or route.timeout_s
         self._deadline = self._started_at + min(caller_timeout_s, route.timeout_s)
         self._caller_deadline = self._started_at + caller_timeout_s
@@ -72,7 +71,7 @@
         self._patience = CallerPatience(
             patience_s=route.patience_s,
             first_event_s=services.first_event_times.usual_s(route),
-            read_at=read_at,
+            waits_since=waits_since,
             progress=self._progress,
         )
         self._reservation = Reservation(
@@ -87,7 +86,9 @@
         self._failure_response: HttpResponse | None = None
         self._running: StartedAttempt | None = None
         self._log = RequestLog(
-            request=request, metrics=services.metrics, unread_s=unread_s
+            request=request,
+            metrics=services.metrics,
+            unread_s=trio.current_time() - waits_since,
         )
         self._choice_reason = ""
         self._not_repeated: str | None = None
