End requests earlier, and refuse them sooner, the slower the event loop is

Cause: a request takes some six turns of the event loop to a target and, from its deadline on, up to eight to its answer, and nothing took the length of a turn into account. At turns of 0.15 s, for which the router refuses nobody, that is 1.2 s.

The monitor measures how long six turns take. The deadline of a request is that much before its route's timeout, by a quarter of it at most; a request for which that much time isn't left is refused at once as overloaded, not run.

--- a/src/lavenderfold/direct/_caller_api.py
+++ b/src/lavenderfold/direct/_caller_api.py
@@ -9,6 +9,7 @@
 from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.direct._sinks import ConfigSink
+from lavenderfold.direct._time_limits import is_too_late, time_limits
 from lavenderfold.fleet import Organisation, Route, RouteTable
 from lavenderfold.http import HttpRequest, ResponseWriter
 from lavenderfold.outcomes import Reason
@@ -78,8 +79,13 @@
         if organisation is None and table.requires_keys and not route.is_public:
             await self._refuse(request, _rejection(401, "unknown_key"), writer)
             return
-        if trio.current_time() >= _answer_due_at(route, request, waits_since):
-            # It was read too late. Another router may still have time for a new one.
+        delay_s = self._services.event_loop_monitor.request_delay_s
+        limits = time_limits(
+            route, request, waits_since=waits_since, request_delay_s=delay_s
+        )
+        now = trio.current_time()
+        if is_too_late(route, limits, now=now, request_delay_s=delay_s):
+            # Another router may still have time for it.
             await self._refuse(request, _at_other_router(Reason.OVERLOADED), writer)
             return
         execution = RequestExecution(
@@ -89,7 +95,7 @@
             route=route,
             organisation=organisation,
             writer=writer,
-            waits_since=waits_since,
+            limits=limits,
         )
         self._executions.add(execution)
         try:
@@ -131,12 +137,6 @@
     return trio.current_time() if arrived_after is None else arrived_after
 
 
-def _answer_due_at(route: Route, request: CallerRequest, waits_since: float) -> float:
-    """Return until when the caller waits for an answer, or for its first event."""
-    limits_s = (route.timeout_s, request.caller_timeout_s, route.patience_s)
-    return waits_since + min(each for each in limits_s if each is not None)
-
-
 def _at_other_router(reason: Reason) -> Refusal:
     return not_run(reason, retry_after_s=OTHER_ROUTER_RETRY_AFTER_S)
 
--- a/src/lavenderfold/direct/_event_loop_monitor.py
+++ b/src/lavenderfold/direct/_event_loop_monitor.py
@@ -5,7 +5,9 @@
 import trio
 
 PROBE_PERIOD_S = 0.1
-# Weight of the newest probe in the moving average of the delay.
+# Turns of the event loop that a request takes from its reading to its answer.
+REQUEST_TURNS = 6
+# Weight of the newest probe in the moving averages.
 DELAY_WEIGHT = 0.3
 # Above this delay the router isn't ready and closes connections after an answer;
 # its answers are already late.
@@ -24,11 +26,13 @@
 
     Without this check, a router whose processor is saturated by one busy
     organisation keeps its callers waiting while other routers in its failure
-    domain are idle.
+    domain are idle. ``delay_s`` is how late tasks run, ``request_delay_s`` how long the
+    turns of a request take, both on average and in seconds.
     """
 
     def __init__(self):
         self.delay_s = 0.0
+        self.request_delay_s = 0.0
         self.is_overloaded = False
         self.is_refusing = False
 
@@ -42,12 +46,20 @@
             event = "router_overloaded" if self.is_overloaded else "router_relieved"
             logger.warning(event, extra={"late_ms": round(self.delay_s * 1000)})
 
+    def record_request_delay(self, delay_s: float) -> None:
+        """Record how long REQUEST_TURNS turns took, in seconds."""
+        self.request_delay_s += (delay_s - self.request_delay_s) * DELAY_WEIGHT
+
     async def run(self) -> None:
         """Probe the event loop until cancelled."""
         while True:
             due_at = trio.current_time() + PROBE_PERIOD_S
             await trio.sleep_until(due_at)
-            self.record_delay(max(0.0, trio.current_time() - due_at))
+            began_at = trio.current_time()
+            self.record_delay(max(0.0, began_at - due_at))
+            for _ in range(REQUEST_TURNS):
+                await trio.lowlevel.checkpoint()
+            self.record_request_delay(trio.current_time() - began_at)
 
     def _exceeds(self, threshold_s: float, did_exceed: bool) -> bool:
         if did_exceed:
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -26,6 +26,7 @@
 from lavenderfold.direct._service_choice import pick_service
 from lavenderfold.direct._take_over import TakeOver
 from lavenderfold.direct._target_selection import TargetSelection
+from lavenderfold.direct._time_limits import TimeLimits
 from lavenderfold.fleet import Organisation, Route, RouteTable, Target
 from lavenderfold.http import HttpResponse, ResponseWriter
 from lavenderfold.outcomes import Reason
@@ -39,8 +40,8 @@
 class RequestExecution:
     """Executes one request on a route, up to the last byte of its answer.
 
-    Its caller waits since ``waits_since``, on the trio clock: all time limits count
-    from then, although the request may have been read later.
+    All its time limits count from when it was sent, although it may have been read
+    later.
     """
 
     def __init__(
@@ -52,7 +53,7 @@
         route: Route,
         organisation: Organisation | None,
         writer: ResponseWriter,
-        waits_since: float,
+        limits: TimeLimits,
     ):
         self._services = services
         self._table = table
@@ -60,10 +61,9 @@
         self._route = route
         self._organisation = organisation
         self._writer = writer
-        self._started_at = waits_since
-        caller_timeout_s = request.caller_timeout_s or route.timeout_s
-        self._deadline = self._started_at + min(caller_timeout_s, route.timeout_s)
-        self._caller_deadline = self._started_at + caller_timeout_s
+        self._started_at = limits.waits_since
+        self._deadline = limits.deadline
+        self._caller_deadline = limits.caller_deadline
         writer.deadline = self._deadline
         self._service_name = pick_service(route, request.attempt_id)
         self._retry_budget = services.retry_budget(self._service_name)
@@ -71,7 +71,7 @@
         self._patience = CallerPatience(
             patience_s=route.patience_s,
             first_event_s=services.first_event_times.usual_s(route),
-            waits_since=waits_since,
+            waits_since=limits.waits_since,
             progress=self._progress,
         )
         self._reservation = Reservation(
@@ -88,7 +88,7 @@
         self._log = RequestLog(
             request=request,
             metrics=services.metrics,
-            unread_s=trio.current_time() - waits_since,
+            unread_s=trio.current_time() - limits.waits_since,
         )
         self._choice_reason = ""
         self._not_repeated: str | None = None
--- a/tests/patience_simulation.py
+++ b/tests/patience_simulation.py
@@ -20,6 +20,7 @@
 from lavenderfold.direct._request_execution import RequestExecution
 from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.direct._router_services import RouterServices
+from lavenderfold.direct._time_limits import time_limits
 from lavenderfold.fleet import Route, RouteTable, Target
 from lavenderfold.http import ResponseLostError
 from lavenderfold.quarantine import PromptQuarantine
@@ -251,14 +252,17 @@
         read_at = call.sent_at + TRANSFER_S
         await trio.sleep_until(read_at + call.startup_s)
         writer = CallWriter(call=call)
+        request = _new_request(call)
         execution = RequestExecution(
             services=self._services,
             table=RouteTable(make_config(routes=(call.route,), organisations=())),
-            request=_new_request(call),
+            request=request,
             route=call.route,
             organisation=None,
             writer=writer,
-            waits_since=read_at,
+            limits=time_limits(
+                call.route, request, waits_since=read_at, request_delay_s=0.0
+            ),
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._leave, call, nursery.cancel_scope)
--- a/tests/test_unread_requests.py
+++ b/tests/test_unread_requests.py
@@ -1,51 +1,33 @@
 """Requests that wait before a busy server reads them."""
 
 import math
-import selectors
-import socket
 import time
 
 import pytest
 import trio
 from trio.testing import MockClock
 
-from lavenderfold.fleet import Organisation, RepeatPolicy
 from lavenderfold.http import HttpRequest, HttpResponse, ServerOptions, serve
 from lavenderfold.settings import Address
 from tests.direct_support import (
     answer_successfully,
     count_target_requests,
-    make_config,
-    make_route,
     run_scenario,
 )
+from tests.raw_callers import (
+    ANSWER_SLACK_S,
+    TIMEOUT_S,
+    CallersInBurst,
+    encode_request,
+    make_short_config,
+    send_raw,
+)
 
 LOOPBACK = "127.0.0.1"
 TURN_S = 0.0625
 CALLERS = 60
 # A few turns: one each to accept, to receive and to handle.
 UNREAD_LIMIT_S = 6 * TURN_S
-TIMEOUT_S = 0.6
-# RULES of the platform: a request is answered this long after its route's timeout.
-ANSWER_SLACK_S = 0.5
-
-
-def encode_request(attempt: str, *, path: str = "/sign/x") -> bytes:
-    lines = [
-        f"POST {path} HTTP/1.1",
-        "host: host",
-        f"x-attempt: {attempt}",
-        "x-key: secret",
-        "content-length: 4",
-    ]
-    return "\r\n".join([*lines, "", "body"]).encode()
-
-
-def send_raw(address: Address, data: bytes) -> socket.socket:
-    """Send bytes on a new connection without a turn of the event loop."""
-    connection = socket.create_connection((address.host, address.port))
-    connection.sendall(data)
-    return connection
 
 
 async def skip_turns(count: int) -> None:
@@ -132,13 +114,6 @@
     assert "left" not in handled
 
 
-def make_short_config():
-    route = make_route("sign", RepeatPolicy.SINGLE_RUN, timeout_s=TIMEOUT_S)
-    # Without a limit, so that no reservation has to be waited for.
-    organisation = Organisation(name="org", keys=("secret",), limit_tokens=None)
-    return make_config(routes=(route,), organisations=(organisation,))
-
-
 def test_request_whose_timeout_passed_before_it_was_read_is_not_run():
     """Guards against requests that targets run when nobody waits for them any more."""
 
@@ -173,32 +148,6 @@
     run_scenario(scenario, hang, config=make_short_config())
 
 
-class CallersInBurst:
-    """Callers that send at once on new connections, in a thread of their own."""
-
-    def __init__(self, *, address: Address, count: int):
-        self._address = address
-        self._count = count
-        self.sent_at_by_id: dict[str, float] = {}
-        self.answered_s: list[float] = []
-
-    def run(self) -> None:
-        """Send all requests and wait for their answers, at most ten seconds."""
-        with selectors.DefaultSelector() as selector:
-            for number in range(self._count):
-                attempt = f"a{number}"
-                self.sent_at_by_id[attempt] = time.monotonic()
-                caller = send_raw(self._address, encode_request(attempt))
-                selector.register(caller, selectors.EVENT_READ, attempt)
-            ends_at = time.monotonic() + 10
-            while selector.get_map() and time.monotonic() < ends_at:
-                for key, _ in selector.select(0.1):
-                    sent_at = self.sent_at_by_id[key.data]
-                    self.answered_s.append(time.monotonic() - sent_at)
-                    selector.unregister(key.fileobj)
-                    key.fileobj.close()
-
-
 def test_requests_of_a_burst_at_a_busy_router_are_not_held_past_their_timeout():
     """Guards against issue 53: sent on to a target when their time was long over."""
     run_s = []
