--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -63,3 +63,21 @@
         assert (await fleet.send_request("/read/x")).status == 503
 
     run_scenario(scenario, answer_successfully)
+
+
+def test_router_whose_turns_take_long_is_overloaded():
+    """Guards against callers that are sent to a router which then refuses them.
+
+    A timer that is late by one short turn shows no overload, but a request takes
+    several turns.
+    """
+    monitor = EventLoopMonitor()
+    for _ in range(10):
+        monitor.record_delay(0.1)
+        monitor.record_request_delay(0.7)
+    assert monitor.is_overloaded
+    assert not monitor.is_refusing
+    for _ in range(10):
+        monitor.record_delay(0.01)
+        monitor.record_request_delay(0.05)
+    assert not monitor.is_overloaded
