Don't count the time in which a caller was still sending its request

Callers that take longer for sending a request than its route's timeout were refused as overloaded. Now the time in which a connection had nothing to receive is left out; what waits unread still counts.

--- a/src/lavenderfold/direct/_caller_api.py
+++ b/src/lavenderfold/direct/_caller_api.py
@@ -133,8 +133,8 @@
 
 
 def _waits_since(http_request: HttpRequest) -> float:
-    arrived_after = http_request.arrived_after
-    return trio.current_time() if arrived_after is None else arrived_after
+    sent_after = http_request.sent_after
+    return trio.current_time() if sent_after is None else sent_after
 
 
 def _at_other_router(reason: Reason) -> Refusal:
--- a/src/lavenderfold/http/_arrivals.py
+++ b/src/lavenderfold/http/_arrivals.py
@@ -13,12 +13,13 @@
     connection had no bytes to receive. Times are those of the trio clock.
     """
 
-    __slots__ = ("_asked_in", "_turns", "_unread_since")
+    __slots__ = ("_asked_at", "_asked_in", "_turns", "_unread_since")
 
     def __init__(self, *, unread_since: float):
         self._turns = event_loop_turns()
         self._unread_since = unread_since
         self._asked_in = self._turns.count
+        self._asked_at = unread_since
 
     def begin_request(self) -> None:
         """Note that the caller sends nothing before now, as it has just been answered.
@@ -30,10 +31,22 @@
     def begin_wait(self) -> None:
         """Note that the connection is asked for bytes now."""
         self._asked_in = self._turns.count
+        self._asked_at = trio.current_time()
 
     def arrived_after(self) -> float:
         """Return the bound for bytes that were received since ``begin_wait``."""
-        if self._turns.count > self._asked_in + 1:
-            # The connection was empty when it was asked.
-            return self._turns.input_since
-        return self._unread_since
+        return self._turns.input_since if self._was_empty else self._unread_since
+
+    def waited_s(self) -> float:
+        """Return how long the caller was waited for since ``begin_wait``, in seconds.
+
+        That is less than what passed until its bytes were received.
+        """
+        if not self._was_empty:
+            return 0.0
+        return max(0.0, self._turns.input_since - self._asked_at)
+
+    @property
+    def _was_empty(self) -> bool:
+        """Whether the connection had nothing to receive when it was asked."""
+        return self._turns.count > self._asked_in + 1
--- a/src/lavenderfold/http/_messages.py
+++ b/src/lavenderfold/http/_messages.py
@@ -34,15 +34,16 @@
 class HttpRequest(msgspec.Struct, kw_only=True):
     """A request with its complete body.
 
-    Header names are lower case; values are Latin-1 text. The first byte of a request
-    that a server has read didn't arrive before ``arrived_after``, on the trio clock.
+    Header names are lower case; values are Latin-1 text. ``sent_after`` is a time, on
+    the trio clock, before which its caller didn't wait for the server: nothing of it
+    had arrived, or the server waited for the caller.
     """
 
     method: str
     target: str
     headers: list[tuple[str, str]] = msgspec.field(default_factory=list)
     body: bytes = b""
-    arrived_after: float | None = None
+    sent_after: float | None = None
 
     @property
     def path(self) -> str:
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -63,7 +63,7 @@
         self._idle_connections = idle_connections
         self._stream = accepted.stream
         self._arrival_bound = ArrivalBound(unread_since=accepted.queued_since)
-        self._arrived_after = 0.0
+        self._sent_after = 0.0
         self._handler = handler
         self._options = options
         self._limits = options.limits()
@@ -221,7 +221,7 @@
 
     async def _read_head(self) -> h11.Event | None:
         """Return the next request head, or None if the idle timeout expired first."""
-        self._arrived_after = trio.current_time()
+        self._sent_after = trio.current_time()
         event = self._connection.next_event()
         if event is not h11.NEED_DATA:
             self._limits = self._options.limits()
@@ -259,7 +259,7 @@
             self._arrival_bound.begin_wait()
             with trio.move_on_at(idle_since + timeout_s + IDLE_GRACE_S):
                 data = await self._stream.receive_some(RECEIVE_BYTES)
-                self._arrived_after = self._arrival_bound.arrived_after()
+                self._sent_after = self._arrival_bound.arrived_after()
                 self._connection.receive_data(data)
                 return True
             self._arrival_bound.begin_request()
@@ -287,7 +287,7 @@
             target=head.target.decode("ascii", "replace"),
             headers=decode_headers(head.headers),
             body=bytes(body),
-            arrived_after=self._arrived_after,
+            sent_after=self._sent_after,
         )
 
     async def _next_event(self) -> h11.Event:
@@ -296,9 +296,11 @@
             if event is not h11.NEED_DATA:
                 return event
             self._check_incomplete()
-            self._connection.receive_data(
-                await self._stream.receive_some(RECEIVE_BYTES)
-            )
+            self._arrival_bound.begin_wait()
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+            # A caller that sends slowly has its whole time for the answer.
+            self._sent_after += self._arrival_bound.waited_s()
+            self._connection.receive_data(data)
 
     def _check_incomplete(self) -> None:
         """Bound what h11 buffers of a head, or of the framing of a body."""
--- a/tests/test_unread_requests.py
+++ b/tests/test_unread_requests.py
@@ -176,3 +176,23 @@
         assert max(run_s, default=-math.inf) <= TIMEOUT_S + ANSWER_SLACK_S
 
     run_scenario(scenario, answer_successfully, config=make_short_config())
+
+
+@pytest.mark.parametrize("is_kept", [False, True])
+def test_request_that_is_sent_slowly_or_late_has_its_whole_time(is_kept):
+    """Guards against refusals of callers that the router itself waited for."""
+
+    async def scenario(fleet):
+        caller = send_raw(fleet.address, encode_request("first") if is_kept else b"")
+        with caller:
+            if is_kept:
+                await trio.lowlevel.wait_readable(caller)
+                assert caller.recv(65536).startswith(b"HTTP/1.1 200 ")
+            # Longer than the timeout of the route, each time.
+            for part in (encode_request("slow")[:-2], b"dy"):
+                await trio.sleep(TIMEOUT_S + 0.2)
+                caller.sendall(part)
+            await trio.lowlevel.wait_readable(caller)
+            assert caller.recv(65536).startswith(b"HTTP/1.1 200 ")
+
+    run_scenario(scenario, answer_successfully, config=make_short_config())
