--- a/src/lavenderfold/event_loop.py
+++ b/src/lavenderfold/event_loop.py
@@ -10,6 +10,8 @@
 
 # A wait for input that took less found input that had arrived before.
 SHORTEST_WAIT_S = 0.005
+# A process runs this soon after the input that it waited for has arrived.
+WAKE_UP_S = 0.02
 # A turn that takes as long as this is logged.
 LOGGED_TURN_S = 0.5
 MS_PER_S = 1000
@@ -46,8 +48,10 @@
     def after_io_wait(self, timeout: float) -> None:
         """Begin a turn."""
         now = trio.current_time()
-        has_waited = now - self._ended_at >= SHORTEST_WAIT_S
-        self.input_since = self._ended_at if has_waited else self._began_at
+        if now - self._ended_at >= SHORTEST_WAIT_S:
+            self.input_since = max(self._ended_at, now - WAKE_UP_S)
+        else:
+            self.input_since = self._began_at
         self._began_at = now
         self.count += 1
 
--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -6,7 +6,7 @@
 from trio.testing import MockClock
 
 from lavenderfold.accepting import Acceptor, open_listening_sockets
-from lavenderfold.event_loop import event_loop_turns
+from lavenderfold.event_loop import WAKE_UP_S, EventLoopTurns, event_loop_turns
 
 LOOPBACK = "127.0.0.1"
 TURN_S = 0.0625
@@ -59,6 +59,21 @@
     trio.run(main)
 
 
+def test_input_after_a_long_idle_wait_is_new():
+    """Guards against requests that count as old because the server was idle."""
+    clock = MockClock()
+
+    async def main():
+        turns = EventLoopTurns(now=trio.current_time())
+        clock.jump(5)
+        turns.before_io_wait(1.0)
+        clock.jump(0.5)
+        turns.after_io_wait(1.0)
+        assert trio.current_time() - turns.input_since <= WAKE_UP_S
+
+    trio.run(main, clock=clock)
+
+
 def test_long_turn_is_logged(caplog):
     """Guards against stalls of the event loop that no line shows."""
     clock = MockClock()
