Keep the wait of the listen queue right at exhaustion and at a stop

Callers would have been refused as too late, or given more time than they have: after an error for lack of descriptors the queue counted as new, and what a stopping server accepts at last counted as queued since the queue was last emptied, however long ago. Both tests failed before.

--- a/src/lavenderfold/accepting.py
+++ b/src/lavenderfold/accepting.py
@@ -87,6 +87,7 @@
             except OSError as error:
                 if error.errno not in EXHAUSTED_ERRORS:
                     raise
+                self._is_emptied = False
                 logger.error("connections_not_accepted", extra={"cause": repr(error)})
                 await trio.sleep(EXHAUSTED_PAUSE_S)
                 continue
@@ -98,6 +99,8 @@
         Nothing is awaited, so that no connection arrives between the last one and the
         close, which would reset it.
         """
+        if self._is_emptied:
+            self._queued_since = event_loop_turns().input_since
         with self._listening:
             try:
                 self._accept(limit=None)
--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -1,11 +1,16 @@
 """Turns of the event loop, and the bounds on arrivals that follow from them."""
 
+import errno
 import socket
 
 import trio
 from trio.testing import MockClock
 
-from lavenderfold.accepting import Acceptor, open_listening_sockets
+from lavenderfold.accepting import (
+    EXHAUSTED_PAUSE_S,
+    Acceptor,
+    open_listening_sockets,
+)
 from lavenderfold.event_loop import WAKE_UP_S, EventLoopTurns, event_loop_turns
 
 LOOPBACK = "127.0.0.1"
@@ -121,3 +126,68 @@
     waits = [each for each in caplog.records if each.msg == "connections_waited"]
     assert len(waits) == 1
     assert (waits[0].waited_ms, waits[0].accepted) == (700, 3)
+
+
+class ExhaustedSocket(socket.socket):
+    """A listening socket that can't be accepted from the first two times."""
+
+    failures_left = 2
+
+    def accept(self):
+        if self.failures_left:
+            self.failures_left -= 1
+            raise OSError(errno.EMFILE, "too many open files")
+        return super().accept()
+
+
+def test_connection_waits_until_the_process_can_accept_it():
+    """Guards against a server that ends, or forgets the wait, without descriptors."""
+    accepted = []
+
+    async def main():
+        event_loop_turns()
+        is_accepted = trio.Event()
+
+        def accept(connection):
+            accepted.append(connection)
+            is_accepted.set()
+
+        (opened,) = await open_listening_sockets(LOOPBACK, 0)
+        with ExhaustedSocket(fileno=opened.detach()) as listening:
+            acceptor = Acceptor(listening=listening, on_accepted=accept)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(acceptor.run)
+                await skip_turns(3)
+                with socket.create_connection(listening.getsockname()):
+                    queued_at = trio.current_time()
+                    await is_accepted.wait()
+                nursery.cancel_scope.cancel()
+        assert trio.current_time() - queued_at >= 2 * EXHAUSTED_PAUSE_S
+        assert accepted[0].queued_since <= queued_at
+        accepted[0].stream.socket.close()
+
+    trio.run(main)
+
+
+def test_connections_that_a_stopping_server_still_accepts_are_new():
+    """Guards against last requests that count as sent when the queue last emptied."""
+    accepted = []
+
+    async def main():
+        (listening,) = await open_listening_sockets(LOOPBACK, 0)
+        address = listening.getsockname()
+        acceptor = Acceptor(listening=listening, on_accepted=accepted.append)
+        with trio.move_on_after(0.1):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(acceptor.run)
+                socket.create_connection(address).close()
+        await trio.sleep(0.2)
+        stopped_at = trio.current_time()
+        with socket.create_connection(address):
+            acceptor.accept_rest()
+        assert len(accepted) == 2
+        assert accepted[1].queued_since >= stopped_at - 0.1
+        for each in accepted:
+            each.stream.socket.close()
+
+    trio.run(main)
