Give answers that have begun the whole timeout of their route

On a slow event loop a stream that had begun was cut up to a quarter of its timeout early. Cause: ends requests earlier to leave time for an answer of the router's own, also when the answer had begun and none could be given. The reserve is now a part of the wait for the first event.

--- a/src/lavenderfold/direct/_patience.py
+++ b/src/lavenderfold/direct/_patience.py
@@ -27,8 +27,9 @@
     The caller leaves after ``patience_s`` without an event, also before the first one;
     None means that it waits until its deadline. ``first_event_s`` is the usual time to
     the first event of a target; the caller waits since ``waits_since``. Patience
-    begins anew with each event in ``progress``, not with other bytes. Times are those
-    of the trio clock.
+    begins anew with each event in ``progress``, not with other bytes. A request without
+    an answer is ended ``answer_reserve_s`` before its deadline. Times are those of the
+    trio clock.
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "_first_event_s",
         "_margin_s",
         "_waits_since",
+        "_answer_reserve_s",
         "_progress",
     )
 
@@ -45,12 +47,14 @@
         patience_s: float | None,
         first_event_s: float,
         waits_since: float,
+        answer_reserve_s: float = 0.0,
         progress: RelayProgress,
     ):
         self._patience_s = math.inf if patience_s is None else patience_s
         self._first_event_s = first_event_s
         self._margin_s = min(ANSWER_MARGIN_S, ANSWER_MARGIN_SHARE * self._patience_s)
         self._waits_since = waits_since
+        self._answer_reserve_s = answer_reserve_s
         self._progress = progress
 
     @property
@@ -68,7 +72,13 @@
         """
         if self._progress.last_event_at is not None:
             return deadline
-        return min(deadline, self._first_event_by)
+        return min(deadline - self._answer_reserve_s, self._first_event_by)
+
+    def ends_before(self, deadline: float) -> bool:
+        """Return whether the caller's patience, not ``deadline``, ends the request."""
+        if self._progress.last_event_at is not None:
+            return False
+        return self._first_event_by < deadline - self._answer_reserve_s
 
     def allows_attempt(self, now: float) -> bool:
         """Whether the first event of an attempt that begins now can be in time."""
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -72,6 +72,7 @@
             patience_s=route.patience_s,
             first_event_s=services.first_event_times.usual_s(route),
             waits_since=limits.waits_since,
+            answer_reserve_s=limits.answer_reserve_s,
             progress=self._progress,
         )
         self._reservation = Reservation(
@@ -170,7 +171,7 @@
 
     def _refuse_late(self) -> Refusal:
         is_uncertain = self._progress.may_have_run
-        if self._answer_by < self._deadline:
+        if self._patience.ends_before(self._deadline):
             return unanswered(Reason.PATIENCE_OVER, is_uncertain=is_uncertain)
         is_uncertain = is_uncertain or self._sent_attempts > 0
         return unanswered(Reason.DEADLINE_PASSED, is_uncertain=is_uncertain)
--- a/src/lavenderfold/direct/_time_limits.py
+++ b/src/lavenderfold/direct/_time_limits.py
@@ -14,13 +14,15 @@
     """The time limits of one request, on the trio clock.
 
     Its caller waits since ``waits_since``, which is before the request was read, and
-    leaves at ``caller_deadline``. The router ends the request at ``deadline``, so that
-    the answer is written by the timeout of the route.
+    leaves at ``caller_deadline``. The timeout of the route ends at ``deadline``. A
+    request without an answer is ended ``answer_reserve_s`` before that, so that what
+    the router answers instead is written in time.
     """
 
     waits_since: float
     deadline: float
     caller_deadline: float
+    answer_reserve_s: float
 
 
 def time_limits(
@@ -29,11 +31,11 @@
     """Return the limits of a request, if the event loop delays it by so much."""
     caller_timeout_s = request.caller_timeout_s or route.timeout_s
     timeout_s = min(caller_timeout_s, route.timeout_s)
-    reserve_s = min(request_delay_s, ANSWER_RESERVE_SHARE * timeout_s)
     return TimeLimits(
         waits_since=waits_since,
-        deadline=waits_since + timeout_s - reserve_s,
+        deadline=waits_since + timeout_s,
         caller_deadline=waits_since + caller_timeout_s,
+        answer_reserve_s=min(request_delay_s, ANSWER_RESERVE_SHARE * timeout_s),
     )
 
 
@@ -41,7 +43,7 @@
     route: Route, limits: TimeLimits, *, now: float, request_delay_s: float
 ) -> bool:
     """Return whether a request that is begun now can't be answered in time."""
-    due_at = limits.deadline
+    due_at = limits.deadline - limits.answer_reserve_s
     if route.patience_s is not None:
         due_at = min(due_at, limits.waits_since + route.patience_s)
     return now + request_delay_s >= due_at
--- a/tests/test_caller_patience.py
+++ b/tests/test_caller_patience.py
@@ -62,6 +62,22 @@
     assert patience.answer_by(99.0) == 12.0 - ANSWER_MARGIN_S
 
 
+def test_only_a_request_without_an_event_is_ended_before_its_deadline():
+    """Guards against streams that are cut early to leave time for another answer."""
+    progress = RelayProgress()
+    patience = CallerPatience(
+        patience_s=None,
+        first_event_s=0.0,
+        waits_since=10.0,
+        answer_reserve_s=0.5,
+        progress=progress,
+    )
+    assert patience.answer_by(14.0) == 13.5
+    assert not patience.ends_before(14.0)
+    progress.last_event_at = 11.0
+    assert patience.answer_by(14.0) == 14.0
+
+
 def test_earlier_deadline_holds():
     """Guards against a patience that replaces the deadline."""
     assert make_patience().answer_by(11.0) == 11.0
