Notice that a connection was empty also when the next turn had bytes

A caller that sent its request in many parts with pauses was refused as overloaded. Cause: input that an idle event loop waited for comes one turn after it was asked for, as input does that was there already, so each pause counted as a wait of the request. Evidence: a request of 85 bytes, one each 30 ms, at a timeout of 0.6 s got 503; the test failed before. Whether the event loop waited tells the two apart.

--- a/src/lavenderfold/accepting.py
+++ b/src/lavenderfold/accepting.py
@@ -79,7 +79,7 @@
         while True:
             asked_in = turns.count
             await trio.lowlevel.wait_readable(self._listening)
-            if self._is_emptied or turns.count > asked_in + 1:
+            if self._is_emptied or turns.was_missing(asked_in):
                 self._queued_since = turns.input_since
                 self._accepted_count = 0
             try:
--- a/src/lavenderfold/event_loop.py
+++ b/src/lavenderfold/event_loop.py
@@ -35,6 +35,7 @@
         self.longest_s = 0.0
         self._began_at = now
         self._ended_at = now
+        self._has_waited = False
 
     def before_io_wait(self, timeout: float) -> None:
         """End a turn."""
@@ -48,13 +49,22 @@
     def after_io_wait(self, timeout: float) -> None:
         """Begin a turn."""
         now = trio.current_time()
-        if now - self._ended_at >= SHORTEST_WAIT_S:
+        self._has_waited = now - self._ended_at >= SHORTEST_WAIT_S
+        if self._has_waited:
             self.input_since = max(self._ended_at, now - WAKE_UP_S)
         else:
             self.input_since = self._began_at
         self._began_at = now
         self.count += 1
 
+    def was_missing(self, asked_in: int) -> bool:
+        """Return whether input that is there now was missing when it was asked for.
+
+        ``asked_in`` is the turn in which that was. If the answer is no, the input may
+        have been there before.
+        """
+        return self.count > asked_in + 1 or self._has_waited
+
 
 def event_loop_turns() -> EventLoopTurns:
     """Return the turns of the running event loop, measured since the first call."""
--- a/src/lavenderfold/http/_arrivals.py
+++ b/src/lavenderfold/http/_arrivals.py
@@ -40,13 +40,12 @@
     def waited_s(self) -> float:
         """Return how long the caller was waited for since ``begin_wait``, in seconds.
 
-        That is less than what passed until its bytes were received.
+        That includes the turn that found its bytes, so that a caller which sends many
+        small parts isn't charged for each of them.
         """
-        if not self._was_empty:
-            return 0.0
-        return max(0.0, self._turns.input_since - self._asked_at)
+        return trio.current_time() - self._asked_at if self._was_empty else 0.0
 
     @property
     def _was_empty(self) -> bool:
         """Whether the connection had nothing to receive when it was asked."""
-        return self._turns.count > self._asked_in + 1
+        return self._turns.was_missing(self._asked_in)
--- a/tests/test_unread_requests.py
+++ b/tests/test_unread_requests.py
@@ -196,3 +196,21 @@
             assert caller.recv(65536).startswith(b"HTTP/1.1 200 ")
 
     run_scenario(scenario, answer_successfully, config=make_short_config())
+
+
+def test_request_that_is_sent_in_many_parts_has_its_whole_time():
+    """Guards against a small error for each part that adds up to a refusal."""
+
+    def send_parts(caller):
+        data = encode_request("parts")
+        for position in range(len(data)):
+            caller.sendall(data[position : position + 1])
+            time.sleep(0.03)
+
+    async def scenario(fleet):
+        with send_raw(fleet.address, b"") as caller:
+            await trio.to_thread.run_sync(send_parts, caller)
+            await trio.lowlevel.wait_readable(caller)
+            assert caller.recv(65536).startswith(b"HTTP/1.1 200 ")
+
+    run_scenario(scenario, answer_successfully, config=make_short_config())
