--- a/tests/test_slow_event_loop.py
+++ b/tests/test_slow_event_loop.py
@@ -15,6 +15,7 @@
 )
 
 REQUESTS = 8
+TURN_S = 0.15
 # Enough for the router to notice that its event loop is slow.
 MONITOR_WAIT_S = 3.0
 # Several times the longer timeout and the time that sending takes.
@@ -26,6 +27,17 @@
     time.sleep(duration_s)
 
 
+async def never_answer(request, writer) -> None:
+    await trio.sleep(30)
+
+
+async def load_event_loop() -> None:
+    """Let each turn of the event loop take TURN_S, until cancelled."""
+    while True:
+        suspend(TURN_S)
+        await trio.lowlevel.checkpoint()
+
+
 @pytest.mark.parametrize("timeout_s", [0.6, 3.0])
 def test_request_ends_on_a_slow_event_loop(timeout_s):
     """Guards against a request that is neither answered nor refused at its timeout.
@@ -35,15 +47,7 @@
     time; what is answered 503 must never reach one.
     """
 
-    async def never(request, writer):
-        await trio.sleep(30)
-
     async def scenario(fleet):
-        async def load_event_loop():
-            while True:
-                suspend(0.15)
-                await trio.lowlevel.checkpoint()
-
         ended_s = []
         refused_ids = set()
 
@@ -76,7 +80,7 @@
     # Without a limit, so that no reservation has to be waited for.
     organisation = Organisation(name="org", keys=("secret",), limit_tokens=None)
     config = make_config(routes=(route,), organisations=(organisation,))
-    run_scenario(scenario, never, config=config)
+    run_scenario(scenario, never_answer, config=config)
 
 
 def test_requests_at_a_slow_router_are_answered_by_their_timeout():
@@ -86,15 +90,7 @@
     timeout to its answer.
     """
 
-    async def never(request, writer):
-        await trio.sleep(30)
-
     async def scenario(fleet):
-        async def load_event_loop():
-            while True:
-                suspend(0.15)
-                await trio.lowlevel.checkpoint()
-
         async with trio.open_nursery() as nursery:
             nursery.start_soon(load_event_loop)
             await trio.sleep(MONITOR_WAIT_S)
@@ -104,4 +100,4 @@
         assert len(callers.answered_s) == REQUESTS
         assert max(callers.answered_s) <= TIMEOUT_S + ANSWER_SLACK_S
 
-    run_scenario(scenario, never, config=make_short_config())
+    run_scenario(scenario, never_answer, config=make_short_config())
