Decode regions, warm-up, evacuation and process limits

The configuration names the regions in which requests may be served and how long targets of a service are cold; the settings name each zone's region, the bounds of warm-up and evacuation, and the limits of the process. None of it was decoded. The values are now in the product's types and have no effect yet.

--- a/src/lavenderfold/direct/_requests.py
+++ b/src/lavenderfold/direct/_requests.py
@@ -54,7 +54,10 @@
 
 
 class TargetCall(msgspec.Struct, frozen=True, kw_only=True):
-    """A caller's request as it is sent to a target."""
+    """A caller's request as it is sent to a target.
+
+    ``priority`` 0 is the most urgent; None leaves the order to the target.
+    """
 
     request: CallerRequest
     route: Route
@@ -62,6 +65,7 @@
     organisation: str | None
     remaining_s: float
     last_event_id: str | None
+    priority: int | None = None
 
 
 class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -66,6 +66,12 @@
     ``retry_share`` is the fraction of its requests that a router may retry, and
     ``fleet_retry_reserve`` the number of retries beyond that in a burst, of all
     routers together.
+    ``region`` is that of the router, ``region_by_domain`` those of failure domains.
+    Failure domains are evacuated by keys under ``evacuations_prefix``, if it is given.
+    All routers together send a cold target its rate times ``warm_up_overshoot`` and
+    ``warm_up_tolerance`` requests per second at most. ``balances_by_cost`` chooses
+    targets by expected cost. ``memory_limit_bytes`` and ``descriptor_limit`` bound the
+    process; None is no bound.
     """
 
     name: str
@@ -81,6 +87,14 @@
     targets_prefix: str
     ledger_prefix: str
     crashes_key: str
+    region: str = ""
+    region_by_domain: dict[str, str] = {}
+    evacuations_prefix: str | None = None
+    warm_up_overshoot: float = 1.0
+    warm_up_tolerance: float = 0.0
+    balances_by_cost: bool = False
+    memory_limit_bytes: int | None = None
+    descriptor_limit: int | None = None
 
 
 class DirectRouter:
--- a/src/lavenderfold/fleet/_config.py
+++ b/src/lavenderfold/fleet/_config.py
@@ -28,7 +28,8 @@
 
     ``priority`` 0 is the most urgent. ``is_public`` routes need no API key. After
     ``patience_s`` without an event, also before the first one, callers abandon a
-    stream; None if they wait until their deadline.
+    stream; None if they wait until their deadline. Without ``allowed_regions`` its
+    requests may be served anywhere.
     """
 
     name: str
@@ -44,6 +45,7 @@
     attempt_limit: int = 1
     is_public: bool = False
     is_resumable: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def is_repeatable(self) -> bool:
@@ -56,7 +58,9 @@
 class Service(msgspec.Struct, frozen=True, kw_only=True):
     """A set of interchangeable targets.
 
-    ``tokens_per_event`` is the number of output tokens in one stream event.
+    ``tokens_per_event`` is the number of output tokens in one stream event. A target
+    is cold for ``warm_up_s`` seconds after its start, and bears ``warm_up_rate``
+    requests per second while it is.
     """
 
     name: str
@@ -64,6 +68,8 @@
     health_path: str = ""
     tokens_per_event: int = 0
     cache_capacity_tokens: int = 0
+    warm_up_s: float = 0.0
+    warm_up_rate: float = 0.0
 
     @property
     def is_model(self) -> bool:
@@ -71,12 +77,16 @@
 
 
 class Organisation(msgspec.Struct, frozen=True, kw_only=True):
-    """A prepaid customer. Without ``limit_tokens`` its spending is unlimited."""
+    """A prepaid customer. Without ``limit_tokens`` its spending is unlimited.
+
+    Without ``allowed_regions`` its requests may be served anywhere.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
     limit_tokens: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
 
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
