Bound the wait of ledger writers after a conflict

Cause: after a conflict a writer waits for a random part of as many times its own write took as there are writers, twice. A write that begins as the store returns takes 0.6 s instead of 8 ms, so a router among 31 waited for up to 37 s between two attempts; its orders waited with it. Ruled out: the path to the store (regained at 14 s, listings of the ledger succeeded), combiners, tokens (ten times the needed ones were free).

The wait is now half a second at most; requests wait for 0.7 s. tests/test_ledger_after_outage.py fails before with two of three draws.

--- a/src/lavenderfold/escrow/_writer.py
+++ b/src/lavenderfold/escrow/_writer.py
@@ -35,6 +35,9 @@
 # each further conflict, up to so many writes for each process that may be writing too.
 CONFLICT_DELAY_WRITES = 2
 CONFLICT_DELAY_WRITES_PER_WRITER = 2
+# Writes that were slow because the store had just returned don't show how long others
+# will take. Requests wait meanwhile, for 0.7 s at most.
+CONFLICT_DELAY_LIMIT_S = 0.5
 MAX_WRITE_ATTEMPTS = 16
 # For this time after requests waited for more than was available, all routers are told
 # to hand back what they don't use.
@@ -196,7 +199,7 @@
     """
     most_writes = max(1, writers) * CONFLICT_DELAY_WRITES_PER_WRITER
     writes = min(most_writes, CONFLICT_DELAY_WRITES * 2**attempt)
-    return random.uniform(0, writes * write_s)
+    return random.uniform(0, min(CONFLICT_DELAY_LIMIT_S, writes * write_s))
 
 
 def _transfers_by_organisation(
