Have routers turn back to combiners after ledger conflicts

A router that knows relays now gives a write up after one second of conflicts, and its next order goes to a combiner. Without relays nothing changes. tests/test_ledger_after_outage.py covers it.

--- a/src/lavenderfold/escrow/_balance_manager.py
+++ b/src/lavenderfold/escrow/_balance_manager.py
@@ -3,6 +3,7 @@
 import enum
 import itertools
 import logging
+import math
 
 import msgspec
 import trio
@@ -32,6 +33,9 @@
 # Once the ledger has confirmed no order for this time, requests no longer wait for a
 # grant.
 LEDGER_UNAVAILABLE_S = 1.0
+# After an outage all routers may write at once, and their conflicts would last for as
+# long as it takes all of them. After this time they turn to a combiner again.
+CONFLICT_LIMIT_S = 1.0
 # Delay after a failed call, so that a recovering store doesn't get the calls of all
 # routers at once.
 FAILURE_DELAY_S = 0.25
@@ -89,7 +93,10 @@
             balances=self.balances, holder=holder, directory=relays
         )
         self._pages = LedgerPages(store=store, prefix=prefix)
-        writer = LedgerWriter(pages=self._pages)
+        writer = LedgerWriter(
+            pages=self._pages,
+            conflict_limit_s=math.inf if relays is None else CONFLICT_LIMIT_S,
+        )
         self._order_sender = OrderSender(writer=writer, timers=timers, relays=relays)
         self._reclaimer = Reclaimer(
             pages=self._pages,
--- a/src/lavenderfold/escrow/_order_sender.py
+++ b/src/lavenderfold/escrow/_order_sender.py
@@ -7,6 +7,7 @@
 from lavenderfold.escrow._combiner import CombinerRefusedError, OrderCombinerClient
 from lavenderfold.escrow._orders import (
     BalanceView,
+    LedgerContendedError,
     LedgerOrder,
     LedgerUnavailableError,
     urgent_part,
@@ -81,6 +82,10 @@
                 return views
         try:
             views = await self._write(order)
+        except LedgerContendedError:
+            # The store is back, so the next order goes to a combiner again.
+            self._refusals.record_other_path(LEDGER)
+            raise
         except LedgerUnavailableError:
             self._refusals.record_store_failure(LEDGER)
             raise
--- a/src/lavenderfold/escrow/_orders.py
+++ b/src/lavenderfold/escrow/_orders.py
@@ -9,6 +9,10 @@
     """An order wasn't confirmed; it may still take effect, but only once."""
 
 
+class LedgerContendedError(LedgerUnavailableError):
+    """Other writers changed the pages each time; nothing was written."""
+
+
 class Limit(msgspec.Struct, frozen=True, array_like=True):
     """The tokens that an organisation has prepaid, as of a configuration version."""
 
--- a/src/lavenderfold/escrow/_writer.py
+++ b/src/lavenderfold/escrow/_writer.py
@@ -20,6 +20,7 @@
 from lavenderfold.escrow._orders import (
     BalanceSummary,
     BalanceView,
+    LedgerContendedError,
     LedgerOrder,
     LedgerUnavailableError,
     Limit,
@@ -54,18 +55,29 @@
     Any number of writers may work at the same time: a write succeeds only if no other
     writer has changed the pages since they were read. ``competitors`` is the number
     of other writers to expect; if it is None, all routers with grants may be writing.
+    After conflicts for ``conflict_limit_s`` an order fails, so that its sender can
+    try another path.
     """
 
-    def __init__(self, *, pages: LedgerPages, competitors: int | None = None):
+    def __init__(
+        self,
+        *,
+        pages: LedgerPages,
+        competitors: int | None = None,
+        conflict_limit_s: float = math.inf,
+    ):
         self._pages = pages
+        self._conflict_limit_s = conflict_limit_s
         self._competitors = competitors
         self._short_at_by_organisation: dict[str, float] = {}
 
     async def apply(self, orders: list[LedgerOrder]) -> list[dict[str, BalanceView]]:
         """Apply orders; return the resulting views of each, by organisation.
 
-        Raises LedgerUnavailableError if the write wasn't confirmed.
+        Raises LedgerUnavailableError if the write wasn't confirmed, and
+        LedgerContendedError if that is because of other writers.
         """
+        gives_up_at = trio.current_time() + self._conflict_limit_s
         if all(each.is_read_only for each in orders):
             await self._refresh_pages(orders)
         for attempt in range(MAX_WRITE_ATTEMPTS):
@@ -76,6 +88,8 @@
             except WriteConflictError as conflict:
                 write_s = trio.current_time() - started_at
                 self._pages.install(conflict.items)
+                if trio.current_time() >= gives_up_at:
+                    break
                 writers = self._competitors or self._router_count(draft_by_key)
                 await trio.sleep(_conflict_delay_s(attempt, writers, write_s))
                 if attempt:
@@ -91,7 +105,7 @@
             else:
                 self._record_shortages(orders)
                 return self._views(orders)
-        raise LedgerUnavailableError(f"{MAX_WRITE_ATTEMPTS} writes met other writers")
+        raise LedgerContendedError(f"{attempt + 1} writes met other writers")
 
     async def _refresh_pages(self, orders: list[LedgerOrder]) -> None:
         """Read the ledger if the pages of read-only orders are too old."""
--- a/tests/test_ledger_after_outage.py
+++ b/tests/test_ledger_after_outage.py
@@ -6,7 +6,7 @@
 
 from lavenderfold.escrow import LedgerPages, LedgerWriter
 from lavenderfold.escrow._ledger import Transfer
-from lavenderfold.escrow._orders import LedgerOrder, Limit
+from lavenderfold.escrow._orders import LedgerContendedError, LedgerOrder, Limit
 from lavenderfold.shared import WriteConflictError
 from standins.memory_store import MemoryStore
 
@@ -61,3 +61,19 @@
         assert views[0]["org"].grant.total > 0
 
     trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_order_that_meets_other_writers_is_given_up_for_a_combiner():
+    """Guards against a router that writes by itself for 10 s after an outage."""
+
+    async def main():
+        store = ReturningStore()
+        pages = LedgerPages(store=store, prefix="ledger/")
+        writer = LedgerWriter(pages=pages, conflict_limit_s=1.0)
+        await writer.apply([new_order(0)])
+        store.conflicts_left = 100
+        with trio.fail_after(3.0), pytest.raises(LedgerContendedError):
+            await writer.apply([new_order(1)])
+        assert store.conflicts_left > 90
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
