Take a router with a full network link out of rotation

Streams count their bytes. A router whose link is used by more than 75% on average isn't ready and closes connections after an answer, so that callers reach other routers, until it is below 50%. Without a capacity in the settings nothing changes.

--- a/src/lavenderfold/accepting.py
+++ b/src/lavenderfold/accepting.py
@@ -11,6 +11,7 @@
 import trio
 
 from lavenderfold.event_loop import event_loop_turns
+from lavenderfold.link_traffic import CountedStream
 
 # More would keep the connections that are open already waiting for longer.
 ACCEPTS_PER_TURN = 32
@@ -121,7 +122,7 @@
                 continue
             accepted_count += 1
             self._accepted_count += 1
-            stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+            stream = CountedStream(trio.socket.from_stdlib_socket(accepted))
             connection = AcceptedConnection(
                 stream=stream, queued_since=self._queued_since
             )
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -11,6 +11,7 @@
 from lavenderfold.direct._caller_limits import CallerLimitHistory
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
+from lavenderfold.direct._link_monitor import LinkMonitor
 from lavenderfold.direct._load import LoadTracker
 from lavenderfold.direct._metrics import RouterMetrics, RouterSnapshot
 from lavenderfold.direct._notices import TargetNotices
@@ -71,7 +72,8 @@
     All routers together send a cold target its rate times ``warm_up_overshoot`` and
     ``warm_up_tolerance`` requests per second at most. ``balances_by_cost`` chooses
     targets by expected cost. ``memory_limit_bytes`` and ``descriptor_limit`` bound the
-    process; None is no bound.
+    process; None is no bound. ``link_bytes_per_s`` is the capacity of the VM's link in
+    each direction, None if it isn't known.
     """
 
     name: str
@@ -95,6 +97,7 @@
     balances_by_cost: bool = False
     memory_limit_bytes: int | None = None
     descriptor_limit: int | None = None
+    link_bytes_per_s: float | None = None
 
 
 class DirectRouter:
@@ -122,6 +125,7 @@
         self._metrics = RouterMetrics()
         self.reachability = Reachability(timers=timers)
         self.event_loop_monitor = EventLoopMonitor()
+        self.link_monitor = LinkMonitor(capacity_bytes_per_s=options.link_bytes_per_s)
         self._store_calls = store_calls
         store_calls.subscribe(self._metrics.record_store_call)
         self._balance_manager = BalanceManager(
@@ -210,6 +214,7 @@
             and self._balance_manager.loaded.is_set()
             and not self.reachability.is_isolated
             and not self.event_loop_monitor.is_overloaded
+            and not self.link_monitor.is_saturated
         )
 
     def reload(self, options: RouterOptions) -> None:
@@ -255,6 +260,7 @@
             nursery.start_soon(self._balance_manager.run)
             nursery.start_soon(self._clean_up_periodically)
             nursery.start_soon(self.event_loop_monitor.run)
+            nursery.start_soon(self.link_monitor.run)
             await self._start_servers(nursery)
             await self._draining.wait()
             await self._finish()
@@ -263,7 +269,11 @@
 
     def _is_closing(self) -> bool:
         """Whether to close connections, so that callers go to another router."""
-        return self._draining.is_set() or self.event_loop_monitor.is_overloaded
+        return (
+            self._draining.is_set()
+            or self.event_loop_monitor.is_overloaded
+            or self.link_monitor.is_saturated
+        )
 
     async def _start_servers(self, nursery: trio.Nursery) -> None:
         options = ServerOptions(
@@ -317,6 +327,7 @@
             "draining": self._draining.is_set(),
             "isolated": self.reachability.is_isolated,
             "overloaded": self.event_loop_monitor.is_overloaded,
+            "link_saturated": self.link_monitor.is_saturated,
         }
         now = self._timers.now()
         options = self._options
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -20,6 +20,7 @@
     encode_headers,
 )
 from lavenderfold.http._resets import reset_on_close
+from lavenderfold.link_traffic import CountedStream
 from lavenderfold.settings import Address
 
 RECEIVE_BYTES = 65536
@@ -51,7 +52,7 @@
     except BaseException:
         stream_socket.close()
         raise
-    return trio.SocketStream(stream_socket)
+    return CountedStream(stream_socket)
 
 
 class HttpClientError(Exception):
@@ -141,7 +142,7 @@
         "exchange_ids",
     )
 
-    def __init__(self, *, address: Address, stream: trio.SocketStream):
+    def __init__(self, *, address: Address, stream: CountedStream):
         self.address = address
         self.stream = stream
         self.protocol = h11.Connection(h11.CLIENT)
--- /dev/null
+++ b/src/lavenderfold/link_traffic.py
@@ -0,0 +1,61 @@
+"""Bytes that a process sends and receives over its TCP connections."""
+
+import trio
+
+# Headers of the packets that carry one write, at least.
+WRITE_OVERHEAD_BYTES = 66
+
+_traffic_of_run: trio.lowlevel.RunVar["LinkTraffic"] = trio.lowlevel.RunVar("traffic")
+
+
+class LinkTraffic:
+    """Counts the bytes of all counted streams since the start."""
+
+    __slots__ = ("sent_bytes", "received_bytes")
+
+    def __init__(self):
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+
+class CountedStream(trio.abc.HalfCloseableStream):
+    """A TCP connection whose bytes are counted in the traffic of its event loop.
+
+    It has the socket options of ``trio.SocketStream``, which can't be subclassed.
+    """
+
+    __slots__ = ("socket", "setsockopt", "getsockopt", "_stream", "_traffic")
+
+    def __init__(self, socket: trio.socket.SocketType):
+        self._stream = trio.SocketStream(socket)
+        self._traffic = link_traffic()
+        self.socket = socket
+        self.setsockopt = self._stream.setsockopt
+        self.getsockopt = self._stream.getsockopt
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        await self._stream.send_all(data)
+        self._traffic.sent_bytes += len(data) + WRITE_OVERHEAD_BYTES
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await self._stream.wait_send_all_might_not_block()
+
+    async def send_eof(self) -> None:
+        await self._stream.send_eof()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
+        data = await self._stream.receive_some(max_bytes)
+        self._traffic.received_bytes += len(data) + WRITE_OVERHEAD_BYTES
+        return data
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+
+def link_traffic() -> LinkTraffic:
+    """Return the traffic of the running event loop."""
+    traffic = _traffic_of_run.get(None)
+    if traffic is None:
+        traffic = LinkTraffic()
+        _traffic_of_run.set(traffic)
+    return traffic
--- /dev/null
+++ b/tests/test_link_monitor.py
@@ -0,0 +1,70 @@
+"""Routers whose network link is full while others of their failure domain idle."""
+
+import trio
+
+from lavenderfold.direct._link_monitor import SAMPLE_PERIOD_S, LinkMonitor
+from lavenderfold.link_traffic import CountedStream, link_traffic
+from tests.direct_support import answer_successfully, run_scenario
+
+CAPACITY = 625_000
+
+
+def play(monitor: LinkMonitor, *, share: float, duration_s: float) -> None:
+    """Use a share of the capacity for sending, for some seconds."""
+    for _ in range(round(duration_s / SAMPLE_PERIOD_S)):
+        sent_bytes = round(share * CAPACITY * SAMPLE_PERIOD_S)
+        monitor.record(
+            sent_bytes=sent_bytes, received_bytes=0, elapsed_s=SAMPLE_PERIOD_S
+        )
+
+
+def test_callers_of_one_busy_organisation_fill_the_link():
+    """Guards against a router that stays in rotation while its answers queue."""
+    monitor = LinkMonitor(capacity_bytes_per_s=CAPACITY)
+    play(monitor, share=0.6, duration_s=10)
+    assert not monitor.is_saturated
+    play(monitor, share=0.98, duration_s=3)
+    assert monitor.is_saturated
+    play(monitor, share=0.6, duration_s=10)
+    assert monitor.is_saturated
+    play(monitor, share=0.3, duration_s=3)
+    assert not monitor.is_saturated
+
+
+def test_large_configuration_does_not_move_callers():
+    """Guards against routers that all leave the rotation when a version arrives."""
+    monitor = LinkMonitor(capacity_bytes_per_s=CAPACITY)
+    play(monitor, share=0.4, duration_s=5)
+    play(monitor, share=1.0, duration_s=0.5)
+    assert not monitor.is_saturated
+
+
+def test_unknown_capacity_is_never_used_up():
+    monitor = LinkMonitor(capacity_bytes_per_s=None)
+    play(monitor, share=5.0, duration_s=5)
+    assert not monitor.is_saturated
+
+
+def test_traffic_of_both_directions_is_counted():
+    async def main():
+        left, right = trio.socket.socketpair()
+        async with CountedStream(left) as sender, CountedStream(right) as receiver:
+            await sender.send_all(bytes(1000))
+            await receiver.receive_some(4096)
+            assert link_traffic().sent_bytes >= 1000
+            assert link_traffic().received_bytes >= 1000
+
+    trio.run(main)
+
+
+def test_router_with_a_full_link_is_not_ready_and_closes_connections():
+    """Guards against callers that stay with the one router that can't answer."""
+
+    async def scenario(fleet):
+        fleet.router.link_monitor.is_saturated = True
+        assert not fleet.router.is_ready
+        answer = await fleet.send_request("/read/x")
+        assert answer.status == 200
+        assert ("connection", "close") in answer.headers
+
+    run_scenario(scenario, answer_successfully)
