Ask a second combiner when the first one takes unusually long

Another combiner is now asked after three times the usual time of an order, and the first answer counts. An order takes effect once, by its number. Routers that start together don't know a usual time yet and wait for 1.2 s, so the batches after a restart aren't doubled. The new test fails before.

--- a/src/lavenderfold/escrow/_order_sender.py
+++ b/src/lavenderfold/escrow/_order_sender.py
@@ -29,12 +29,32 @@
 # of all processes relays come up while routers already send orders.
 NEXT_COMBINER_DELAY_S = 0.05
 
+# Another combiner is asked after this many times the usual time of an order.
+HEDGE_FACTOR = 3.0
+# The usual time before orders have shown it, so that routers that start together don't
+# ask two combiners at once, and its least value.
+FIRST_USUAL_ORDER_S = 0.4
+MIN_USUAL_ORDER_S = 0.1
+# Weight of the newest order in the moving average of their times.
+ORDER_TIME_WEIGHT = 0.2
+
 # What combiners refuse to write.
 LEDGER = "ledger"
 
 logger = logging.getLogger(__name__)
 
 
+class _CombinerAttempt:
+    """The calls of combiners for one order; ``ended`` is set when one of them ends."""
+
+    __slots__ = ("running", "views", "ended")
+
+    def __init__(self):
+        self.running = 0
+        self.views: dict[str, BalanceView] | None = None
+        self.ended = trio.Event()
+
+
 class OrderSender:
     """Sends orders to the relay that all routers prefer, whose combiner writes them.
 
@@ -52,6 +72,7 @@
     ):
         self._writer = writer
         self._client = OrderCombinerClient()
+        self._usual_order_s = FIRST_USUAL_ORDER_S
         self._combiners: RelaySelector | None = None
         self._refusals: RelayRefusals | None = None
         if relays is not None:
@@ -69,17 +90,10 @@
         """
         if self._combiners is None:
             return await self._write(order)
-        tried: list[Relay] = []
-        while len(tried) < MAX_COMBINERS:
-            await trio.sleep(NEXT_COMBINER_DELAY_S * len(tried))
-            untried = [each for each in self._combiners.ranked() if each not in tried]
-            if not untried:
-                break
-            tried.append(untried[0])
-            views = await self._submit_to_combiner(untried[0], order)
-            if views is not None:
-                self._refusals.record_other_path(LEDGER)
-                return views
+        views = await self._submit_to_combiners(order)
+        if views is not None:
+            self._refusals.record_other_path(LEDGER)
+            return views
         try:
             views = await self._write(order)
         except LedgerContendedError:
@@ -95,6 +109,52 @@
     async def _write(self, order: LedgerOrder) -> dict[str, BalanceView]:
         return (await self._writer.apply([urgent_part(order)]))[0]
 
+    async def _submit_to_combiners(
+        self, order: LedgerOrder
+    ) -> dict[str, BalanceView] | None:
+        """Return the views from the first combiner that answers, or None.
+
+        A combiner is also asked if the one before it takes unusually long: requests
+        wait for 0.7 s, and a VM without power is noticed no sooner. An order that
+        arrives twice takes effect once.
+        """
+        attempt = _CombinerAttempt()
+        tried: list[Relay] = []
+
+        async def submit(combiner: Relay) -> None:
+            attempt.running += 1
+            started_at = trio.current_time()
+            views = await self._submit_to_combiner(combiner, order)
+            attempt.running -= 1
+            if views is not None:
+                self._record_order_time(trio.current_time() - started_at)
+                attempt.views = views
+            attempt.ended.set()
+
+        async with trio.open_nursery() as nursery:
+            while attempt.views is None and len(tried) < MAX_COMBINERS:
+                await trio.sleep(NEXT_COMBINER_DELAY_S * len(tried))
+                if attempt.views is not None:
+                    break
+                ranked = self._combiners.ranked()
+                untried = [each for each in ranked if each not in tried]
+                if not untried:
+                    break
+                tried.append(untried[0])
+                attempt.ended = trio.Event()
+                nursery.start_soon(submit, untried[0])
+                with trio.move_on_after(self._usual_order_s * HEDGE_FACTOR):
+                    await attempt.ended.wait()
+            while attempt.views is None and attempt.running:
+                attempt.ended = trio.Event()
+                await attempt.ended.wait()
+            nursery.cancel_scope.cancel()
+        return attempt.views
+
+    def _record_order_time(self, order_s: float) -> None:
+        usual_s = max(MIN_USUAL_ORDER_S, order_s)
+        self._usual_order_s += (usual_s - self._usual_order_s) * ORDER_TIME_WEIGHT
+
     async def _submit_to_combiner(
         self, combiner: Relay, order: LedgerOrder
     ) -> dict[str, BalanceView] | None:
--- a/tests/test_ledger_orders.py
+++ b/tests/test_ledger_orders.py
@@ -386,3 +386,46 @@
                 nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_order_is_not_held_up_by_a_combiner_that_falls_silent():
+    """Guards against requests that are refused while a VM without power is asked.
+
+    They wait for 0.7 s, and a call without a response was given up after 0.8 s.
+    """
+
+    async def main():
+        store = MemoryStore()
+        combiner = OrderCombiner(writer=new_writer(store))
+        served: list[int] = []
+        silent: set[int] = set()
+
+        def new_handler(number):
+            async def handle(request, writer):
+                served.append(number)
+                if number in silent:
+                    await trio.sleep_forever()
+                await writer.send(await combiner.answer(request.body))
+
+            return handle
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(combiner.run)
+            relays = RelayDirectory(store=store, prefix="relays/", failure_domain="d")
+            for number in range(2):
+                listen = Address(host="127.0.0.1", port=0)
+                start = partial(serve, new_handler(number), address=listen)
+                address = await nursery.start(start)
+                relays.relays.append(Relay(address, "d", f"r{number}", store_ms=1))
+            sender = OrderSender(
+                writer=LedgerWriter(pages=None), timers=TimerService(), relays=relays
+            )
+            for number in range(12):
+                await sender.submit(new_order(f"router/{number}"))
+            silent.add(served[-1])
+            with trio.fail_after(0.7):
+                views = await sender.submit(new_order("router/last"))
+            assert views["org-0"].grant.total == 100
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
