Choose targets by cost where the settings say that they are pooled

Cause: the choice by expected cost had no user.

Change: RouterOptions.balances_by_cost has TargetSelection pass the filtered targets to the balancer, and the attempts' recorder tell it of sends, first events, errors and ends. The adapter sets it if the list guarantees of the settings has "pool". The request line shows cost and age of the evidence, the metric lavenderfold_send_spread the spread of own sends. Without the option no part of this runs.

DirectFleet.start_router takes changed options.

--- a/src/lavenderfold/direct/_attempt_recorder.py
+++ b/src/lavenderfold/direct/_attempt_recorder.py
@@ -1,6 +1,7 @@
 """What the attempts of a request show of their targets, and of the path to them."""
 
 from lavenderfold.direct._attempt import Attempt
+from lavenderfold.direct._balancing import BalancingRecorder
 from lavenderfold.direct._crash_check import record_crash
 from lavenderfold.direct._outcome import AttemptOutcome
 from lavenderfold.direct._requests import AnswerHead, CallerRequest
@@ -17,18 +18,28 @@
 class AttemptRecorder:
     """Records the attempts of one request in the state that all requests share."""
 
-    __slots__ = ("_services", "_request", "_route", "_silent_ids")
+    __slots__ = ("_services", "_request", "_route", "_silent_ids", "_balancing")
 
     def __init__(
-        self, *, services: RouterServices, request: CallerRequest, route: Route
+        self,
+        *,
+        services: RouterServices,
+        request: CallerRequest,
+        route: Route,
+        service_name: str,
     ):
         self._services = services
         self._request = request
         self._route = route
         self._silent_ids: set[str] = set()
+        self._balancing: BalancingRecorder | None = None
+        if services.balancing is not None:
+            self._balancing = services.balancing.recorder(service_name, request)
 
     def record_start(self, target: Target) -> None:
         self._services.load_tracker.record_start(target, now=self._now())
+        if self._balancing is not None:
+            self._balancing.record_start(target)
 
     def record_end(
         self, attempt: Attempt, target: Target, outcome: AttemptOutcome | None
@@ -36,6 +47,8 @@
         """Record that an attempt has ended; it was cancelled if it has no outcome."""
         load_tracker = self._services.load_tracker
         load_tracker.record_end(target, now=self._now())
+        if self._balancing is not None:
+            self._balancing.record_end(attempt, target, outcome)
         is_unfinished = outcome is None or outcome in UNFINISHED_OUTCOMES
         if is_unfinished and attempt.is_stalled and target.id not in self._silent_ids:
             load_tracker.record_failure(target, now=self._now())
@@ -44,6 +57,11 @@
         """Record that a part of an answer arrived."""
         self._services.load_tracker.record_sign(target, now=self._now())
 
+    def record_relaying(self, target: Target) -> None:
+        """Record that a part of a target's answer is about to be relayed."""
+        if self._balancing is not None:
+            self._balancing.record_relaying(target)
+
     def record_head(self, target: Target, head: AnswerHead) -> None:
         """Record what the head of an answer says of its target."""
         request_id = self._request.attempt_id
--- a/src/lavenderfold/direct/_attempt_starter.py
+++ b/src/lavenderfold/direct/_attempt_starter.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from lavenderfold.balancing import CostedTarget
 from lavenderfold.direct._attempt import Attempt
 from lavenderfold.direct._attempt_recorder import AttemptRecorder
 from lavenderfold.direct._choice import TargetChoice
@@ -27,7 +28,8 @@
     """An attempt at ``target``, begun at ``started_at`` on the trio clock.
 
     ``opening`` opens the attempt, with the same keyword as ``Attempt.open``, or waits
-    until it is open. ``reason`` is that of the target's choice.
+    until it is open. ``reason`` is that of the target's choice, and ``costed`` is the
+    target with its cost, if that decided.
     """
 
     attempt: Attempt
@@ -35,6 +37,7 @@
     reason: str
     opening: Callable[..., Awaitable[AttemptOutcome | None]]
     started_at: float
+    costed: CostedTarget | None = None
 
 
 class AttemptStarter:
@@ -105,16 +108,21 @@
             on_answering=self._recorder.record_answering,
             on_head=partial(self._recorder.record_head, target),
             on_sign=partial(self._recorder.record_sign, target),
-            on_relaying=self._on_relaying,
+            on_relaying=partial(self._record_relaying, target),
         )
         return StartedAttempt(
             attempt=attempt,
             target=target,
             reason=choice.reason,
+            costed=choice.costed,
             opening=partial(attempt.open, self._services.clients.client(target)),
             started_at=now,
         )
 
+    def _record_relaying(self, target: Target) -> None:
+        self._recorder.record_relaying(target)
+        self._on_relaying()
+
     def _new_call(self, target: Target, *, now: float) -> TargetCall:
         return TargetCall(
             request=self._request,
--- a/src/lavenderfold/direct/_choice.py
+++ b/src/lavenderfold/direct/_choice.py
@@ -1,14 +1,16 @@
 """Choice of the target for one attempt.
 
 Requests that share a prompt prefix go to the same target, its home, by rendezvous
-hashing with bounded loads. Others go to the target with the least load.
+hashing with bounded loads. Others go to the target with the least load. Both are
+replaced by the expected cost where that is enabled.
 """
 
-from collections.abc import Set
+from collections.abc import Callable, Set
 
 import msgspec
 import xxhash
 
+from lavenderfold.balancing import CostedTarget
 from lavenderfold.direct._load import LoadTracker
 from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.fleet import Target
@@ -24,11 +26,13 @@
     """A chosen target, and the reason of the choice as logged.
 
     ``is_last_resort`` means that all targets have failed lately or stand still.
+    ``costed`` is the target with its cost, if that decided.
     """
 
     target: Target
     reason: str
     is_last_resort: bool = False
+    costed: CostedTarget | None = None
 
 
 def shared_prefix_id(request: CallerRequest) -> str | None:
@@ -74,11 +78,13 @@
     avoid: Set[str],
     failure_domain: str,
     now: float,
+    choose_by_cost: Callable[[list[Target]], CostedTarget] | None = None,
 ) -> TargetChoice | None:
     """Return the target for the next attempt, or None if there is none.
 
     Targets that were ejected after failures, or that stand still, are used only if no
-    other is left, those that leave or pause never.
+    other is left, those that leave or pause never. ``choose_by_cost``, if it is given,
+    chooses among those that are left.
     """
     available = load_tracker.available(candidates, now=now)
     usable = [each for each in available if each.id not in avoid]
@@ -91,6 +97,10 @@
         # got no request lately may stand still as well.
         responsive = _with_recent_signs(responsive, load_tracker, now=now)
     pool = responsive or healthy or usable
+    if choose_by_cost is not None:
+        costed = choose_by_cost(pool)
+        reason = costed.evidence if responsive else "all_set_aside"
+        return TargetChoice(costed.target, reason, not responsive, costed)
     prefix_id = shared_prefix_id(request)
     if prefix_id is not None:
         home = _home_target(pool, load_tracker, prefix_id)
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -20,6 +20,7 @@
 
     ``longest_turn_s`` is the duration of the event loop's longest turn.
     ``targets_by_notice`` counts the listed targets that leave or pause.
+    ``send_spread_by_service`` is the most own sends to a target over the mean.
     """
 
     active: int
@@ -31,6 +32,7 @@
     states: frozenset[str]
     targets_by_notice: dict[str, int]
     watch_age_by_prefix: dict[str, float]
+    send_spread_by_service: dict[str, float] = {}
 
 
 class RouterMetrics:
@@ -75,6 +77,13 @@
             ["state"],
             registry=self._registry,
         )
+        self._send_spread = Gauge(
+            "lavenderfold_send_spread",
+            "Requests of this router to the target that got most, over the mean, where "
+            "targets are chosen by cost.",
+            ["service"],
+            registry=self._registry,
+        )
         self._target_pauses = Counter(
             "lavenderfold_target_pauses",
             "Pauses in targets' answers by their value: valid, too_long or invalid.",
@@ -247,6 +256,8 @@
             self._states.labels(name).set(name in snapshot.states)
         for state, count in snapshot.targets_by_notice.items():
             self._targets.labels(state).set(count)
+        for service, spread in snapshot.send_spread_by_service.items():
+            self._send_spread.labels(service).set(spread)
         quarantine = snapshot.quarantine
         self._prompts.labels("suspected").set(quarantine.suspected)
         self._prompts.labels("quarantined").set(quarantine.quarantined)
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from lavenderfold.balancing import CostedTarget
 from lavenderfold.direct._attempt_recorder import AttemptRecorder
 from lavenderfold.direct._attempt_starter import AttemptStarter, StartedAttempt
 from lavenderfold.direct._choice import TargetChoice
@@ -92,6 +93,7 @@
             unread_s=trio.current_time() - limits.waits_since,
         )
         self._choice_reason = ""
+        self._choice_costed: CostedTarget | None = None
         self._not_repeated: str | None = None
         self._selection = TargetSelection(
             services=services, service_name=self._service_name, request=request
@@ -106,7 +108,10 @@
             accepts_unanswered=route.is_resumable or request.tokens is not None,
         )
         self._recorder = AttemptRecorder(
-            services=services, request=request, route=route
+            services=services,
+            request=request,
+            route=route,
+            service_name=self._service_name,
         )
         self._attempt_starter = AttemptStarter(
             services=services,
@@ -291,6 +296,7 @@
     async def _run_attempt(self, started: StartedAttempt) -> AttemptOutcome:
         self._running = started
         self._choice_reason = started.reason
+        self._choice_costed = started.costed
         outcome = None
         try:
             outcome = await started.attempt.run(started.opening)
@@ -403,6 +409,7 @@
             config_version=self._table.version,
             service=self._service_name,
             choice=self._choice_reason,
+            costed=self._choice_costed,
             refusal=refusal,
             outcome=self._last_outcome,
             answer=answer_state(self._writer),
--- a/src/lavenderfold/direct/_request_log.py
+++ b/src/lavenderfold/direct/_request_log.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from lavenderfold.balancing import CostedTarget
 from lavenderfold.direct._attempt import Attempt
 from lavenderfold.direct._metrics import RouterMetrics
 from lavenderfold.direct._outcome import AttemptOutcome
@@ -55,6 +56,8 @@
 class RequestResult(msgspec.Struct, frozen=True, kw_only=True):
     """How a request ended. Times are those of the trio clock, in seconds.
 
+    ``choice`` is why the last attempt's target was chosen, and ``costed`` that target
+    with its cost, if that decided.
     ``answer`` says how much of an answer the caller got. ``not_repeated`` is why no
     other target was tried after a failed attempt. ``leaves_at`` is when the caller
     abandons a stream without a further event, infinity if it doesn't. ``balance`` is
@@ -77,6 +80,7 @@
     caller_deadline: float
     leaves_at: float = math.inf
     balance: LocalBalanceState | None = None
+    costed: CostedTarget | None = None
 
     @property
     def ended_by(self) -> EndedBy:
@@ -195,6 +199,8 @@
             "left_ms": _duration_ms(result.caller_deadline, now),
             "patience_left_ms": _duration_ms(result.leaves_at, now),
         }
+        if result.costed is not None:
+            fields.update(_cost_fields(result.costed))
         if result.balance is not None:
             fields["balance"] = msgspec.structs.asdict(result.balance)
             fields["needed"] = self._request.tokens.worst_case
@@ -211,6 +217,15 @@
         logger.log(level, "request", extra=fields)
 
 
+def _cost_fields(costed: CostedTarget) -> dict[str, float | None]:
+    """Return the cost of a choice and the age of the evidence, in ms."""
+    age_s = costed.age_s
+    return {
+        "choice_cost_ms": round(costed.cost_s * 1000, 1),
+        "choice_age_ms": None if age_s is None else round(age_s * 1000),
+    }
+
+
 def _duration_ms(end: float | None, start: float) -> int | None:
     is_known = end is not None and math.isfinite(end)
     return round((end - start) * 1000) if is_known else None
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from lavenderfold.direct._balancing import TargetBalancing, send_spread_by_service
 from lavenderfold.direct._caller_api import CallerApi
 from lavenderfold.direct._caller_limits import CallerLimitHistory
 from lavenderfold.direct._connections import TargetClients
@@ -167,6 +168,11 @@
             on_changed=self._metrics.record_change_delay,
         )
         load_tracker = LoadTracker()
+        self._balancing: TargetBalancing | None = None
+        if options.balances_by_cost:
+            self._balancing = TargetBalancing(
+                timers=timers, balance_manager=self._balance_manager
+            )
         self._services = RouterServices(
             balance_manager=self._balance_manager,
             load_tracker=load_tracker,
@@ -183,6 +189,7 @@
             timers=timers,
             new_retry_budget=self._new_retry_budget,
             domain=options.domain,
+            balancing=self._balancing,
         )
         self._caller_api = CallerApi(services=self._services, config=self._config)
         self._limits = CallerLimitHistory()
@@ -331,6 +338,9 @@
             targets_by_notice=self._services.load_tracker.count_by_notice(
                 self._targets.directory.targets(), now=now
             ),
+            send_spread_by_service=send_spread_by_service(
+                self._balancing, self._targets.directory.targets()
+            ),
             watch_age_by_prefix={
                 options.config_key: now - self._config_follower.answered_at,
                 options.targets_prefix: now - self._target_follower.answered_at,
@@ -363,6 +373,8 @@
             self._services.load_tracker.keep_only(
                 self._targets.directory.targets(), now=self._timers.now()
             )
+            if self._balancing is not None:
+                self._balancing.update(self._targets.directory.targets())
             await self._services.clients.keep_only(self._known_targets())
 
     @property
--- a/src/lavenderfold/direct/_router_services.py
+++ b/src/lavenderfold/direct/_router_services.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from lavenderfold.direct._answer_memory import AnswerMemory
+from lavenderfold.direct._balancing import TargetBalancing
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
 from lavenderfold.direct._first_event_times import FirstEventTimes
@@ -23,7 +24,8 @@
 class RouterServices(msgspec.Struct, kw_only=True):
     """Services that all requests of one router share.
 
-    ``domain`` is the failure domain of the router.
+    ``domain`` is the failure domain of the router. ``balancing`` chooses targets by
+    expected cost, if that is enabled.
     """
 
     balance_manager: BalanceManager
@@ -39,6 +41,7 @@
     timers: TimerService
     new_retry_budget: Callable[[], RetryBudget]
     domain: str
+    balancing: TargetBalancing | None = None
     answer_memory: AnswerMemory = msgspec.field(default_factory=AnswerMemory)
     first_event_times: FirstEventTimes = msgspec.field(default_factory=FirstEventTimes)
     retry_budget_by_service: dict[str, RetryBudget] = msgspec.field(
--- a/src/lavenderfold/direct/_target_selection.py
+++ b/src/lavenderfold/direct/_target_selection.py
@@ -1,5 +1,7 @@
 """The targets that one request may still be sent to."""
 
+from functools import partial
+
 import trio
 
 from lavenderfold.direct._choice import TargetChoice, choose_target
@@ -11,7 +13,13 @@
 class TargetSelection:
     """Chooses targets of a service for one request, each of them once."""
 
-    __slots__ = ("_services", "_service_name", "_request", "_failed_ids")
+    __slots__ = (
+        "_services",
+        "_service_name",
+        "_request",
+        "_failed_ids",
+        "_choose_by_cost",
+    )
 
     def __init__(
         self, *, services: RouterServices, service_name: str, request: CallerRequest
@@ -20,6 +28,12 @@
         self._service_name = service_name
         self._request = request
         self._failed_ids: set[str] = set()
+        balancing = services.balancing
+        self._choose_by_cost = (
+            None
+            if balancing is None
+            else partial(balancing.choose, service_name=service_name, request=request)
+        )
 
     def record_failure(self, target: Target) -> None:
         """Leave a target out from now on."""
@@ -40,6 +54,7 @@
             avoid=avoid,
             failure_domain=self._services.domain,
             now=self._services.timers.now(),
+            choose_by_cost=self._choose_by_cost,
         )
 
     def pause_left_s(self) -> float | None:
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -315,8 +315,11 @@
     def configure(self, config: FleetConfig) -> None:
         self.store.put("config", msgspec.json.encode(config))
 
-    async def start_router(self, name: str = "router") -> None:
-        """Start a router; ``router`` and ``address`` are then those of this one."""
+    async def start_router(self, name: str = "router", **changes: object) -> None:
+        """Start a router; ``router`` and ``address`` are then those of this one.
+
+        ``changes`` are options that differ from the usual ones.
+        """
         options = RouterOptions(
             name=name,
             domain="domain",
@@ -331,6 +334,7 @@
             targets_prefix="targets/",
             ledger_prefix="ledger/",
             crashes_key="crashes",
+            **changes,
         )
         store_calls = StoreCallCounter(purpose_by_prefix={"ledger/": "ledger"})
         self.router = DirectRouter(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -256,6 +256,22 @@
     assert options.watch_wait_s == 2.0
 
 
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [
+        ("", False),
+        ("guarantees = []\n", False),
+        ('guarantees = ["other"]\n', False),
+        ('guarantees = ["other", "pool"]\n', True),
+    ],
+)
+def test_targets_are_chosen_by_cost_where_they_are_pooled(tmp_path, line, expected):
+    """Deployments without the guarantee must be served as before."""
+    path = tmp_path / "node.toml"
+    path.write_text(line + SETTINGS)
+    assert router_options(read_settings(path)).balances_by_cost is expected
+
+
 @pytest.mark.parametrize("fault", ["zone = 1", "not toml"])
 def test_error_in_invalid_settings_names_the_file(tmp_path, fault):
     path = tmp_path / "node.toml"
