Bound what one sample moves, and tune the choice by cost

Change: load counts four times as much, three random targets are looked at where there are many, a sample moves the lasting part of a delay by at most a factor of two, and the passing part ages within 2.5 s.

--- a/src/lavenderfold/balancing/_balancer.py
+++ b/src/lavenderfold/balancing/_balancer.py
@@ -17,7 +17,11 @@
 
 # The cheapest of so many random targets is taken. The cheapest of all would be the same
 # one for many routers.
-RANDOM_CANDIDATES = 2
+RANDOM_CANDIDATES = 3
+# Among fewer targets than this, two: drawn with replacement, the fastest of three
+# targets is then among them 5 times of 9.
+FEW_TARGETS = 8
+FEW_CANDIDATES = 2
 # Of two targets, one with 1.1 times the cost is taken with a probability of 0.36, with
 # twice the cost 0.015. Without that a target which was found a little slower would get
 # nothing, and no evidence of its recovery. Requests with a home are bound closer.
@@ -35,9 +39,12 @@
 READ_WEIGHT = 2.0
 # A router's own load tells little of what others have at a target, unless they choose
 # by the same evidence. So each other router counts as this fraction.
-OTHER_ROUTER_WEIGHT = 0.3
+OTHER_ROUTER_WEIGHT = 0.1
 # The mean pause of fewer events says little of a target.
 PAUSE_EVENTS_MIN = 4
+# A target with full slots costs so many usual times more. With less, targets that are
+# a little faster are filled before others get anything.
+LOAD_WEIGHT = 4.0
 # Seconds that a run of errors costs, in usual times of the service, by its square.
 ERROR_WEIGHT = 0.5
 
@@ -155,8 +162,9 @@
     ) -> list[CostedTarget]:
         """Return the targets that a choice would be made of, with their costs."""
         held = _Held(memory=self._memory, demand=demand, now=now)
-        # With replacement: in a service of three, the fastest is drawn 5 times of 9.
-        drawn = rng.choices(targets, k=RANDOM_CANDIDATES)
+        are_few = len(targets) < FEW_TARGETS
+        number = FEW_CANDIDATES if are_few else RANDOM_CANDIDATES
+        drawn = rng.choices(targets, k=number)
         candidate_by_id = {each.id: each for each in drawn}
         for part_id in _binding_part_ids(demand):
             homes = self._draw_homes(part_id, targets, held, demand, rng, now)
@@ -274,7 +282,7 @@
             return CostedTarget(target, usual_s + read_s, unread_tokens, evidence, None)
         load = factor * record.load / max(1, target.slots)
         delay = max(record.delay_factor(now), record.overdue_factor(usual_s, now))
-        cost_s = delay * (usual_s * (1.0 + load) + read_s)
+        cost_s = delay * (usual_s * (1.0 + LOAD_WEIGHT * load) + read_s)
         cost_s += ERROR_WEIGHT * usual_s * record.errors(now) ** 2
         age_s = None if record.sampled_at is None else now - record.sampled_at
         return CostedTarget(target, cost_s, unread_tokens, evidence, age_s)
--- a/src/lavenderfold/balancing/_delays.py
+++ b/src/lavenderfold/balancing/_delays.py
@@ -9,14 +9,17 @@
 # A target's delay has a lasting part, which is its speed, and a passing part. Without
 # samples both return to the mean of the service, with these time constants.
 LASTING_S = 30.0
-PASSING_S = 3.0
+PASSING_S = 2.5
 # Weights of the newest sample. Some targets are slow for 100 ms at a time, so one
 # sample moves the estimate by about a quarter.
 LASTING_WEIGHT = 0.05
 PASSING_WEIGHT = 0.2
 # Single samples count as at most this factor, also after a freeze of seconds.
-FACTOR_LIMIT = 8.0
+FACTOR_LIMIT = 5.0
 LOG_FACTOR_LIMIT = math.log(FACTOR_LIMIT)
+# Speeds differ by less than this factor from the mean, so a sample moves the lasting
+# part by no more.
+LOG_SPEED_LIMIT = math.log(2.0)
 # Weight of the newest sample in the usual times of a service.
 USUAL_WEIGHT = 0.05
 # Assumed until the first answer of a service.
@@ -138,7 +141,8 @@
         sample = math.log(max(factor, 1 / FACTOR_LIMIT))
         sample = min(sample, LOG_FACTOR_LIMIT)
         difference = sample - self._lasting - self._passing
-        self._lasting += LASTING_WEIGHT * difference
+        speed = max(-LOG_SPEED_LIMIT, min(LOG_SPEED_LIMIT, difference))
+        self._lasting += LASTING_WEIGHT * speed
         self._passing += PASSING_WEIGHT * difference
         self._aged_at = self.sampled_at = now
 
