Bound the ids and numbers of prompts that balancing keeps

Cause: callers choose the ids of prompt parts, up to 16 KB each, and their token counts. 2,048 remembered ids took up to 33 MB, and a number of 400 digits raised OverflowError in the cost.

Change: long ids are kept as a hash, numbers are cut at 10**7, and the first 16 parts are looked at.

Result: test_size_of_what_callers_announce_is_bounded.

--- a/src/lavenderfold/direct/_balancing.py
+++ b/src/lavenderfold/direct/_balancing.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Iterable
 
+import xxhash
+
 from lavenderfold.balancing import Balancer, CostedTarget, Demand, TargetUse
 from lavenderfold.direct._attempt import Attempt
 from lavenderfold.direct._outcome import AttemptOutcome
@@ -20,6 +22,13 @@
     AttemptOutcome.FAILED,
 )
 
+# Prompts of targets are far smaller than this.
+TOKENS_LIMIT = 10**7
+# A prompt has a few parts; those after this number don't decide where it goes.
+PARTS_LIMIT = 16
+# Longer ids are remembered by a hash. Usual ones have about 12 characters.
+PART_ID_CHARACTERS = 32
+
 
 class TargetBalancing:
     """Chooses targets by cost for all requests of one router."""
@@ -116,13 +125,24 @@
 
 
 def request_demand(service_name: str, request: CallerRequest) -> Demand:
-    """Return what a request asks of a target of a service."""
+    """Return what a request asks of a target of a service.
+
+    Ids and numbers come from callers, so their size is bounded.
+    """
+    shared_parts = tuple(
+        (_short_id(part.id), min(part.tokens, TOKENS_LIMIT))
+        for part in request.prompt_parts[:-1][:PARTS_LIMIT]
+    )
     tokens = request.tokens
     return Demand(
         service=service_name,
-        shared_parts=tuple(
-            (part.id, part.tokens) for part in request.prompt_parts[:-1]
-        ),
-        prompt_tokens=tokens.prompt if tokens is not None else 0,
-        tokens=tokens.worst_case if tokens is not None else 0,
+        shared_parts=shared_parts,
+        prompt_tokens=min(tokens.prompt, TOKENS_LIMIT) if tokens is not None else 0,
+        tokens=min(tokens.worst_case, TOKENS_LIMIT) if tokens is not None else 0,
     )
+
+
+def _short_id(part_id: str) -> str:
+    if len(part_id) <= PART_ID_CHARACTERS:
+        return part_id
+    return xxhash.xxh64_hexdigest(part_id.encode("utf-8", "surrogatepass"))
--- a/tests/test_balanced_router.py
+++ b/tests/test_balanced_router.py
@@ -1,9 +1,16 @@
 """A direct router that chooses targets by cost, with scripted targets."""
 
 import logging
+import math
+import random
 
+import msgspec
 import pytest
 
+from lavenderfold.balancing import Balancer
+from lavenderfold.direct import CallerRequest, PromptPart, TokenDemand
+from lavenderfold.direct._balancing import request_demand
+from lavenderfold.fleet import Target
 from tests.direct_support import (
     answer_successfully,
     fail,
@@ -13,6 +20,18 @@
 )
 from tests.notice_support import read_metrics
 
+REQUEST = CallerRequest(
+    attempt_id="a",
+    host="h",
+    method="POST",
+    target="/",
+    path="/",
+    forwarded_headers=[],
+    body=b"",
+    caller_timeout_s=1.0,
+)
+TARGET = Target(id="t0", service="service", host="h", port=1, domain="d", slots=8)
+
 
 async def send_by_cost(fleet, path: str, requests: int, **headers: str) -> list[int]:
     """Send requests to a router that chooses by cost; return their statuses."""
@@ -88,6 +107,26 @@
     run_scenario(scenario, answer_successfully, answer_successfully)
 
 
+def test_size_of_what_callers_announce_is_bounded():
+    """Ids of 16 KB would fill the memory, numbers of 400 digits don't fit a float."""
+    large = 10**400
+    request = msgspec.structs.replace(
+        REQUEST,
+        prompt_parts=tuple(PromptPart("x" * 16_000 + str(n), large) for n in range(50)),
+        tokens=TokenDemand(large, large),
+    )
+    demand = request_demand("service", request)
+    assert len(demand.shared_parts) <= 16
+    assert len({id for id, _ in demand.shared_parts}) == len(demand.shared_parts)
+    assert all(len(id) <= 32 for id, _ in demand.shared_parts)
+    balancer, targets = Balancer(), [TARGET]
+    choice = balancer.choose(
+        targets, demand, router_count=1, rng=random.Random(1), now=0.0
+    )
+    assert math.isfinite(choice.cost_s)
+    balancer.record_first(balancer.record_send(TARGET, demand, now=0.0), now=0.1)
+
+
 def no_load(fleet) -> bool:
     balancer = fleet.router._services.balancing.balancer
     records = balancer._record_by_key.values()
