Weigh errors by the whole prompt, and give the costs of all targets

Cause: a run of errors cost a part of the service's usual time, so the parts of a long prompt at a failing home could outweigh it. And the cost of targets that a choice doesn't look at could not be shown.

Change: errors cost a part of the usual time and of the time to read the whole prompt. Balancer.explain costs all targets and records nothing.

--- a/src/lavenderfold/balancing/_balancer.py
+++ b/src/lavenderfold/balancing/_balancer.py
@@ -45,7 +45,8 @@
 # A target with full slots costs so many usual times more. With less, targets that are
 # a little faster are filled before others get anything.
 LOAD_WEIGHT = 4.0
-# Seconds that a run of errors costs, in usual times of the service, by its square.
+# What a run of errors costs, by its square, as a part of the usual time and of the time
+# to read the whole prompt. Parts that a target holds don't outweigh several errors.
 ERROR_WEIGHT = 0.5
 
 
@@ -141,9 +142,21 @@
         now: float,
     ) -> CostedTarget:
         """Return the cheapest of a few targets: random ones and homes of the prompt."""
-        costed = self.explain(
-            targets, demand, router_count=router_count, rng=rng, now=now
-        )
+        held = _Held(memory=self._memory, demand=demand, now=now)
+        # With replacement: in a service of three, the fastest is drawn 5 times of 9.
+        are_few = len(targets) < FEW_TARGETS
+        number = FEW_CANDIDATES if are_few else RANDOM_CANDIDATES
+        drawn = rng.choices(targets, k=number)
+        candidate_by_id = {each.id: each for each in drawn}
+        for ranked in self._note_homes(targets, demand, held, now):
+            if len(ranked) > HOME_CANDIDATES:
+                ranked = rng.sample(ranked, HOME_CANDIDATES)
+            candidate_by_id.update((each.id, each) for each in ranked)
+        factor = _load_factor(router_count)
+        costed = [
+            self._cost(each, demand, held, factor, now)
+            for each in candidate_by_id.values()
+        ]
         if len(costed) == 1:
             return costed[0]
         is_bound = any(each.evidence == "home" for each in costed)
@@ -152,28 +165,13 @@
         return min(costed, key=lambda each: each.cost_s * rng.expovariate(1.0) ** power)
 
     def explain(
-        self,
-        targets: list[Target],
-        demand: Demand,
-        *,
-        router_count: int,
-        rng: random.Random,
-        now: float,
+        self, targets: list[Target], demand: Demand, *, router_count: int, now: float
     ) -> list[CostedTarget]:
-        """Return the targets that a choice would be made of, with their costs."""
+        """Return all targets with the costs that a choice among them goes by."""
         held = _Held(memory=self._memory, demand=demand, now=now)
-        are_few = len(targets) < FEW_TARGETS
-        number = FEW_CANDIDATES if are_few else RANDOM_CANDIDATES
-        drawn = rng.choices(targets, k=number)
-        candidate_by_id = {each.id: each for each in drawn}
-        for part_id in _binding_part_ids(demand):
-            homes = self._draw_homes(part_id, targets, held, demand, rng, now)
-            candidate_by_id.update((each.id, each) for each in homes)
-        factor = 1.0 + OTHER_ROUTER_WEIGHT * (max(1, router_count) - 1)
-        return [
-            self._cost(each, demand, held, factor, now)
-            for each in candidate_by_id.values()
-        ]
+        self._note_homes(targets, demand, held, now)
+        factor = _load_factor(router_count)
+        return [self._cost(each, demand, held, factor, now) for each in targets]
 
     def record_send(self, target: Target, demand: Demand, *, now: float) -> TargetUse:
         """Count a request that is being sent; pass the result to the other records."""
@@ -250,25 +248,21 @@
             if sum(sends) > 0.0
         }
 
-    def _draw_homes(
-        self,
-        part_id: str,
-        targets: list[Target],
-        held: _Held,
-        demand: Demand,
-        rng: random.Random,
-        now: float,
-    ) -> list[Target]:
-        """Note the homes of a part in ``held`` and return some of them."""
-        order = self._homes.order(part_id, targets)
-        count = self._shares.homes(demand.service, part_id, len(targets), now=now)
-        ranked = order[: count + len(SPILL_LIKELY)]
-        held.homes_by_part[part_id] = {
-            each.id: home_likelihood(rank, count) for rank, each in enumerate(ranked)
-        }
-        if len(ranked) <= HOME_CANDIDATES:
-            return ranked
-        return rng.sample(ranked, HOME_CANDIDATES)
+    def _note_homes(
+        self, targets: list[Target], demand: Demand, held: _Held, now: float
+    ) -> list[list[Target]]:
+        """Note the homes of the binding parts in ``held`` and return them."""
+        homes = []
+        for part_id in _binding_part_ids(demand):
+            order = self._homes.order(part_id, targets)
+            count = self._shares.homes(demand.service, part_id, len(targets), now=now)
+            ranked = order[: count + len(SPILL_LIKELY)]
+            held.homes_by_part[part_id] = {
+                each.id: home_likelihood(rank, count)
+                for rank, each in enumerate(ranked)
+            }
+            homes.append(ranked)
+        return homes
 
     def _cost(
         self, target: Target, demand: Demand, held: _Held, factor: float, now: float
@@ -283,7 +277,8 @@
         load = factor * record.load / max(1, target.slots)
         delay = max(record.delay_factor(now), record.overdue_factor(usual_s, now))
         cost_s = delay * (usual_s * (1.0 + LOAD_WEIGHT * load) + read_s)
-        cost_s += ERROR_WEIGHT * usual_s * record.errors(now) ** 2
+        whole_s = usual_s + READ_WEIGHT * demand.prompt_tokens / READ_TOKENS_PER_S
+        cost_s += ERROR_WEIGHT * whole_s * record.errors(now) ** 2
         age_s = None if record.sampled_at is None else now - record.sampled_at
         return CostedTarget(target, cost_s, unread_tokens, evidence, age_s)
 
@@ -306,6 +301,10 @@
     return (target.id, target.born)
 
 
+def _load_factor(router_count: int) -> float:
+    return 1.0 + OTHER_ROUTER_WEIGHT * (max(1, router_count) - 1)
+
+
 def _binding_part_ids(demand: Demand) -> list[str]:
     """Return the ids of the parts whose homes are looked at, the largest ones."""
     large = [each for each in demand.shared_parts if each[1] >= BINDING_TOKENS]
--- a/src/lavenderfold/direct/_balancing.py
+++ b/src/lavenderfold/direct/_balancing.py
@@ -60,6 +60,17 @@
             now=self.timers.now(),
         )
 
+    def explain(
+        self, targets: list[Target], *, service_name: str, request: CallerRequest
+    ) -> list[CostedTarget]:
+        """Return all targets with the costs that a choice among them goes by."""
+        return self.balancer.explain(
+            targets,
+            request_demand(service_name, request),
+            router_count=self._router_count,
+            now=self.timers.now(),
+        )
+
     def recorder(
         self, service_name: str, request: CallerRequest
     ) -> "BalancingRecorder":
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -145,6 +145,24 @@
     assert drive.share("t0", 26.0, 32.0) > 0.6
 
 
+def test_home_that_errs_is_left_for_another_target():
+    """A prompt's parts at a failing home must not draw its requests there."""
+    targets, rng, demand = make_targets(8), random.Random(1), prompt("p", 6000)
+    balancer = Balancer()
+    options = {"router_count": 1, "rng": rng, "now": 0.0}
+    first = Counter(
+        balancer.choose(targets, demand, **options).target.id for _ in range(50)
+    )
+    home = next(each for each in targets if each.id == first.most_common(1)[0][0])
+    for _ in range(3):
+        use = balancer.record_send(home, demand, now=0.0)
+        balancer.record_error(use, now=0.0)
+        balancer.record_end(use)
+    later = [balancer.choose(targets, demand, **options).target for _ in range(50)]
+    assert first[home.id] > 35
+    assert home not in later
+
+
 def test_errors_are_no_evidence_of_speed():
     """The estimate must not fall with answers that took no work."""
     record, balancer = TargetRecord(now=0.0), Balancer()
@@ -155,9 +173,7 @@
     target = make_targets(1)[0]
     use = balancer.record_send(target, PLAIN, now=0.0)
     balancer.record_error(use, now=0.001)
-    (costed,) = balancer.explain(
-        [target], PLAIN, router_count=1, rng=random.Random(1), now=0.01
-    )
+    (costed,) = balancer.explain([target], PLAIN, router_count=1, now=0.01)
     assert costed.age_s is None
     assert costed.cost_s > 0.1
 
