Explain where a live router would send a request now

Cause: operators could see why a request went to a target only from its log line, not what a router would do with the next one.

Change: a router answers /explain-route on its metrics listener with its targets, what excludes them, their costs and the choice of the same TargetSelection, without a request. lavenderfoldctl explain-route prints that as a table or as JSON; a wrong question ends with status 2, an unreachable router with 1.

Result: tests/test_explain_route.py against live routers, with and without choice by cost.

--- a/src/lavenderfold/ctl/__main__.py
+++ b/src/lavenderfold/ctl/__main__.py
@@ -7,6 +7,7 @@
 
 from lavenderfold.ctl import _changes, _reports
 from lavenderfold.ctl._errors import EXIT_SUCCESS, BadInputError, CommandError
+from lavenderfold.ctl._explain_route import explain_route
 from lavenderfold.ctl._options import USAGE, parse_options
 
 COMMAND_BY_NAME = {
@@ -16,6 +17,7 @@
     "status": _reports.status,
     "budget": _reports.budget,
     "explain": _reports.explain,
+    "explain-route": explain_route,
     "refusals": _reports.refusals,
     "crashes": _reports.crashes,
 }
--- a/src/lavenderfold/ctl/_options.py
+++ b/src/lavenderfold/ctl/_options.py
@@ -17,6 +17,8 @@
   status                    show the revision and load of every process
   budget [ORGANISATION]     show limits, spending and open grants
   explain REQUEST-ID        show each decision about a request
+  explain-route HOST/PATH   show where a router would send a request now, and why;
+                            --routers takes the metrics address of one router
   refusals --logs           show why requests were refused for money
   crashes --logs            show which prompt parts were lost at targets
 
@@ -25,6 +27,9 @@
   --base N                  the revision that the folder was edited from
   --logs FILE,...           routers' JSON log files or folders of them, for refusals,
                             crashes and explain without routers
+  --organisation NAME       for explain-route
+  --parts ID:TOKENS,...     parts of the prompt, for explain-route
+  --json                    prints the answer as JSON, for explain-route
   --token TEXT              repeats an apply whose result is unknown
 
 Exit codes: 0 good, 1 failure, 2 bad input.
@@ -41,6 +46,9 @@
     logs: list[str] = msgspec.field(default_factory=list)
     base: int | None = None
     token: str = ""
+    organisation: str = ""
+    parts: str = ""
+    json: bool = False
     help: bool = False
 
     def argument(self, description: str) -> str:
@@ -79,6 +87,11 @@
         flag_values=values,
     )
     flags.DEFINE_string("token", "", "Token of an apply to repeat.", flag_values=values)
+    flags.DEFINE_string(
+        "organisation", "", "Organisation of the request.", flag_values=values
+    )
+    flags.DEFINE_string("parts", "", "Parts of the prompt.", flag_values=values)
+    flags.DEFINE_bool("json", False, "Print JSON.", flag_values=values)
     flags.DEFINE_bool("help", False, "Show the usage.", flag_values=values)
     try:
         arguments = values(argv)[1:]
@@ -92,6 +105,9 @@
         logs=values.logs,
         base=values.base,
         token=values.token,
+        organisation=values.organisation,
+        parts=values.parts,
+        json=values.json,
         help=values.help,
     )
 
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -12,6 +12,7 @@
 from lavenderfold.direct._caller_limits import CallerLimitHistory
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
+from lavenderfold.direct._explain_route import EXPLAIN_PATH, answer_question
 from lavenderfold.direct._load import LoadTracker
 from lavenderfold.direct._metrics import RouterMetrics, RouterSnapshot
 from lavenderfold.direct._notices import TargetNotices
@@ -316,6 +317,10 @@
     async def _answer_metrics(
         self, request: HttpRequest, writer: ResponseWriter
     ) -> None:
+        if request.path == EXPLAIN_PATH:
+            response = answer_question(request, self._services, self._config.table)
+            await writer.send(response)
+            return
         await self._metrics.answer(self._snapshot(), request, writer)
 
     def _snapshot(self) -> RouterSnapshot:
--- /dev/null
+++ b/tests/test_explain_route.py
@@ -0,0 +1,102 @@
+"""``lavenderfoldctl explain-route`` against a live direct router."""
+
+import json
+
+import pytest
+import trio
+
+from lavenderfold.ctl.__main__ import main
+from lavenderfold.direct._balancing import TargetBalancing
+from tests.direct_support import answer_successfully, direct_fleet, run_scenario
+
+HOST = "host"
+
+
+def explain(*arguments: str, by_cost: bool = True) -> int:
+    """Run the command against a router that has answered some requests."""
+    codes = []
+
+    async def scenario(fleet):
+        if by_cost:
+            await fleet.start_router("by-cost", balances_by_cost=True)
+            await fleet.wait_until(lambda: fleet.router.is_ready)
+        for _ in range(6):
+            await fleet.send_request("/read/x")
+        before = received(fleet)
+        argv = ["ctl", "explain-route", *arguments]
+        argv += ["--routers", str(fleet.router.metrics_address)]
+        codes.append(await trio.to_thread.run_sync(main, argv))
+        assert received(fleet) == before
+
+    run_scenario(scenario, answer_successfully, answer_successfully)
+    return codes[0]
+
+
+def received(fleet) -> list[int]:
+    return [len(each.received) for each in fleet.target_by_id.values()]
+
+
+@pytest.mark.parametrize("by_cost", [True, False])
+def test_table_shows_candidates_and_choice(capsys, by_cost):
+    """Operators see why a target gets a request, also without choice by cost."""
+    assert explain(f"{HOST}/read/x", by_cost=by_cost) == 0
+    first, head, *rows = capsys.readouterr().out.splitlines()
+    assert "route=read" in first
+    assert head.split()[:2] == ["target", "domain"]
+    assert sorted(row.split()[0] for row in rows) == ["t0", "t1"]
+    assert sum(row.endswith("chosen") for row in rows) == 1
+    assert ("reason=cost" in first) is by_cost
+
+
+def test_json_shows_costs_and_what_the_prompt_binds_to(capsys):
+    """A program that reads the answer gets costs, ages and the evidence."""
+    arguments = ("--parts", "shared:4000,own:100", "--json")
+    assert explain(f"{HOST}/read/x", *arguments) == 0
+    answer = json.loads(capsys.readouterr().out)
+    assert answer["target"] in ("t0", "t1")
+    assert all(each["cost_ms"] > 0 for each in answer["targets"])
+    assert {each["evidence"] for each in answer["targets"]} == {"home"}
+    assert all(each["unread_tokens"] < 4100 for each in answer["targets"])
+
+
+@pytest.mark.parametrize(
+    ("arguments", "text"),
+    [
+        ((f"{HOST}/nowhere/x",), "knows no route"),
+        (("other.example/read/x",), "knows no route"),
+        ((f"{HOST}/read/x", "--organisation", "nobody"), "knows no organisation"),
+        ((f"{HOST}/read/x", "--parts", "x"), "expected ID:TOKENS"),
+        (("no-path",), "expected HOST/PATH"),
+    ],
+)
+def test_wrong_question_is_bad_input(capsys, arguments, text):
+    """An empty answer would look like a fleet without targets."""
+    assert explain(*arguments) == 2
+    assert text in capsys.readouterr().err
+
+
+def test_router_that_is_not_there_is_a_failure(capsys):
+    """The router may be down; the question may be right."""
+    argv = ["ctl", "explain-route", f"{HOST}/read/x", "--routers", "127.0.0.1:9"]
+    assert main(argv) == 1
+    assert "router 127.0.0.1:9" in capsys.readouterr().err
+
+
+def test_question_changes_nothing_that_decides():
+    """A question must not count as a send or as a use of a part."""
+
+    async def scenario():
+        async with direct_fleet(answer_successfully) as fleet:
+            await fleet.start_router("by-cost", balances_by_cost=True)
+            await fleet.wait_until(lambda: fleet.router.is_ready)
+            balancing: TargetBalancing = fleet.router._services.balancing
+            address = str(fleet.router.metrics_address)
+            argv = ["ctl", "explain-route", f"{HOST}/read/x", "--routers", address]
+            argv += ["--parts", "shared:4000,own:1"]
+            assert await trio.to_thread.run_sync(main, argv) == 0
+            balancer = balancing.balancer
+            assert balancer._record_by_key == {}
+            assert len(balancer._memory._sent_at_by_pair) == 0
+            assert len(balancer._shares._count_by_part) == 0
+
+    trio.run(scenario)
