--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -7,10 +7,12 @@
 import msgspec
 import trio
 
+from lavenderfold.direct._balancing import TargetBalancing, send_spread_by_service
 from lavenderfold.direct._caller_api import CallerApi
 from lavenderfold.direct._caller_limits import CallerLimitHistory
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
+from lavenderfold.direct._explain_route import EXPLAIN_PATH, answer_question
 from lavenderfold.direct._link_monitor import LinkMonitor
 from lavenderfold.direct._load import LoadTracker
 from lavenderfold.direct._metrics import RouterMetrics, RouterSnapshot
@@ -171,6 +173,11 @@
             on_changed=self._metrics.record_change_delay,
         )
         load_tracker = LoadTracker()
+        self._balancing: TargetBalancing | None = None
+        if options.balances_by_cost:
+            self._balancing = TargetBalancing(
+                timers=timers, balance_manager=self._balance_manager
+            )
         self._services = RouterServices(
             balance_manager=self._balance_manager,
             load_tracker=load_tracker,
@@ -187,6 +194,7 @@
             timers=timers,
             new_retry_budget=self._new_retry_budget,
             domain=options.domain,
+            balancing=self._balancing,
         )
         self._caller_api = CallerApi(services=self._services, config=self._config)
         self._limits = CallerLimitHistory()
@@ -319,6 +327,10 @@
     async def _answer_metrics(
         self, request: HttpRequest, writer: ResponseWriter
     ) -> None:
+        if request.path == EXPLAIN_PATH:
+            response = answer_question(request, self._services, self._config.table)
+            await writer.send(response)
+            return
         await self._metrics.answer(self._snapshot(), request, writer)
 
     def _snapshot(self) -> RouterSnapshot:
@@ -342,6 +354,9 @@
             targets_by_notice=self._services.load_tracker.count_by_notice(
                 self._targets.directory.targets(), now=now
             ),
+            send_spread_by_service=send_spread_by_service(
+                self._balancing, self._targets.directory.targets()
+            ),
             watch_age_by_prefix={
                 options.config_key: now - self._config_follower.answered_at,
                 options.targets_prefix: now - self._target_follower.answered_at,
@@ -374,6 +389,8 @@
             self._services.load_tracker.keep_only(
                 self._targets.directory.targets(), now=self._timers.now()
             )
+            if self._balancing is not None:
+                self._balancing.update(self._targets.directory.targets())
             await self._services.clients.keep_only(self._known_targets())
 
     @property
