Add the function that spreads the retries of refused callers

Refusals as not run carry the same constant for all callers, so callers that are refused together come back together.

retry_after_s spreads them between the expected duration of the cause and twice that, at most a third of the time that the caller has left, because callers honour no more.

--- /dev/null
+++ b/src/lavenderfold/admission/_retry_after.py
@@ -0,0 +1,30 @@
+"""When callers of refused requests may come back."""
+
+import math
+
+# Callers come back as told if that is within this part of the time they have left.
+CALLER_WAIT_SHARE = 1 / 3
+# Retries are spread up to this multiple of the expected time, so that the callers of
+# all routers don't come back at the same moment.
+SPREAD_FACTOR = 2.0
+# The Retry-After header holds milliseconds.
+STEPS_PER_S = 1000
+
+
+def retry_after_s(*, expected_s: float, caller_left_s: float, draw: float) -> float:
+    """Return after how many seconds a refused caller may come back.
+
+    The cause of the refusal is expected to last ``expected_s``. The result lies between
+    that and twice as much, by the uniform random number ``draw`` in [0, 1). Callers
+    with ``caller_left_s`` left wait a third of that at most. If ``expected_s`` is
+    longer, the result lies between half of that limit and the limit.
+    """
+    limit_s = math.floor(max(0.0, CALLER_WAIT_SHARE * caller_left_s) * STEPS_PER_S)
+    limit_s /= STEPS_PER_S
+    earliest_s = max(0.0, expected_s)
+    latest_s = min(SPREAD_FACTOR * earliest_s, limit_s)
+    if earliest_s > limit_s:
+        earliest_s, latest_s = limit_s / SPREAD_FACTOR, limit_s
+    chosen_s = earliest_s + draw * (latest_s - earliest_s)
+    # Rounded up, so that callers don't come too early.
+    return min(limit_s, math.ceil(chosen_s * STEPS_PER_S) / STEPS_PER_S)
