Tell targets the priority of requests

Engines admit more urgent requests first, but TargetCall.priority was always None, so the most urgent kind waited behind all others when capacity was scarce.

The route table decides once per configuration which services have routes of different priorities. There, targets are told the priority of the organisation, or else that of the route, in the header Request-Priority; a caller's value is removed as before.

Run: tests/test_admission_router.py, test_platform_adapter.py, test_direct_router.py.

--- a/src/lavenderfold/direct/_attempt_starter.py
+++ b/src/lavenderfold/direct/_attempt_starter.py
@@ -41,6 +41,7 @@
     """Begins attempts that relay to the same writer, until ``deadline``.
 
     ``deadline`` is a time of the trio clock, ``patience`` that of the caller.
+    ``priority`` is the one that targets are told, if it isn't None.
     ``on_relaying`` is called before a part of the answer to any of these attempts is
     relayed.
     """
@@ -50,6 +51,7 @@
         "_request",
         "_route",
         "_organisation",
+        "_priority",
         "_writer",
         "_progress",
         "_recorder",
@@ -65,6 +67,7 @@
         request: CallerRequest,
         route: Route,
         organisation: Organisation | None,
+        priority: int | None,
         writer: ResponseWriter,
         progress: RelayProgress,
         recorder: AttemptRecorder,
@@ -76,6 +79,7 @@
         self._request = request
         self._route = route
         self._organisation = organisation
+        self._priority = priority
         self._writer = writer
         self._progress = progress
         self._recorder = recorder
@@ -123,4 +127,5 @@
             organisation=self._organisation.name if self._organisation else None,
             remaining_s=max(MIN_REMAINING_S, self._deadline - now),
             last_event_id=self._progress.last_event_id or self._request.last_event_id,
+            priority=self._priority,
         )
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -66,6 +66,7 @@
         self._caller_deadline = limits.caller_deadline
         writer.deadline = self._deadline
         self._service_name = pick_service(route, request.attempt_id)
+        self._priority = table.priority(self._service_name, route, organisation)
         self._retry_budget = services.retry_budget(self._service_name)
         self._progress = RelayProgress()
         self._patience = CallerPatience(
@@ -113,6 +114,7 @@
             request=request,
             route=route,
             organisation=organisation,
+            priority=self._priority,
             writer=writer,
             progress=self._progress,
             recorder=self._recorder,
--- a/src/lavenderfold/fleet/_routes.py
+++ b/src/lavenderfold/fleet/_routes.py
@@ -2,6 +2,24 @@
 
 from lavenderfold.fleet._config import FleetConfig, Organisation, Route, Service
 
+# The most and the least urgent priority that targets know.
+MIN_PRIORITY = 0
+MAX_PRIORITY = 9
+
+
+def _names_of_ordered_services(config: FleetConfig) -> frozenset[str]:
+    """Return the services whose routes have different priorities."""
+    priorities_by_service: dict[str, set[int]] = {}
+    for route in config.routes:
+        for share in route.shares:
+            priorities = priorities_by_service.setdefault(share.service, set())
+            priorities.add(route.priority)
+    return frozenset(
+        name
+        for name, priorities in priorities_by_service.items()
+        if len(priorities) > 1
+    )
+
 
 class RouteTable:
     """Indexes of one configuration version."""
@@ -10,6 +28,7 @@
         "config",
         "organisation_by_name",
         "service_by_name",
+        "ordered_service_names",
         "_organisation_by_key",
         "_route_by_prefix_by_host",
     )
@@ -18,6 +37,7 @@
         self.config = config
         self.service_by_name = {each.name: each for each in config.services}
         self.organisation_by_name = {each.name: each for each in config.organisations}
+        self.ordered_service_names = _names_of_ordered_services(config)
         self._organisation_by_key = {
             key: each for each in config.organisations for key in each.keys
         }
@@ -51,5 +71,20 @@
         """Return the organisation that holds an API key."""
         return self._organisation_by_key.get(key)
 
+    def priority(
+        self, service_name: str, route: Route, organisation: Organisation | None
+    ) -> int | None:
+        """Return the priority of a request in a service; 0 is the most urgent.
+
+        That of the organisation precedes that of the route. It is None if all routes of
+        the service have the same priority, because requests then have no order.
+        """
+        if service_name not in self.ordered_service_names:
+            return None
+        priority = route.priority
+        if organisation is not None and organisation.priority is not None:
+            priority = organisation.priority
+        return min(MAX_PRIORITY, max(MIN_PRIORITY, priority))
+
     def service(self, name: str) -> Service | None:
         return self.service_by_name.get(name)
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -69,6 +69,8 @@
     headers = [*call.request.forwarded_headers, ("x-target", call.target.id)]
     if call.last_event_id is not None:
         headers.append(("x-last", call.last_event_id))
+    if call.priority is not None:
+        headers.append(("x-priority", str(call.priority)))
     return HttpRequest(
         method=call.request.method,
         target=call.request.target,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -46,6 +46,7 @@
     ("cache-retain", "forged"),
     ("target-replica", "forged"),
     ("kv-from", "forged"),
+    ("request-priority", "0"),
     ("connection", "close, x-hop, attempt-id"),
     ("x-hop", "1"),
     ("x-own", "2"),
@@ -123,9 +124,20 @@
     assert sent["attempt-id"] == "a1"
     assert sent["x-own"] == "2"
     withheld = {"key", "cache-retain", "kv-from", "x-hop", "connection"}
+    withheld.add("request-priority")
     assert not withheld & sent.keys()
 
 
+def test_priority_of_the_call_is_sent():
+    """Load: urgent and other requests share the engines of one service.
+
+    Guards against a caller's value beside the router's.
+    """
+    sent = write_call(make_call(priority=3)).headers
+    values = [value for name, value in sent if name == "request-priority"]
+    assert values == ["3"]
+
+
 @pytest.mark.parametrize(
     ("name", "value"),
     [
