Spread the Retry-After of all refusals

Each refusal as not run carried a constant Retry-After, so callers that were refused together by all routers came back in the same moment and were refused again.

A Refusal now says how long its cause is expected to last, and its response takes the header from retry_after_s with the time that the caller has left and a random number.

--- a/src/lavenderfold/admission/_retry_after.py
+++ b/src/lavenderfold/admission/_retry_after.py
@@ -19,12 +19,14 @@
     with ``caller_left_s`` left wait a third of that at most. If ``expected_s`` is
     longer, the result lies between half of that limit and the limit.
     """
-    limit_s = math.floor(max(0.0, CALLER_WAIT_SHARE * caller_left_s) * STEPS_PER_S)
-    limit_s /= STEPS_PER_S
+    limit_s = max(0.0, CALLER_WAIT_SHARE * caller_left_s)
     earliest_s = max(0.0, expected_s)
     latest_s = min(SPREAD_FACTOR * earliest_s, limit_s)
     if earliest_s > limit_s:
         earliest_s, latest_s = limit_s / SPREAD_FACTOR, limit_s
     chosen_s = earliest_s + draw * (latest_s - earliest_s)
     # Rounded up, so that callers don't come too early.
-    return min(limit_s, math.ceil(chosen_s * STEPS_PER_S) / STEPS_PER_S)
+    rounded_s = math.ceil(chosen_s * STEPS_PER_S) / STEPS_PER_S
+    if rounded_s <= limit_s:
+        return rounded_s
+    return math.floor(limit_s * STEPS_PER_S) / STEPS_PER_S
--- a/src/lavenderfold/direct/_caller_api.py
+++ b/src/lavenderfold/direct/_caller_api.py
@@ -1,6 +1,7 @@
 """The callers' HTTP interface: routing, authentication and refusals."""
 
 import logging
+import math
 
 import trio
 
@@ -14,12 +15,12 @@
 from lavenderfold.http import HttpRequest, ResponseWriter
 from lavenderfold.outcomes import Reason
 
-NOT_READY_RETRY_AFTER_S = 0.5
+NOT_READY_EXPECTED_S = 0.5
 # Requests that arrive before the first configuration wait for it. When all routers
 # restart at once, a refused caller would meet another router that isn't ready.
 STARTUP_WAIT_S = 1.0
 # Short, because other routers can take the request at once.
-OTHER_ROUTER_RETRY_AFTER_S = 0.05
+OTHER_ROUTER_EXPECTED_S = 0.05
 
 logger = logging.getLogger("lavenderfold.requests")
 
@@ -69,15 +70,19 @@
             table = await self._config.wait_installed(STARTUP_WAIT_S)
         refusal = self._refuse_all(table)
         if refusal is not None:
-            await self._refuse(request, refusal, writer)
+            await self._refuse(request, refusal, writer, waits_since)
             return
         route = table.route(request.host, request.path)
         if route is None:
-            await self._refuse(request, _rejection(404, "unknown_route"), writer)
+            await self._refuse(
+                request, _rejection(404, "unknown_route"), writer, waits_since
+            )
             return
         organisation = _organisation(table, route, request)
         if organisation is None and table.requires_keys and not route.is_public:
-            await self._refuse(request, _rejection(401, "unknown_key"), writer)
+            await self._refuse(
+                request, _rejection(401, "unknown_key"), writer, waits_since
+            )
             return
         delay_s = self._services.event_loop_monitor.request_delay_s
         limits = time_limits(
@@ -86,7 +91,9 @@
         now = trio.current_time()
         if is_too_late(route, limits, now=now, request_delay_s=delay_s):
             # Another router may still have time for it.
-            await self._refuse(request, _at_other_router(Reason.OVERLOADED), writer)
+            await self._refuse(
+                request, _at_other_router(Reason.OVERLOADED), writer, waits_since
+            )
             return
         execution = RequestExecution(
             services=self._services,
@@ -112,11 +119,15 @@
         if self._services.reachability.is_isolated:
             return _at_other_router(Reason.ISOLATED)
         if table is None:
-            return not_run(Reason.NOT_READY, retry_after_s=NOT_READY_RETRY_AFTER_S)
+            return not_run(Reason.NOT_READY, expected_s=NOT_READY_EXPECTED_S)
         return None
 
     async def _refuse(
-        self, request: CallerRequest, refusal: Refusal, writer: ResponseWriter
+        self,
+        request: CallerRequest,
+        refusal: Refusal,
+        writer: ResponseWriter,
+        waits_since: float,
     ) -> None:
         table = self._config.table
         fields = {
@@ -129,7 +140,15 @@
         }
         logger.info("request_refused", extra=fields)
         headers = self._services.codec.answer_headers(request.attempt_id)
-        await writer.send(refusal_response(refusal, headers))
+        # Without a time the caller may wait for ever.
+        caller_deadline = waits_since + (request.caller_timeout_s or math.inf)
+        response = refusal_response(
+            refusal,
+            headers,
+            caller_left_s=caller_deadline - trio.current_time(),
+            draw=self._services.draw(),
+        )
+        await writer.send(response)
 
 
 def _waits_since(http_request: HttpRequest) -> float:
@@ -138,7 +157,7 @@
 
 
 def _at_other_router(reason: Reason) -> Refusal:
-    return not_run(reason, retry_after_s=OTHER_ROUTER_RETRY_AFTER_S)
+    return not_run(reason, expected_s=OTHER_ROUTER_EXPECTED_S)
 
 
 def _rejection(status: int, reason: str) -> Refusal:
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -11,7 +11,7 @@
 from lavenderfold.direct._patience import CallerPatience
 from lavenderfold.direct._pauses import pause_wait_limit, refuse_not_run
 from lavenderfold.direct._refusals import (
-    DEFAULT_RETRY_AFTER_S,
+    DEFAULT_EXPECTED_S,
     Refusal,
     may_have_run,
     not_run,
@@ -165,7 +165,7 @@
     def _refuse(self, reason: Reason) -> Refusal:
         if self._progress.may_have_run:
             return may_have_run(reason)
-        return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        return not_run(reason, expected_s=DEFAULT_EXPECTED_S)
 
     @property
     def _answer_by(self) -> float:
@@ -374,11 +374,7 @@
         return self._refuse_not_run(Reason.NO_TARGET)
 
     def _refuse_not_run(self, reason: Reason) -> Refusal:
-        return refuse_not_run(
-            reason,
-            pause_left_s=self._selection.pause_left_s(),
-            caller_left_s=self._caller_deadline - trio.current_time(),
-        )
+        return refuse_not_run(reason, pause_left_s=self._selection.pause_left_s())
 
     async def _send(self, refusal: Refusal) -> None:
         if self._writer.started:
@@ -386,7 +382,13 @@
             # its end, which the caller notices.
             return
         headers = self._services.codec.answer_headers(self._request.attempt_id)
-        await self._writer.send(refusal_response(refusal, headers))
+        response = refusal_response(
+            refusal,
+            headers,
+            caller_left_s=self._caller_deadline - trio.current_time(),
+            draw=self._services.draw(),
+        )
+        await self._writer.send(response)
 
     async def _relay_failure_response(self) -> bool:
         """Relay a target's error response; return False if there is none to relay.
--- a/src/lavenderfold/direct/_reservation.py
+++ b/src/lavenderfold/direct/_reservation.py
@@ -12,7 +12,7 @@
 # How long a request waits for its reservation. A grant takes about 30 ms from the
 # other region; a broken path to the store is detected and replaced within 0.6 s.
 FUNDING_WAIT_S = 0.7
-BUDGET_RETRY_AFTER_S = 0.3
+BUDGET_EXPECTED_S = 0.3
 BALANCE_REASONS = (Reason.BUDGET_SPENT.value, Reason.BUDGET_UNAVAILABLE.value)
 SIZE_MISSING = Refusal(status=400, reason="size_missing", outcome="not_run")
 
@@ -68,9 +68,7 @@
         if funding is Funding.SPENT:
             return not_run(Reason.BUDGET_SPENT)
         if funding is Funding.UNAVAILABLE:
-            return not_run(
-                Reason.BUDGET_UNAVAILABLE, retry_after_s=BUDGET_RETRY_AFTER_S
-            )
+            return not_run(Reason.BUDGET_UNAVAILABLE, expected_s=BUDGET_EXPECTED_S)
         self.tokens = tokens.worst_case
         self.funded_at = trio.current_time()
         return None
--- a/src/lavenderfold/direct/_router_services.py
+++ b/src/lavenderfold/direct/_router_services.py
@@ -1,5 +1,6 @@
 """Services that all requests of one router share."""
 
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -23,7 +24,8 @@
 class RouterServices(msgspec.Struct, kw_only=True):
     """Services that all requests of one router share.
 
-    ``domain`` is the failure domain of the router.
+    ``domain`` is the failure domain of the router. ``draw`` returns a uniform random
+    number in [0, 1).
     """
 
     balance_manager: BalanceManager
@@ -39,6 +41,7 @@
     timers: TimerService
     new_retry_budget: Callable[[], RetryBudget]
     domain: str
+    draw: Callable[[], float] = random.random
     answer_memory: AnswerMemory = msgspec.field(default_factory=AnswerMemory)
     first_event_times: FirstEventTimes = msgspec.field(default_factory=FirstEventTimes)
     retry_budget_by_service: dict[str, RetryBudget] = msgspec.field(
