Admit requests to services with an order by priority and fair shares

When capacity is scarce, a router sends everything on, targets reject what doesn't fit, and the most urgent kind is served worst. One organisation's surge takes the room of the others.

Where routes of a service have different priorities, a router now limits what it has in progress there. The limit starts above what a router ever has, falls when several targets reject or begin to answer late, and rises with what is served in time. At the limit requests wait, ordered by priority, by what their organisation got lately and by deadline, for half of the latency objective at most; a longer expected wait is refused at once as overloaded. Resumed streams pass at once, and the attempts of one request share one admission. Log lines and metrics tell who was refused behind whom.

Attempt has a further required callback, which test_closed_attempts.py passes now; its checks are unchanged.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -65,10 +65,12 @@
     then is written also later, within the limits of ``writer``.
     ``on_answering`` is called when the target has gone on beyond the beginning of its
     answer, ``on_head`` when the head of any answer was read, ``on_sign`` when a part of
-    an answer's body was, ``on_relaying`` before a part is relayed. ``is_turned_away``
-    says whether the target asked for a pause. ``events`` counts those that this target
-    sent, the first of them at ``first_event_at``. ``sent_at`` is when the first byte
-    of the call was sent.
+    an answer's body was, ``on_relaying`` before a part is relayed. ``on_first_part`` is
+    called when the first event, or a whole plain answer, is relayed, with the time
+    since the call was sent; ``has_begun_answer`` is set then. ``is_turned_away`` says
+    whether the target asked for a pause. ``events`` counts those that this target sent,
+    the first of them at ``first_event_at``. ``sent_at`` is when the first byte of the
+    call was sent.
     """
 
     def __init__(
@@ -83,12 +85,15 @@
         on_answering: Callable[[], None],
         on_head: Callable[[AnswerHead], None],
         on_sign: Callable[[], None],
+        on_first_part: Callable[[float], None],
         on_relaying: Callable[[], None],
     ):
         self.failure_response: HttpResponse | None = None
         self.invalid_answer: InvalidAnswerError | None = None
         self.status: int | None = None
         self.is_turned_away = False
+        self.is_leaving = False
+        self.has_begun_answer = False
         self.events = 0
         self.first_event_at: float | None = None
         self.sent_at: float | None = None
@@ -101,6 +106,7 @@
         self._on_answering = on_answering
         self._on_head = on_head
         self._on_sign = on_sign
+        self._on_first_part = on_first_part
         self._on_relaying = on_relaying
         self._is_answering = False
         self._is_closed = False
@@ -244,6 +250,7 @@
         self._parts.record_whole()
         head = self._codec.read_answer(response.status, response.headers)
         self.is_turned_away = head.asks_pause
+        self.is_leaving = head.is_leaving
         self._on_sign()
         self._on_head(head)
         if head.attempt_id != self._call.request.attempt_id:
@@ -325,6 +332,7 @@
             return await self._relay_events()
         self._on_relaying()
         self._progress.first_byte_at = trio.current_time()
+        self._record_first_part(self._progress.first_byte_at)
         if await self._write(self._writer.send(self._answer)):
             return AttemptOutcome.DELIVERED
         return AttemptOutcome.TIMED_OUT
@@ -390,11 +398,16 @@
         now = trio.current_time()
         if self.first_event_at is None:
             self.first_event_at = now
+            self._record_first_part(now)
         if now - self.first_event_at >= BEGINNING_S:
             self._record_answering()
         self.events += events.count
         self._progress.record_events(events.count, events.last_id, now=now)
 
+    def _record_first_part(self, now: float) -> None:
+        self.has_begun_answer = True
+        self._on_first_part(now - self.sent_at)
+
     def _record_answering(self) -> None:
         if not self._is_answering:
             self._is_answering = True
--- a/src/lavenderfold/direct/_attempt_recorder.py
+++ b/src/lavenderfold/direct/_attempt_recorder.py
@@ -3,6 +3,7 @@
 from lavenderfold.direct._attempt import Attempt
 from lavenderfold.direct._crash_check import record_crash
 from lavenderfold.direct._outcome import AttemptOutcome
+from lavenderfold.direct._request_admission import RequestAdmission
 from lavenderfold.direct._requests import AnswerHead, CallerRequest
 from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.fleet import Route, Target
@@ -17,14 +18,20 @@
 class AttemptRecorder:
     """Records the attempts of one request in the state that all requests share."""
 
-    __slots__ = ("_services", "_request", "_route", "_silent_ids")
+    __slots__ = ("_services", "_request", "_route", "_admission", "_silent_ids")
 
     def __init__(
-        self, *, services: RouterServices, request: CallerRequest, route: Route
+        self,
+        *,
+        services: RouterServices,
+        request: CallerRequest,
+        route: Route,
+        admission: RequestAdmission,
     ):
         self._services = services
         self._request = request
         self._route = route
+        self._admission = admission
         self._silent_ids: set[str] = set()
 
     def record_start(self, target: Target) -> None:
@@ -44,6 +51,10 @@
         """Record that a part of an answer arrived."""
         self._services.load_tracker.record_sign(target, now=self._now())
 
+    def record_first_part(self, target: Target, duration_s: float) -> None:
+        """Record that an answer began ``duration_s`` after the call was sent."""
+        self._admission.record_first_part(target, duration_s)
+
     def record_head(self, target: Target, head: AnswerHead) -> None:
         """Record what the head of an answer says of its target."""
         request_id = self._request.attempt_id
@@ -70,6 +81,7 @@
         sent_at: float,
     ) -> None:
         """Record the end of an attempt that began at ``sent_at`` on the trio clock."""
+        self._admission.record_outcome(attempt, target, outcome)
         if outcome in RECORDED_OUTCOMES:
             return
         reachability = self._services.reachability
--- a/src/lavenderfold/direct/_attempt_starter.py
+++ b/src/lavenderfold/direct/_attempt_starter.py
@@ -109,6 +109,7 @@
             on_answering=self._recorder.record_answering,
             on_head=partial(self._recorder.record_head, target),
             on_sign=partial(self._recorder.record_sign, target),
+            on_first_part=partial(self._recorder.record_first_part, target),
             on_relaying=self._on_relaying,
         )
         return StartedAttempt(
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -15,6 +15,14 @@
 ROUTER_STATES = ("ready", "draining", "isolated", "overloaded")
 
 
+class AdmissionState(msgspec.Struct, frozen=True, kw_only=True):
+    """The admission to one service. ``limit`` and ``used`` are in mean requests."""
+
+    limit: float
+    used: float
+    queued: int
+
+
 class RouterSnapshot(msgspec.Struct, frozen=True, kw_only=True):
     """State of a router at the time its metrics are read. Ages are in seconds.
 
@@ -23,6 +31,7 @@
     """
 
     active: int
+    admission_by_service: dict[str, AdmissionState]
     incomplete_answer_bytes: int
     balances: list[LocalBalanceState]
     longest_turn_s: float
@@ -135,6 +144,31 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._admission_waits = Histogram(
+            "lavenderfold_admission_wait_seconds",
+            "Wait of requests that weren't admitted at once, by service and result.",
+            ["service", "result"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._admission_refusals = Counter(
+            "lavenderfold_admission_refusals",
+            "Requests that weren't admitted to a service.",
+            ["service", "priority", "organisation"],
+            registry=self._registry,
+        )
+        self._congestion = Counter(
+            "lavenderfold_congestion_signals",
+            "Attempts that show that a service lacks room: rejected or slow.",
+            ["service", "cause"],
+            registry=self._registry,
+        )
+        self._admission = Gauge(
+            "lavenderfold_admission",
+            "Limit and use of a service in mean requests, and queued requests.",
+            ["service", "part"],
+            registry=self._registry,
+        )
         self._active = Gauge(
             "lavenderfold_active_requests",
             "Requests in progress.",
@@ -193,6 +227,21 @@
     def record_invalid_answer(self, cause: str) -> None:
         self._invalid_answers.labels(cause).inc()
 
+    def record_admission_wait(
+        self, service: str, wait_s: float, *, is_admitted: bool
+    ) -> None:
+        """Record how long a request waited that wasn't admitted at once."""
+        result = "admitted" if is_admitted else "refused"
+        self._admission_waits.labels(service, result).observe(wait_s)
+
+    def record_admission_refusal(
+        self, service: str, priority: int, organisation: str
+    ) -> None:
+        self._admission_refusals.labels(service, str(priority), organisation).inc()
+
+    def record_congestion(self, service: str, cause: str) -> None:
+        self._congestion.labels(service, cause).inc()
+
     def record_store_call(self, call: StoreCall) -> None:
         self._store_calls.labels(call.kind, call.purpose, call.result).inc()
 
@@ -241,6 +290,10 @@
                 self._balance.labels(state.organisation, "written_off").set(
                     state.written_off
                 )
+        for service, admission in snapshot.admission_by_service.items():
+            self._admission.labels(service, "limit").set(admission.limit)
+            self._admission.labels(service, "used").set(admission.used)
+            self._admission.labels(service, "queued").set(admission.queued)
         for prefix, age_s in snapshot.watch_age_by_prefix.items():
             self._watch_age.labels(prefix).set(age_s)
         for name in ROUTER_STATES:
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -19,6 +19,7 @@
     unanswered,
 )
 from lavenderfold.direct._relay_progress import RelayProgress, can_be_continued
+from lavenderfold.direct._request_admission import RequestAdmission
 from lavenderfold.direct._request_log import RequestLog, RequestResult, answer_state
 from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.direct._reservation import Reservation
@@ -66,7 +67,6 @@
         self._caller_deadline = limits.caller_deadline
         writer.deadline = self._deadline
         self._service_name = pick_service(route, request.attempt_id)
-        self._priority = table.priority(self._service_name, route, organisation)
         self._retry_budget = services.retry_budget(self._service_name)
         self._progress = RelayProgress()
         self._patience = CallerPatience(
@@ -106,15 +106,24 @@
             # Two targets may run a plain repeatable request for as long as it takes.
             accepts_unanswered=route.is_resumable or request.tokens is not None,
         )
+        self._admission = RequestAdmission(
+            services=services,
+            table=table,
+            service_name=self._service_name,
+            request=request,
+            route=route,
+            organisation=organisation,
+            deadline=self._deadline,
+        )
         self._recorder = AttemptRecorder(
-            services=services, request=request, route=route
+            services=services, request=request, route=route, admission=self._admission
         )
         self._attempt_starter = AttemptStarter(
             services=services,
             request=request,
             route=route,
             organisation=organisation,
-            priority=self._priority,
+            priority=self._admission.priority,
             writer=writer,
             progress=self._progress,
             recorder=self._recorder,
@@ -141,6 +150,7 @@
             if refusal is not None:
                 await self._send(refusal)
         finally:
+            self._admission.leave(self._last_outcome)
             self._reservation.settle(
                 may_have_run=self._progress.may_have_run, events=self._progress.events
             )
@@ -155,7 +165,8 @@
             self._stop_scope.cancel()
 
     async def _answer(self) -> Refusal | None:
-        refusal = self._refuse_quarantined() or await self._reservation.reserve()
+        refusal = self._refuse_quarantined() or await self._admission.enter()
+        refusal = refusal or await self._reservation.reserve()
         if refusal is not None:
             return refusal
         if not self._route.is_repeatable:
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -322,6 +322,7 @@
         options = self._options
         return RouterSnapshot(
             active=self._caller_api.active,
+            admission_by_service=self._services.admission_states(),
             incomplete_answer_bytes=self._services.answer_memory.held_bytes,
             balances=self._balance_manager.local_balance_states(),
             longest_turn_s=event_loop_turns().longest_s,
--- a/src/lavenderfold/direct/_router_services.py
+++ b/src/lavenderfold/direct/_router_services.py
@@ -5,12 +5,13 @@
 
 import msgspec
 
+from lavenderfold.admission import AdmissionGate
 from lavenderfold.direct._answer_memory import AnswerMemory
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
 from lavenderfold.direct._first_event_times import FirstEventTimes
 from lavenderfold.direct._load import LoadTracker
-from lavenderfold.direct._metrics import RouterMetrics
+from lavenderfold.direct._metrics import AdmissionState, RouterMetrics
 from lavenderfold.direct._notices import TargetNotices
 from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._requests import PlatformCodec
@@ -48,6 +49,32 @@
         default_factory=dict
     )
 
+    admission_gate_by_service: dict[str, AdmissionGate] = msgspec.field(
+        default_factory=dict
+    )
+
+    def admission_gate(
+        self, service_name: str, priority: int | None
+    ) -> AdmissionGate | None:
+        """Return the admission to a service, None if its requests have no priority."""
+        if priority is None:
+            return None
+        gate = self.admission_gate_by_service.get(service_name)
+        if gate is None:
+            gate = self.admission_gate_by_service[service_name] = AdmissionGate()
+        return gate
+
+    def admission_states(self) -> dict[str, AdmissionState]:
+        """Return the state of the admission by service, for the metrics."""
+        return {
+            name: AdmissionState(
+                limit=gate.admission.limit.value,
+                used=gate.admission.used,
+                queued=gate.admission.queued,
+            )
+            for name, gate in self.admission_gate_by_service.items()
+        }
+
     def retry_budget(self, service_name: str) -> RetryBudget:
         """Return the retry budget of a service."""
         retry_budget = self.retry_budget_by_service.get(service_name)
--- a/tests/test_admission_router.py
+++ b/tests/test_admission_router.py
@@ -2,12 +2,16 @@
 
 import msgspec
 import pytest
+import trio
 
 from lavenderfold.fleet import Organisation, RepeatPolicy, RouteTable
+from lavenderfold.http import HttpClient, HttpRequest
 from tests.direct_support import (
     answer_successfully,
+    count_target_requests,
     make_config,
     make_route,
+    reject,
     run_scenario,
 )
 
@@ -55,3 +59,56 @@
     assert table.priority("service", route, first) == 0
     assert table.priority("service", route, other) == 9
     assert table.priority("service", route, None) == 9
+
+
+def test_refusal_while_the_targets_have_no_room():
+    """Load: ten requests in progress, and targets that reject all others.
+
+    Guards against requests that are sent to be rejected, and against an urgent one
+    that isn't served when room is there again.
+    """
+    may_end = trio.Event()
+
+    async def hold(request, writer):
+        await may_end.wait()
+        await answer_successfully(request, writer)
+
+    async def scenario(fleet):
+        statuses = []
+
+        async def send(path, attempt):
+            answer = await fleet.send_request(path, attempt=attempt)
+            statuses.append(answer.status)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(10):
+                nursery.start_soon(send, "/batch/x", f"held-{number}")
+            await fleet.wait_until(lambda: count_target_requests(fleet) == 10)
+            for target in fleet.target_by_id.values():
+                target.script = reject
+            for number in range(2):
+                await send("/batch/x", f"rejected-{number}")
+            assert statuses == [503] * 2
+            received = count_target_requests(fleet)
+            refused = await fleet.send_request("/batch/x", attempt="refused")
+            assert refused.status == 503
+            assert refused.header("x-attempt") == "refused"
+            assert b'"overloaded"' in refused.body and b'"not_run"' in refused.body
+            assert 0.25 <= float(refused.header("retry-after")) <= 0.5
+            assert count_target_requests(fleet) == received
+            for target in fleet.target_by_id.values():
+                target.script = answer_successfully
+            nursery.start_soon(send, "/urgent/x", "urgent")
+            await trio.sleep(0.05)
+            assert count_target_requests(fleet) == received
+            may_end.set()
+        assert statuses[2:] == [200] * 11
+        client = HttpClient(address=fleet.router.metrics_address)
+        request = HttpRequest(method="GET", target="/", headers=[], body=b"")
+        metrics = (await client.request(request)).body.decode()
+        await client.close()
+        labels = '{organisation="org",priority="9",service="service"}'
+        assert f"lavenderfold_admission_refusals_total{labels} 1.0" in metrics
+        assert 'lavenderfold_admission{part="queued",service="service"} 0.0' in metrics
+
+    run_scenario(scenario, hold, hold, config=ordered_config())
--- a/tests/test_closed_attempts.py
+++ b/tests/test_closed_attempts.py
@@ -47,6 +47,7 @@
         on_answering=lambda: None,
         on_head=lambda head: None,
         on_sign=lambda: None,
+        on_first_part=lambda duration_s: None,
         on_relaying=lambda: None,
     )
 
