Test the tasks that wait for admission

The state machine covers the decisions, but not the tasks that wait for them: one that isn't woken waits for ever, and one that is cancelled could keep its place.

A test with a simulated clock has waiting tasks woken, timed out and cancelled.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -3,8 +3,10 @@
 import random
 
 import pytest
+import trio
+import trio.testing
 
-from lavenderfold.admission import Entry, EntryState, ServiceAdmission
+from lavenderfold.admission import AdmissionGate, Entry, EntryState, ServiceAdmission
 from tests.admission_support import SimulatedService, calls_per_s, share
 
 
@@ -178,3 +180,46 @@
     for entry in [used, *running]:
         admission.end(entry, is_served=True, now=0.5)
     assert admitted == expected
+
+
+def test_waiting_tasks_are_woken_time_out_or_are_cancelled():
+    """Load: a full service, whose callers get room, wait in vain, or leave.
+
+    Guards against a task that waits for ever, and against a place that a caller keeps
+    after it has left.
+    """
+    gate = AdmissionGate()
+    results = {}
+
+    async def wait(name, wait_s):
+        entry = make_entry()
+        try:
+            await gate.enter(entry, wait_until=trio.current_time() + wait_s)
+            results[name] = (entry.state, trio.current_time() - started_at)
+        finally:
+            gate.leave(entry, is_served=False)
+
+    async def main():
+        nonlocal started_at
+        started_at = trio.current_time()
+        lower_limit(gate.admission, now=started_at)
+        running = fill(gate.admission, now=started_at)
+        async with trio.open_nursery() as nursery:
+            leaving = trio.CancelScope()
+            with leaving:
+                async with trio.open_nursery() as caller:
+                    caller.start_soon(wait, "leaves", 3.0)
+                    await trio.testing.wait_all_tasks_blocked()
+                    leaving.cancel()
+            nursery.start_soon(wait, "late", 0.5)
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.start_soon(wait, "woken", 3.0)
+            await trio.sleep(1.0)
+            gate.leave(running.pop(), is_served=True)
+
+    started_at = 0.0
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert results["late"] == (EntryState.QUEUED, pytest.approx(0.5))
+    assert results["woken"] == (EntryState.ADMITTED, pytest.approx(1.0))
+    assert "leaves" not in results
+    assert gate.admission.queued == 0
