Leave out targets whose memory this router fills while others have room

A target crashes if the requests that it holds exceed its memory. Long prompts that share a prefix go to one home target, whose load was counted in requests only.

A router now counts the tokens that it has in progress at each target. Services that state no capacity are served as before.

--- a/src/lavenderfold/admission/__init__.py
+++ b/src/lavenderfold/admission/__init__.py
@@ -8,6 +8,7 @@
     EntryState,
     ServiceAdmission,
 )
+from lavenderfold.admission._target_tokens import TargetTokens
 
 __all__ = [
     "CALLER_WAIT_SHARE",
@@ -16,5 +17,6 @@
     "Entry",
     "EntryState",
     "ServiceAdmission",
+    "TargetTokens",
     "retry_after_s",
 ]
--- a/src/lavenderfold/direct/_attempt_recorder.py
+++ b/src/lavenderfold/direct/_attempt_recorder.py
@@ -2,6 +2,7 @@
 
 from lavenderfold.direct._attempt import Attempt
 from lavenderfold.direct._crash_check import record_crash
+from lavenderfold.direct._load import target_key
 from lavenderfold.direct._outcome import AttemptOutcome
 from lavenderfold.direct._request_admission import RequestAdmission
 from lavenderfold.direct._requests import AnswerHead, CallerRequest
@@ -36,6 +37,10 @@
 
     def record_start(self, target: Target) -> None:
         self._services.load_tracker.record_start(target, now=self._now())
+        tokens = self._request.tokens
+        if tokens is not None:
+            key = target_key(target)
+            self._services.target_tokens.add(key, tokens.worst_case)
 
     def record_end(
         self, attempt: Attempt, target: Target, outcome: AttemptOutcome | None
@@ -43,6 +48,10 @@
         """Record that an attempt has ended; it was cancelled if it has no outcome."""
         load_tracker = self._services.load_tracker
         load_tracker.record_end(target, now=self._now())
+        tokens = self._request.tokens
+        if tokens is not None:
+            key = target_key(target)
+            self._services.target_tokens.remove(key, tokens.worst_case)
         is_unfinished = outcome is None or outcome in UNFINISHED_OUTCOMES
         if is_unfinished and attempt.is_stalled and target.id not in self._silent_ids:
             load_tracker.record_failure(target, now=self._now())
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -67,6 +67,7 @@
         self._caller_deadline = limits.caller_deadline
         writer.deadline = self._deadline
         self._service_name = pick_service(route, request.attempt_id)
+        service = table.service(self._service_name)
         self._retry_budget = services.retry_budget(self._service_name)
         self._progress = RelayProgress()
         self._patience = CallerPatience(
@@ -81,7 +82,7 @@
             timers=services.timers,
             request=request,
             organisation=organisation,
-            service=table.service(self._service_name),
+            service=service,
         )
         self._sent_attempts = 0
         self._last_outcome: AttemptOutcome | None = None
@@ -95,7 +96,10 @@
         self._choice_reason = ""
         self._not_repeated: str | None = None
         self._selection = TargetSelection(
-            services=services, service_name=self._service_name, request=request
+            services=services,
+            service_name=self._service_name,
+            service=service,
+            request=request,
         )
         self._take_over = TakeOver(
             timers=services.timers,
--- a/src/lavenderfold/direct/_router_services.py
+++ b/src/lavenderfold/direct/_router_services.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from lavenderfold.admission import AdmissionGate
+from lavenderfold.admission import AdmissionGate, TargetTokens
 from lavenderfold.direct._answer_memory import AnswerMemory
 from lavenderfold.direct._connections import TargetClients
 from lavenderfold.direct._event_loop_monitor import EventLoopMonitor
@@ -45,6 +45,7 @@
     draw: Callable[[], float] = random.random
     answer_memory: AnswerMemory = msgspec.field(default_factory=AnswerMemory)
     first_event_times: FirstEventTimes = msgspec.field(default_factory=FirstEventTimes)
+    target_tokens: TargetTokens = msgspec.field(default_factory=TargetTokens)
     retry_budget_by_service: dict[str, RetryBudget] = msgspec.field(
         default_factory=dict
     )
--- a/src/lavenderfold/direct/_target_selection.py
+++ b/src/lavenderfold/direct/_target_selection.py
@@ -1,23 +1,35 @@
 """The targets that one request may still be sent to."""
 
+from collections.abc import Set
+
 import trio
 
 from lavenderfold.direct._choice import TargetChoice, choose_target
+from lavenderfold.direct._load import target_key
 from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.direct._router_services import RouterServices
-from lavenderfold.fleet import Target
+from lavenderfold.fleet import Service, Target
 
 
 class TargetSelection:
-    """Chooses targets of a service for one request, each of them once."""
+    """Chooses targets of a service for one request, each of them once.
+
+    ``service`` is None if the configuration doesn't name it.
+    """
 
-    __slots__ = ("_services", "_service_name", "_request", "_failed_ids")
+    __slots__ = ("_services", "_service_name", "_service", "_request", "_failed_ids")
 
     def __init__(
-        self, *, services: RouterServices, service_name: str, request: CallerRequest
+        self,
+        *,
+        services: RouterServices,
+        service_name: str,
+        service: Service | None,
+        request: CallerRequest,
     ):
         self._services = services
         self._service_name = service_name
+        self._service = service
         self._request = request
         self._failed_ids: set[str] = set()
 
@@ -34,7 +46,7 @@
         if instead_of is not None:
             avoid = avoid | {instead_of.id}
         return choose_target(
-            self._targets(),
+            self._with_room(self._targets(), avoid=avoid),
             self._services.load_tracker,
             self._request,
             avoid=avoid,
@@ -58,6 +70,30 @@
         await trio.sleep(pause_left_s)
         return True
 
+    def _with_room(self, targets: list[Target], *, avoid: Set[str]) -> list[Target]:
+        """Return the targets with room for the tokens of the request.
+
+        Without one that is healthy and not in ``avoid``, return all.
+        """
+        service, tokens = self._service, self._request.tokens
+        if service is None or not service.cache_capacity_tokens or tokens is None:
+            return targets
+        full = self._services.target_tokens.full(
+            tokens=tokens.worst_case, capacity=service.cache_capacity_tokens
+        )
+        if not full:
+            return targets
+        others = [each for each in targets if target_key(each) not in full]
+        load_tracker, now = self._services.load_tracker, self._services.timers.now()
+        if any(
+            each.id not in avoid
+            and not load_tracker.is_ejected(each, now=now)
+            and not load_tracker.is_silent(each, now=now)
+            for each in load_tracker.available(others, now=now)
+        ):
+            return others
+        return targets
+
     def _targets(self) -> list[Target]:
         return self._services.directory.usable(self._service_name)
 
