Release an admission before a refusal or failure response is sent

A caller that reads a refusal slowly kept the place of its request in the service until it had read it.

The admission now ends with the last attempt. Tests over sockets show that slow targets lower the limit, and that targets which pause don't.

--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -154,7 +154,6 @@
             if refusal is not None:
                 await self._send(refusal)
         finally:
-            self._admission.leave(self._last_outcome)
             self._reservation.settle(
                 may_have_run=self._progress.may_have_run, events=self._progress.events
             )
@@ -169,6 +168,12 @@
             self._stop_scope.cancel()
 
     async def _answer(self) -> Refusal | None:
+        try:
+            return await self._admit_and_attempt()
+        finally:
+            self._admission.leave(self._last_outcome)
+
+    async def _admit_and_attempt(self) -> Refusal | None:
         refusal = self._refuse_quarantined() or await self._admission.enter()
         refusal = refusal or await self._reservation.reserve()
         if refusal is not None:
--- a/tests/test_admission_router.py
+++ b/tests/test_admission_router.py
@@ -1,5 +1,7 @@
 """Priority and admission in a router with targets on loopback."""
 
+from functools import partial
+
 import msgspec
 import pytest
 import trio
@@ -14,6 +16,7 @@
     reject,
     run_scenario,
 )
+from tests.notice_support import turn_away
 
 
 def ordered_config(**changes):
@@ -25,6 +28,14 @@
     return make_config(**{"routes": routes, **changes})
 
 
+async def read_metrics(fleet) -> str:
+    client = HttpClient(address=fleet.router.metrics_address)
+    request = HttpRequest(method="GET", target="/", headers=[], body=b"")
+    metrics = (await client.request(request)).body.decode()
+    await client.close()
+    return metrics
+
+
 @pytest.mark.parametrize(("path", "priority"), [("/urgent/x", "1"), ("/batch/x", "9")])
 def test_target_is_told_the_priority(path, priority):
     """Load: a batch and urgent requests meet in the engines.
@@ -103,12 +114,59 @@
             assert count_target_requests(fleet) == received
             may_end.set()
         assert statuses[2:] == [200] * 11
-        client = HttpClient(address=fleet.router.metrics_address)
-        request = HttpRequest(method="GET", target="/", headers=[], body=b"")
-        metrics = (await client.request(request)).body.decode()
-        await client.close()
+        metrics = await read_metrics(fleet)
         labels = '{organisation="org",priority="9",service="service"}'
         assert f"lavenderfold_admission_refusals_total{labels} 1.0" in metrics
         assert 'lavenderfold_admission{part="queued",service="service"} 0.0' in metrics
 
     run_scenario(scenario, hold, hold, config=ordered_config())
+
+
+async def send_together(fleet, count, name):
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            send = partial(fleet.send_request, attempt=f"{name}-{number}")
+            nursery.start_soon(send, "/batch/x")
+
+
+def test_slow_targets_lower_the_limit():
+    """Load: both targets take 0.4 s instead of some ms.
+
+    Guards against answers that are late by the route's measure and go unnoticed.
+    """
+
+    async def answer_late(request, writer):
+        await trio.sleep(0.4)
+        await answer_successfully(request, writer)
+
+    async def scenario(fleet):
+        await send_together(fleet, 4, "usual")
+        assert 'part="limit",service="service"} 1000.0' in await read_metrics(fleet)
+        for target in fleet.target_by_id.values():
+            target.script = answer_late
+        await send_together(fleet, 10, "slow")
+        metrics = await read_metrics(fleet)
+        assert 'part="limit",service="service"}' in metrics
+        assert 'part="limit",service="service"} 1000.0' not in metrics
+        assert '{cause="slow",service="service"}' in metrics
+
+    run_scenario(
+        scenario, answer_successfully, answer_successfully, config=ordered_config()
+    )
+
+
+def test_pausing_targets_don_t_lack_room():
+    """Load: targets that pause, as planned, and turn requests away.
+
+    Guards against a limit that outlasts the pause.
+    """
+
+    async def scenario(fleet):
+        for number in range(6):
+            await fleet.send_request("/batch/x", attempt=f"a{number}")
+            await trio.sleep(0.06)
+        assert count_target_requests(fleet) >= 6
+        metrics = await read_metrics(fleet)
+        assert "lavenderfold_congestion_signals_total{" not in metrics
+
+    run_scenario(scenario, turn_away(0.05), turn_away(0.05), config=ordered_config())
