--- a/src/lavenderfold/direct/_attempt_recorder.py
+++ b/src/lavenderfold/direct/_attempt_recorder.py
@@ -3,7 +3,9 @@
 from lavenderfold.direct._attempt import Attempt
 from lavenderfold.direct._balancing import BalancingRecorder
 from lavenderfold.direct._crash_check import record_crash
+from lavenderfold.direct._load import target_key
 from lavenderfold.direct._outcome import AttemptOutcome
+from lavenderfold.direct._request_admission import RequestAdmission
 from lavenderfold.direct._requests import AnswerHead, CallerRequest
 from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.fleet import Route, Target
@@ -18,7 +20,14 @@
 class AttemptRecorder:
     """Records the attempts of one request in the state that all requests share."""
 
-    __slots__ = ("_services", "_request", "_route", "_silent_ids", "_balancing")
+    __slots__ = (
+        "_services",
+        "_request",
+        "_route",
+        "_admission",
+        "_silent_ids",
+        "_balancing",
+    )
 
     def __init__(
         self,
@@ -27,10 +36,12 @@
         request: CallerRequest,
         route: Route,
         service_name: str,
+        admission: RequestAdmission,
     ):
         self._services = services
         self._request = request
         self._route = route
+        self._admission = admission
         self._silent_ids: set[str] = set()
         self._balancing: BalancingRecorder | None = None
         if services.balancing is not None:
@@ -40,6 +51,10 @@
         self._services.load_tracker.record_start(target, now=self._now())
         if self._balancing is not None:
             self._balancing.record_start(target)
+        tokens = self._request.tokens
+        if tokens is not None:
+            key = target_key(target)
+            self._services.target_tokens.add(key, tokens.worst_case)
 
     def record_end(
         self, attempt: Attempt, target: Target, outcome: AttemptOutcome | None
@@ -49,6 +64,10 @@
         load_tracker.record_end(target, now=self._now())
         if self._balancing is not None:
             self._balancing.record_end(attempt, target, outcome)
+        tokens = self._request.tokens
+        if tokens is not None:
+            key = target_key(target)
+            self._services.target_tokens.remove(key, tokens.worst_case)
         is_unfinished = outcome is None or outcome in UNFINISHED_OUTCOMES
         if is_unfinished and attempt.is_stalled and target.id not in self._silent_ids:
             load_tracker.record_failure(target, now=self._now())
@@ -62,6 +81,10 @@
         if self._balancing is not None:
             self._balancing.record_relaying(target)
 
+    def record_first_part(self, target: Target, duration_s: float) -> None:
+        """Record that an answer began ``duration_s`` after the call was sent."""
+        self._admission.record_first_part(target, duration_s)
+
     def record_head(self, target: Target, head: AnswerHead) -> None:
         """Record what the head of an answer says of its target."""
         request_id = self._request.attempt_id
@@ -88,6 +111,7 @@
         sent_at: float,
     ) -> None:
         """Record the end of an attempt that began at ``sent_at`` on the trio clock."""
+        self._admission.record_outcome(attempt, target, outcome)
         if outcome in RECORDED_OUTCOMES:
             return
         reachability = self._services.reachability
--- a/src/lavenderfold/direct/_attempt_starter.py
+++ b/src/lavenderfold/direct/_attempt_starter.py
@@ -44,6 +44,7 @@
     """Begins attempts that relay to the same writer, until ``deadline``.
 
     ``deadline`` is a time of the trio clock, ``patience`` that of the caller.
+    ``priority`` is the one that targets are told, if it isn't None.
     ``on_relaying`` is called before a part of the answer to any of these attempts is
     relayed.
     """
@@ -53,6 +54,7 @@
         "_request",
         "_route",
         "_organisation",
+        "_priority",
         "_writer",
         "_progress",
         "_recorder",
@@ -68,6 +70,7 @@
         request: CallerRequest,
         route: Route,
         organisation: Organisation | None,
+        priority: int | None,
         writer: ResponseWriter,
         progress: RelayProgress,
         recorder: AttemptRecorder,
@@ -79,6 +82,7 @@
         self._request = request
         self._route = route
         self._organisation = organisation
+        self._priority = priority
         self._writer = writer
         self._progress = progress
         self._recorder = recorder
@@ -108,6 +112,7 @@
             on_answering=self._recorder.record_answering,
             on_head=partial(self._recorder.record_head, target),
             on_sign=partial(self._recorder.record_sign, target),
+            on_first_part=partial(self._recorder.record_first_part, target),
             on_relaying=partial(self._record_relaying, target),
         )
         return StartedAttempt(
@@ -131,4 +136,5 @@
             organisation=self._organisation.name if self._organisation else None,
             remaining_s=max(MIN_REMAINING_S, self._deadline - now),
             last_event_id=self._progress.last_event_id or self._request.last_event_id,
+            priority=self._priority,
         )
--- a/src/lavenderfold/direct/_explain_route.py
+++ b/src/lavenderfold/direct/_explain_route.py
@@ -101,7 +101,10 @@
     request = _new_request(question)
     service_name = pick_service(route, request.attempt_id)
     selection = TargetSelection(
-        services=services, service_name=service_name, request=request
+        services=services,
+        service_name=service_name,
+        service=table.service(service_name),
+        request=request,
     )
     choice = selection.choose()
     return RouteExplanation(
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -12,7 +12,7 @@
 from lavenderfold.direct._patience import CallerPatience
 from lavenderfold.direct._pauses import pause_wait_limit, refuse_not_run
 from lavenderfold.direct._refusals import (
-    DEFAULT_RETRY_AFTER_S,
+    DEFAULT_EXPECTED_S,
     Refusal,
     may_have_run,
     not_run,
@@ -20,6 +20,7 @@
     unanswered,
 )
 from lavenderfold.direct._relay_progress import RelayProgress, can_be_continued
+from lavenderfold.direct._request_admission import RequestAdmission
 from lavenderfold.direct._request_log import RequestLog, RequestResult, answer_state
 from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.direct._reservation import Reservation
@@ -67,6 +68,7 @@
         self._caller_deadline = limits.caller_deadline
         writer.deadline = self._deadline
         self._service_name = pick_service(route, request.attempt_id)
+        service = table.service(self._service_name)
         self._retry_budget = services.retry_budget(self._service_name)
         self._progress = RelayProgress()
         self._patience = CallerPatience(
@@ -81,7 +83,7 @@
             timers=services.timers,
             request=request,
             organisation=organisation,
-            service=table.service(self._service_name),
+            service=service,
         )
         self._sent_attempts = 0
         self._last_outcome: AttemptOutcome | None = None
@@ -96,7 +98,10 @@
         self._choice_costed: CostedTarget | None = None
         self._not_repeated: str | None = None
         self._selection = TargetSelection(
-            services=services, service_name=self._service_name, request=request
+            services=services,
+            service_name=self._service_name,
+            service=service,
+            request=request,
         )
         self._take_over = TakeOver(
             timers=services.timers,
@@ -107,17 +112,28 @@
             # Two targets may run a plain repeatable request for as long as it takes.
             accepts_unanswered=route.is_resumable or request.tokens is not None,
         )
+        self._admission = RequestAdmission(
+            services=services,
+            table=table,
+            service_name=self._service_name,
+            request=request,
+            route=route,
+            organisation=organisation,
+            deadline=self._deadline,
+        )
         self._recorder = AttemptRecorder(
             services=services,
             request=request,
             route=route,
             service_name=self._service_name,
+            admission=self._admission,
         )
         self._attempt_starter = AttemptStarter(
             services=services,
             request=request,
             route=route,
             organisation=organisation,
+            priority=self._admission.priority,
             writer=writer,
             progress=self._progress,
             recorder=self._recorder,
@@ -158,7 +174,14 @@
             self._stop_scope.cancel()
 
     async def _answer(self) -> Refusal | None:
-        refusal = self._refuse_quarantined() or await self._reservation.reserve()
+        try:
+            return await self._admit_and_attempt()
+        finally:
+            self._admission.leave(self._last_outcome)
+
+    async def _admit_and_attempt(self) -> Refusal | None:
+        refusal = self._refuse_quarantined() or await self._admission.enter()
+        refusal = refusal or await self._reservation.reserve()
         if refusal is not None:
             return refusal
         if not self._route.is_repeatable:
@@ -168,7 +191,7 @@
     def _refuse(self, reason: Reason) -> Refusal:
         if self._progress.may_have_run:
             return may_have_run(reason)
-        return not_run(reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        return not_run(reason, expected_s=DEFAULT_EXPECTED_S)
 
     @property
     def _answer_by(self) -> float:
@@ -378,11 +401,7 @@
         return self._refuse_not_run(Reason.NO_TARGET)
 
     def _refuse_not_run(self, reason: Reason) -> Refusal:
-        return refuse_not_run(
-            reason,
-            pause_left_s=self._selection.pause_left_s(),
-            caller_left_s=self._caller_deadline - trio.current_time(),
-        )
+        return refuse_not_run(reason, pause_left_s=self._selection.pause_left_s())
 
     async def _send(self, refusal: Refusal) -> None:
         if self._writer.started:
@@ -390,7 +409,13 @@
             # its end, which the caller notices.
             return
         headers = self._services.codec.answer_headers(self._request.attempt_id)
-        await self._writer.send(refusal_response(refusal, headers))
+        response = refusal_response(
+            refusal,
+            headers,
+            caller_left_s=self._caller_deadline - trio.current_time(),
+            draw=self._services.draw(),
+        )
+        await self._writer.send(response)
 
     async def _relay_failure_response(self) -> bool:
         """Relay a target's error response; return False if there is none to relay.
