Serve requests only in the regions of their route and organisation

Routes and organisations name the regions in which their requests may be served, but every target of the service was a candidate. The choice of targets, which all attempts share, now gets only targets whose failure domain is in an allowed region. A request without an allowed target is refused as not run before tokens are reserved. Without a restriction the candidates are the same list as before.

--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -94,7 +94,13 @@
         self._choice_reason = ""
         self._not_repeated: str | None = None
         self._selection = TargetSelection(
-            services=services, service_name=self._service_name, request=request
+            services=services,
+            service_name=self._service_name,
+            request=request,
+            route=route,
+            # A public route doesn't charge the organisation of a key, but the request
+            # is still that organisation's.
+            organisation=organisation or table.organisation(request.key),
         )
         self._take_over = TakeOver(
             timers=services.timers,
@@ -153,7 +159,8 @@
             self._stop_scope.cancel()
 
     async def _answer(self) -> Refusal | None:
-        refusal = self._refuse_quarantined() or await self._reservation.reserve()
+        refusal = self._refuse_quarantined() or self._refuse_without_place()
+        refusal = refusal or await self._reservation.reserve()
         if refusal is not None:
             return refusal
         if not self._route.is_repeatable:
@@ -365,6 +372,10 @@
             reason = Reason.CONNECTION_FAILED
         return self._refuse_not_run(reason)
 
+    def _refuse_without_place(self) -> Refusal | None:
+        """Refuse at once, without a reservation, if no target may get the request."""
+        return self._refuse_without_target() if self._selection.has_no_place() else None
+
     def _refuse_without_target(self) -> Refusal:
         self._not_repeated = "no_target"
         if self._progress.may_have_run:
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -28,6 +28,7 @@
     ServerOptions,
     serve,
 )
+from lavenderfold.placement import Placement
 from lavenderfold.quarantine import EvidencePublisher, PromptQuarantine
 from lavenderfold.routing import RetryBudget, router_reserve
 from lavenderfold.settings import Address
@@ -52,7 +53,12 @@
 CLEANUP_PERIOD_S = 2.0
 REPORT_PERIOD_S = 4.0
 # Options that can change while the router runs.
-RELOADABLE_OPTIONS = ("grace_period_s", "retry_share", "fleet_retry_reserve")
+RELOADABLE_OPTIONS = (
+    "grace_period_s",
+    "retry_share",
+    "fleet_retry_reserve",
+    "region_by_domain",
+)
 
 logger = logging.getLogger("lavenderfold.router")
 
@@ -166,6 +172,7 @@
             on_answer=self.reachability.record_answer,
             on_changed=self._metrics.record_change_delay,
         )
+        self._placement = Placement(region_by_domain=options.region_by_domain)
         load_tracker = LoadTracker()
         self._services = RouterServices(
             balance_manager=self._balance_manager,
@@ -183,6 +190,7 @@
             timers=timers,
             new_retry_budget=self._new_retry_budget,
             domain=options.domain,
+            placement=self._placement,
         )
         self._caller_api = CallerApi(services=self._services, config=self._config)
         self._limits = CallerLimitHistory()
@@ -222,6 +230,7 @@
         new_values = {name: getattr(options, name) for name in RELOADABLE_OPTIONS}
         self._options = msgspec.structs.replace(self._options, **new_values)
         self._update_retry_limits()
+        self._placement.region_by_domain = self._options.region_by_domain
         fields = {
             "installed": [name for name in changed if name in RELOADABLE_OPTIONS],
             "need_restart": [
--- a/src/lavenderfold/direct/_router_services.py
+++ b/src/lavenderfold/direct/_router_services.py
@@ -15,6 +15,7 @@
 from lavenderfold.direct._requests import PlatformCodec
 from lavenderfold.escrow import BalanceManager
 from lavenderfold.fleet import TargetDirectory
+from lavenderfold.placement import Placement
 from lavenderfold.quarantine import PromptQuarantine
 from lavenderfold.routing import RetryBudget
 from lavenderfold.timers import TimerService
@@ -39,6 +40,7 @@
     timers: TimerService
     new_retry_budget: Callable[[], RetryBudget]
     domain: str
+    placement: Placement = msgspec.field(default_factory=Placement)
     answer_memory: AnswerMemory = msgspec.field(default_factory=AnswerMemory)
     first_event_times: FirstEventTimes = msgspec.field(default_factory=FirstEventTimes)
     retry_budget_by_service: dict[str, RetryBudget] = msgspec.field(
--- a/src/lavenderfold/direct/_target_selection.py
+++ b/src/lavenderfold/direct/_target_selection.py
@@ -5,20 +5,32 @@
 from lavenderfold.direct._choice import TargetChoice, choose_target
 from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.direct._router_services import RouterServices
-from lavenderfold.fleet import Target
+from lavenderfold.fleet import Organisation, Route, Target
+from lavenderfold.placement import allowed_regions
 
 
 class TargetSelection:
-    """Chooses targets of a service for one request, each of them once."""
+    """Chooses targets of a service for one request, each of them once.
 
-    __slots__ = ("_services", "_service_name", "_request", "_failed_ids")
+    All attempts of the request are chosen here, so the rules on regions that its
+    ``route`` and ``organisation`` set hold for each of them.
+    """
+
+    __slots__ = ("_services", "_service_name", "_request", "_regions", "_failed_ids")
 
     def __init__(
-        self, *, services: RouterServices, service_name: str, request: CallerRequest
+        self,
+        *,
+        services: RouterServices,
+        service_name: str,
+        request: CallerRequest,
+        route: Route,
+        organisation: Organisation | None,
     ):
         self._services = services
         self._service_name = service_name
         self._request = request
+        self._regions = allowed_regions(route, organisation)
         self._failed_ids: set[str] = set()
 
     def record_failure(self, target: Target) -> None:
@@ -58,8 +70,14 @@
         await trio.sleep(pause_left_s)
         return True
 
+    def has_no_place(self) -> bool:
+        """Return whether the rules exclude all targets that could serve the request."""
+        usable = self._services.directory.usable(self._service_name)
+        return bool(usable) and not self._targets()
+
     def _targets(self) -> list[Target]:
-        return self._services.directory.usable(self._service_name)
+        usable = self._services.directory.usable(self._service_name)
+        return self._services.placement.allowed(usable, self._regions)
 
     def _pause_left_s(self, targets: list[Target]) -> float | None:
         return self._services.load_tracker.pause_left_s(
--- /dev/null
+++ b/src/lavenderfold/placement/__init__.py
@@ -0,0 +1,6 @@
+"""Which targets a request may be sent to: regions, evacuations and cold targets."""
+
+from lavenderfold.placement._placement import Placement
+from lavenderfold.placement._regions import allowed_regions, in_regions
+
+__all__ = ["Placement", "allowed_regions", "in_regions"]
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -106,6 +106,8 @@
     port: int
     is_draining: bool = False
     born: int = 0
+    domain: str = "domain"
+    warm_up_s: float | None = None
 
 
 def _decode(item, wanted):
@@ -122,7 +124,7 @@
         service=record.service,
         host=record.host,
         port=record.port,
-        domain="domain",
+        domain=record.domain,
         slots=8,
         is_draining=record.is_draining,
         born=record.born,
@@ -227,9 +229,11 @@
     back after ``down_s`` as a new incarnation, whose ``born`` is one higher.
     """
 
-    def __init__(self, *, id: str, script: Script):
+    def __init__(self, *, id: str, script: Script, domain: str = "domain"):
         self.id = id
         self.script = script
+        self.domain = domain
+        self.warm_up_s: float | None = None
         self.received: list[HttpRequest] = []
         self.cancelled = 0
         self.is_leaving = False
@@ -296,8 +300,10 @@
         self.router: DirectRouter | None = None
         self.address: Address | None = None
 
-    async def add_target(self, id: str, script: Script) -> FakeTarget:
-        target = FakeTarget(id=id, script=script)
+    async def add_target(
+        self, id: str, script: Script, *, domain: str = "domain"
+    ) -> FakeTarget:
+        target = FakeTarget(id=id, script=script, domain=domain)
         await self.nursery.start(target.run, self.register)
         self.target_by_id[id] = target
         return target
@@ -309,14 +315,19 @@
             port=target.address.port,
             is_draining=is_draining,
             born=target.born,
+            domain=target.domain,
+            warm_up_s=target.warm_up_s,
         )
         self.store.put(f"targets/{target.id}", msgspec.json.encode(record))
 
     def configure(self, config: FleetConfig) -> None:
         self.store.put("config", msgspec.json.encode(config))
 
-    async def start_router(self, name: str = "router") -> None:
-        """Start a router; ``router`` and ``address`` are then those of this one."""
+    async def start_router(self, name: str = "router", **changes) -> None:
+        """Start a router; ``router`` and ``address`` are then those of this one.
+
+        ``changes`` replace its options.
+        """
         options = RouterOptions(
             name=name,
             domain="domain",
@@ -332,6 +343,7 @@
             ledger_prefix="ledger/",
             crashes_key="crashes",
         )
+        options = msgspec.structs.replace(options, **changes)
         store_calls = StoreCallCounter(purpose_by_prefix={"ledger/": "ledger"})
         self.router = DirectRouter(
             options=options,
