--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -17,7 +17,13 @@
 from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._requests import PlatformCodec
 from lavenderfold.direct._router_services import RouterServices
-from lavenderfold.direct._sinks import ConfigSink, RecordReader, TargetSink
+from lavenderfold.direct._sinks import (
+    ConfigSink,
+    EvacuationSink,
+    OperatorSink,
+    RecordReader,
+    TargetSink,
+)
 from lavenderfold.escrow import BalanceManager
 from lavenderfold.event_loop import event_loop_turns
 from lavenderfold.fleet import PrefixFollower, RouteTable, Target
@@ -73,7 +79,8 @@
     ``fleet_retry_reserve`` the number of retries beyond that in a burst, of all
     routers together.
     ``region`` is that of the router, ``region_by_domain`` those of failure domains.
-    Failure domains are evacuated by keys under ``evacuations_prefix``, if it is given.
+    Failure domains are evacuated by keys under ``evacuations_prefix``, if it is given;
+    it and ``config_key`` are then in the same folder.
     All routers together send a cold target its rate times ``warm_up_overshoot`` and
     ``warm_up_tolerance`` requests per second at most. ``balances_by_cost`` chooses
     targets by expected cost. ``memory_limit_bytes`` and ``descriptor_limit`` bound the
@@ -102,6 +109,13 @@
     memory_limit_bytes: int | None = None
     descriptor_limit: int | None = None
 
+    @property
+    def operator_prefix(self) -> str:
+        """The prefix of the keys that operators write and the router follows."""
+        if self.evacuations_prefix is None:
+            return self.config_key
+        return self.config_key[: self.config_key.rfind("/") + 1]
+
 
 class DirectRouter:
     """Follows configuration and targets, manages grants and serves callers."""
@@ -141,11 +155,18 @@
             key=options.config_key, reader=reader, on_installed=self._apply_config
         )
         self._targets = TargetSink(reader=reader, timers=timers)
+        self._placement = Placement(region_by_domain=options.region_by_domain)
+        self._evacuations = EvacuationSink(
+            prefix=options.evacuations_prefix or "",
+            evacuations=self._placement.evacuations,
+            timers=timers,
+            is_known=self._is_known_domain,
+        )
         self._config_follower = PrefixFollower(
             store=store,
             timers=timers,
-            prefix=options.config_key,
-            sink=self._config,
+            prefix=options.operator_prefix,
+            sink=self._operator_sink(),
             wait_s=options.watch_wait_s,
             on_answer=self.reachability.record_answer,
             on_changed=self._metrics.record_change_delay,
@@ -172,7 +193,6 @@
             on_answer=self.reachability.record_answer,
             on_changed=self._metrics.record_change_delay,
         )
-        self._placement = Placement(region_by_domain=options.region_by_domain)
         load_tracker = LoadTracker()
         self._services = RouterServices(
             balance_manager=self._balance_manager,
@@ -213,6 +233,7 @@
         return (
             not self._draining.is_set()
             and self._config.table is not None
+            and self._config_follower.is_listed
             and self._target_follower.is_listed
             and self._crash_follower.is_listed
             and self._balance_manager.loaded.is_set()
@@ -249,6 +270,7 @@
         fields = {"router": self._options.name, "holder": self._holder}
         logger.info("router_started", extra=fields)
         self._timers.every(EXPIRY_PERIOD_S, self._targets.expire)
+        self._timers.every(EXPIRY_PERIOD_S, self._evacuations.expire)
         self._timers.every(
             REPORT_PERIOD_S, self._balance_manager.report, delay=REPORT_PERIOD_S
         )
@@ -341,7 +363,7 @@
                 self._targets.directory.targets(), now=now
             ),
             watch_age_by_prefix={
-                options.config_key: now - self._config_follower.answered_at,
+                options.operator_prefix: now - self._config_follower.answered_at,
                 options.targets_prefix: now - self._target_follower.answered_at,
             },
         )
@@ -374,6 +396,23 @@
             )
             await self._services.clients.keep_only(self._known_targets())
 
+    def _operator_sink(self) -> ConfigSink | OperatorSink:
+        if self._options.evacuations_prefix is None:
+            return self._config
+        return OperatorSink(
+            config_key=self._options.config_key,
+            config=self._config,
+            evacuations_prefix=self._options.evacuations_prefix,
+            evacuations=self._evacuations,
+        )
+
+    def _is_known_domain(self, domain: str) -> bool:
+        targets = self._targets.directory.targets()
+        known = {
+            each.domain for each in targets
+        } | self._options.region_by_domain.keys()
+        return domain in known
+
     @property
     def _retry_reserve(self) -> float:
         return router_reserve(
--- a/src/lavenderfold/direct/_sinks.py
+++ b/src/lavenderfold/direct/_sinks.py
@@ -7,6 +7,7 @@
 import trio
 
 from lavenderfold.fleet import FleetConfig, RouteTable, Target, TargetDirectory
+from lavenderfold.placement import Evacuations
 from lavenderfold.shared import Item
 from lavenderfold.timers import TimerService
 
@@ -87,6 +88,93 @@
         return []
 
 
+class EvacuationSink:
+    """Applies the keys under ``prefix`` to the evacuations.
+
+    The rest of a key names the failure domain; the value isn't read. A domain for which
+    ``is_known`` is false is logged once.
+    """
+
+    def __init__(
+        self,
+        *,
+        prefix: str,
+        evacuations: Evacuations,
+        timers: TimerService,
+        is_known: Callable[[str], bool],
+    ):
+        self._prefix = prefix
+        self._evacuations = evacuations
+        self._timers = timers
+        self._is_known = is_known
+        self._unknown_domains: set[str] = set()
+
+    def put(self, item: Item) -> None:
+        domain = item.key.removeprefix(self._prefix)
+        if not self._evacuations.put(domain, revision=item.revision):
+            return
+        fields = {"failure_domain": domain, "revision": item.revision}
+        logger.info("evacuation_began", extra=fields)
+        if domain not in self._unknown_domains and not self._is_known(domain):
+            self._unknown_domains.add(domain)
+            logger.warning("evacuation_domain_unknown", extra=fields)
+
+    def handle_removal(self, key: str, *, revision: int, is_certain: bool) -> None:
+        domain = key.removeprefix(self._prefix)
+        if self._evacuations.remove(
+            domain, revision=revision, is_certain=is_certain, now=self._timers.now()
+        ):
+            fields = {"failure_domain": domain, "revision": revision}
+            logger.info("evacuation_ended", extra=fields)
+
+    def known_keys(self) -> list[str]:
+        return [self._prefix + domain for domain in self._evacuations.domains()]
+
+    def expire(self, now: float) -> None:
+        for domain in self._evacuations.expire(now=now):
+            logger.info("evacuation_lapsed", extra={"failure_domain": domain})
+
+
+class OperatorSink:
+    """Passes the operator's keys to the sinks of configuration and evacuations.
+
+    Other keys are ignored.
+    """
+
+    def __init__(
+        self,
+        *,
+        config_key: str,
+        config: ConfigSink,
+        evacuations_prefix: str,
+        evacuations: EvacuationSink,
+    ):
+        self._config_key = config_key
+        self._config = config
+        self._evacuations_prefix = evacuations_prefix
+        self._evacuations = evacuations
+
+    def put(self, item: Item) -> None:
+        sink = self._sink(item.key)
+        if sink is not None:
+            sink.put(item)
+
+    def handle_removal(self, key: str, *, revision: int, is_certain: bool) -> None:
+        sink = self._sink(key)
+        if sink is not None:
+            sink.handle_removal(key, revision=revision, is_certain=is_certain)
+
+    def known_keys(self) -> list[str]:
+        return [*self._config.known_keys(), *self._evacuations.known_keys()]
+
+    def _sink(self, key: str) -> ConfigSink | EvacuationSink | None:
+        if key == self._config_key:
+            return self._config
+        if key.startswith(self._evacuations_prefix):
+            return self._evacuations
+        return None
+
+
 class TargetSink:
     """Applies changes of target entries to the directory of targets."""
 
--- a/src/lavenderfold/direct/_target_selection.py
+++ b/src/lavenderfold/direct/_target_selection.py
@@ -1,5 +1,7 @@
 """The targets that one request may still be sent to."""
 
+import random
+
 import trio
 
 from lavenderfold.direct._choice import TargetChoice, choose_target
@@ -8,6 +10,8 @@
 from lavenderfold.fleet import Organisation, Route, Target
 from lavenderfold.placement import allowed_regions
 
+_rng = random.Random()
+
 
 class TargetSelection:
     """Chooses targets of a service for one request, each of them once.
@@ -42,16 +46,27 @@
 
         ``instead_of`` is left out as well.
         """
+        now = self._services.timers.now()
+        targets = self._targets()
+        preferred = self._services.placement.preferred(targets, now=now, rng=_rng)
+        choice = self._choose_from(preferred, instead_of, now)
+        if len(preferred) < len(targets) and (choice is None or choice.is_last_resort):
+            choice = self._choose_from(targets, instead_of, now)
+        return choice
+
+    def _choose_from(
+        self, candidates: list[Target], instead_of: Target | None, now: float
+    ) -> TargetChoice | None:
         avoid = self._failed_ids
         if instead_of is not None:
             avoid = avoid | {instead_of.id}
         return choose_target(
-            self._targets(),
+            candidates,
             self._services.load_tracker,
             self._request,
             avoid=avoid,
             failure_domain=self._services.domain,
-            now=self._services.timers.now(),
+            now=now,
         )
 
     def pause_left_s(self) -> float | None:
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -15,6 +15,7 @@
 
 CONFIG = "config"
 TARGETS = "targets/"
+PREFIXES = frozenset((CONFIG, TARGETS))
 # The shortest time that a platform gives all routers to see that a target leaves.
 SHORTEST_DRAIN_S = 2.5
 LISTEN = Address(host="127.0.0.1", port=0)
@@ -54,7 +55,9 @@
 
         await self.nursery.start(start)
 
-    def router_store(self, *, region: str = "here") -> RegionalStore:
+    def router_store(
+        self, *, region: str = "here", prefixes: frozenset[str] = PREFIXES
+    ) -> RegionalStore:
         relays = RelayDirectory(
             store=self.fallback_store, prefix="relays/", failure_domain="d"
         )
@@ -70,7 +73,7 @@
         return RegionalStore(
             store=self.fallback_store,
             hubs=hubs,
-            prefixes=frozenset((CONFIG, TARGETS)),
+            prefixes=prefixes,
             large_prefixes=frozenset((CONFIG,)),
         )
 
