Limit the requests that all routers send to a cold target

A target that has just started, or turns cold at any moment, crashes at rates that its service bears when warm, and no router knows what the others send. An attempt takes its permit in one place when it begins; one that isn't sent returns it.

Target.warm_up_s is None if the entry doesn't say, since that differs from 0 for a new target.

--- a/src/lavenderfold/direct/_attempt_starter.py
+++ b/src/lavenderfold/direct/_attempt_starter.py
@@ -16,7 +16,9 @@
 from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.direct._target_wait import TargetWait
 from lavenderfold.fleet import Organisation, Route, Target
-from lavenderfold.http import ResponseWriter
+from lavenderfold.http import HttpClient, ResponseWriter
+from lavenderfold.placement import Permit
+from lavenderfold.timers import TimerService
 
 # Lower bound of the remaining time that a target is told; with less than this it
 # can't answer any more.
@@ -27,7 +29,8 @@
     """An attempt at ``target``, begun at ``started_at`` on the trio clock.
 
     ``opening`` opens the attempt, with the same keyword as ``Attempt.open``, or waits
-    until it is open. ``reason`` is that of the target's choice.
+    until it is open. ``reason`` is that of the target's choice. ``permit`` is that of a
+    cold target.
     """
 
     attempt: Attempt
@@ -35,6 +38,7 @@
     reason: str
     opening: Callable[..., Awaitable[AttemptOutcome | None]]
     started_at: float
+    permit: Permit | None = None
 
 
 class AttemptStarter:
@@ -90,6 +94,7 @@
         target = choice.target
         now = trio.current_time()
         self._recorder.record_start(target)
+        permit = self._services.placement.take(target, now=self._services.timers.now())
         attempt = Attempt(
             call=self._new_call(target, now=now),
             codec=self._services.codec,
@@ -111,10 +116,19 @@
             attempt=attempt,
             target=target,
             reason=choice.reason,
-            opening=partial(attempt.open, self._services.clients.client(target)),
+            opening=self._opening(attempt, target, permit),
             started_at=now,
+            permit=permit,
         )
 
+    def _opening(
+        self, attempt: Attempt, target: Target, permit: Permit | None
+    ) -> Callable[..., Awaitable[AttemptOutcome | None]]:
+        client = self._services.clients.client(target)
+        if permit is None:
+            return partial(attempt.open, client)
+        return partial(_open_permitted, attempt, client, permit, self._services.timers)
+
     def _new_call(self, target: Target, *, now: float) -> TargetCall:
         return TargetCall(
             request=self._request,
@@ -124,3 +138,21 @@
             remaining_s=max(MIN_REMAINING_S, self._deadline - now),
             last_event_id=self._progress.last_event_id or self._request.last_event_id,
         )
+
+
+async def _open_permitted(
+    attempt: Attempt,
+    client: HttpClient,
+    permit: Permit,
+    timers: TimerService,
+    *,
+    on_sending: Callable[[], None] | None = None,
+) -> AttemptOutcome | None:
+    """Open an attempt; the time of its permit is that of its first byte."""
+
+    def record_sending() -> None:
+        permit.record_sending(timers.now())
+        if on_sending is not None:
+            on_sending()
+
+    return await attempt.open(client, on_sending=record_sending)
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -19,7 +19,8 @@
     """State of a router at the time its metrics are read. Ages are in seconds.
 
     ``longest_turn_s`` is the duration of the event loop's longest turn.
-    ``targets_by_notice`` counts the listed targets that leave or pause.
+    ``targets_by_state`` counts the listed targets that leave, pause, are
+    evacuated or are cold.
     """
 
     active: int
@@ -29,7 +30,7 @@
     log_lines_left_out: int
     quarantine: QuarantineSnapshot
     states: frozenset[str]
-    targets_by_notice: dict[str, int]
+    targets_by_state: dict[str, int]
     watch_age_by_prefix: dict[str, float]
 
 
@@ -71,7 +72,7 @@
         )
         self._targets = Gauge(
             "lavenderfold_targets",
-            "Listed targets that get no request: leaving or pausing, as they said.",
+            "Listed targets that leave, pause, are evacuated or are cold.",
             ["state"],
             registry=self._registry,
         )
@@ -245,7 +246,7 @@
             self._watch_age.labels(prefix).set(age_s)
         for name in ROUTER_STATES:
             self._states.labels(name).set(name in snapshot.states)
-        for state, count in snapshot.targets_by_notice.items():
+        for state, count in snapshot.targets_by_state.items():
             self._targets.labels(state).set(count)
         quarantine = snapshot.quarantine
         self._prompts.labels("suspected").set(quarantine.suspected)
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -311,6 +311,8 @@
         self, started: StartedAttempt, outcome: AttemptOutcome | None
     ) -> None:
         target = started.target
+        if started.permit is not None:
+            started.permit.release()
         if started.attempt.failure_response is not None:
             self._failure_response = started.attempt.failure_response
         self._recorder.record_end(started.attempt, target, outcome)
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -16,14 +16,9 @@
 from lavenderfold.direct._notices import TargetNotices
 from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._requests import PlatformCodec
+from lavenderfold.direct._router_placement import RouterPlacement
 from lavenderfold.direct._router_services import RouterServices
-from lavenderfold.direct._sinks import (
-    ConfigSink,
-    EvacuationSink,
-    OperatorSink,
-    RecordReader,
-    TargetSink,
-)
+from lavenderfold.direct._sinks import ConfigSink, RecordReader, TargetSink
 from lavenderfold.escrow import BalanceManager
 from lavenderfold.event_loop import event_loop_turns
 from lavenderfold.fleet import PrefixFollower, RouteTable, Target
@@ -34,7 +29,6 @@
     ServerOptions,
     serve,
 )
-from lavenderfold.placement import Placement
 from lavenderfold.quarantine import EvidencePublisher, PromptQuarantine
 from lavenderfold.routing import RetryBudget, router_reserve
 from lavenderfold.settings import Address
@@ -154,19 +148,25 @@
         self._config = ConfigSink(
             key=options.config_key, reader=reader, on_installed=self._apply_config
         )
-        self._targets = TargetSink(reader=reader, timers=timers)
-        self._placement = Placement(region_by_domain=options.region_by_domain)
-        self._evacuations = EvacuationSink(
-            prefix=options.evacuations_prefix or "",
-            evacuations=self._placement.evacuations,
+        self._placement = RouterPlacement(
+            region_by_domain=options.region_by_domain,
+            warm_up_overshoot=options.warm_up_overshoot,
+            warm_up_tolerance=options.warm_up_tolerance,
+            router_count=lambda: self._balance_manager.router_count,
             timers=timers,
-            is_known=self._is_known_domain,
+        )
+        self._targets = TargetSink(
+            reader=reader, timers=timers, on_entry=self._placement.record_entry
         )
         self._config_follower = PrefixFollower(
             store=store,
             timers=timers,
             prefix=options.operator_prefix,
-            sink=self._operator_sink(),
+            sink=self._placement.operator_sink(
+                config_key=options.config_key,
+                config=self._config,
+                evacuations_prefix=options.evacuations_prefix,
+            ),
             wait_s=options.watch_wait_s,
             on_answer=self.reachability.record_answer,
             on_changed=self._metrics.record_change_delay,
@@ -180,6 +180,7 @@
             on_answer=self.reachability.record_answer,
             on_changed=self._metrics.record_change_delay,
         )
+        self._placement.follow(self._targets.directory, self._target_follower)
         self._quarantine = PromptQuarantine(timers=timers)
         self._crash_evidence = EvidencePublisher(
             store=store, quarantine=self._quarantine, key=options.crashes_key
@@ -210,7 +211,7 @@
             timers=timers,
             new_retry_budget=self._new_retry_budget,
             domain=options.domain,
-            placement=self._placement,
+            placement=self._placement.placement,
         )
         self._caller_api = CallerApi(services=self._services, config=self._config)
         self._limits = CallerLimitHistory()
@@ -251,7 +252,7 @@
         new_values = {name: getattr(options, name) for name in RELOADABLE_OPTIONS}
         self._options = msgspec.structs.replace(self._options, **new_values)
         self._update_retry_limits()
-        self._placement.region_by_domain = self._options.region_by_domain
+        self._placement.placement.region_by_domain = self._options.region_by_domain
         fields = {
             "installed": [name for name in changed if name in RELOADABLE_OPTIONS],
             "need_restart": [
@@ -270,7 +271,7 @@
         fields = {"router": self._options.name, "holder": self._holder}
         logger.info("router_started", extra=fields)
         self._timers.every(EXPIRY_PERIOD_S, self._targets.expire)
-        self._timers.every(EXPIRY_PERIOD_S, self._evacuations.expire)
+        self._timers.every(EXPIRY_PERIOD_S, self._placement.expire)
         self._timers.every(
             REPORT_PERIOD_S, self._balance_manager.report, delay=REPORT_PERIOD_S
         )
@@ -351,6 +352,9 @@
         }
         now = self._timers.now()
         options = self._options
+        targets = self._targets.directory.targets()
+        targets_by_state = self._services.load_tracker.count_by_notice(targets, now=now)
+        targets_by_state |= self._placement.placement.count_by_state(targets, now=now)
         return RouterSnapshot(
             active=self._caller_api.active,
             incomplete_answer_bytes=self._services.answer_memory.held_bytes,
@@ -359,9 +363,7 @@
             log_lines_left_out=self._log_lines_left_out(),
             quarantine=self._quarantine.snapshot(),
             states=frozenset(name for name, holds in is_true_by_state.items() if holds),
-            targets_by_notice=self._services.load_tracker.count_by_notice(
-                self._targets.directory.targets(), now=now
-            ),
+            targets_by_state=targets_by_state,
             watch_age_by_prefix={
                 options.operator_prefix: now - self._config_follower.answered_at,
                 options.targets_prefix: now - self._target_follower.answered_at,
@@ -391,28 +393,11 @@
         while True:
             await trio.sleep(CLEANUP_PERIOD_S)
             self._update_retry_limits()
-            self._services.load_tracker.keep_only(
-                self._targets.directory.targets(), now=self._timers.now()
-            )
+            targets, now = self._targets.directory.targets(), self._timers.now()
+            self._services.load_tracker.keep_only(targets, now=now)
+            self._placement.placement.cold.keep_only(targets, now=now)
             await self._services.clients.keep_only(self._known_targets())
 
-    def _operator_sink(self) -> ConfigSink | OperatorSink:
-        if self._options.evacuations_prefix is None:
-            return self._config
-        return OperatorSink(
-            config_key=self._options.config_key,
-            config=self._config,
-            evacuations_prefix=self._options.evacuations_prefix,
-            evacuations=self._evacuations,
-        )
-
-    def _is_known_domain(self, domain: str) -> bool:
-        targets = self._targets.directory.targets()
-        known = {
-            each.domain for each in targets
-        } | self._options.region_by_domain.keys()
-        return domain in known
-
     @property
     def _retry_reserve(self) -> float:
         return router_reserve(
@@ -435,6 +420,7 @@
         return [each for name in services for each in directory.usable(name)]
 
     def _apply_config(self, table: RouteTable) -> None:
+        self._placement.placement.cold.set_services(table.config.services)
         self._metrics.set_config_version(table.version)
         self._limits.set(table.config.limits, now=self._timers.now())
         limit_by_organisation = {
--- a/src/lavenderfold/direct/_sinks.py
+++ b/src/lavenderfold/direct/_sinks.py
@@ -92,7 +92,8 @@
     """Applies the keys under ``prefix`` to the evacuations.
 
     The rest of a key names the failure domain; the value isn't read. A domain for which
-    ``is_known`` is false is logged once.
+    ``is_known`` is false is logged once. ``on_ended`` is called with a domain whose
+    evacuation has ended.
     """
 
     def __init__(
@@ -102,11 +103,13 @@
         evacuations: Evacuations,
         timers: TimerService,
         is_known: Callable[[str], bool],
+        on_ended: Callable[[str], None],
     ):
         self._prefix = prefix
         self._evacuations = evacuations
         self._timers = timers
         self._is_known = is_known
+        self._on_ended = on_ended
         self._unknown_domains: set[str] = set()
 
     def put(self, item: Item) -> None:
@@ -126,6 +129,7 @@
         ):
             fields = {"failure_domain": domain, "revision": revision}
             logger.info("evacuation_ended", extra=fields)
+            self._on_ended(domain)
 
     def known_keys(self) -> list[str]:
         return [self._prefix + domain for domain in self._evacuations.domains()]
@@ -133,6 +137,7 @@
     def expire(self, now: float) -> None:
         for domain in self._evacuations.expire(now=now):
             logger.info("evacuation_lapsed", extra={"failure_domain": domain})
+            self._on_ended(domain)
 
 
 class OperatorSink:
@@ -176,12 +181,22 @@
 
 
 class TargetSink:
-    """Applies changes of target entries to the directory of targets."""
+    """Applies changes of target entries to the directory of targets.
 
-    def __init__(self, *, reader: RecordReader, timers: TimerService):
+    ``on_entry`` is called with each usable entry and its revision.
+    """
+
+    def __init__(
+        self,
+        *,
+        reader: RecordReader,
+        timers: TimerService,
+        on_entry: Callable[[Target, int], None] | None = None,
+    ):
         self.directory = TargetDirectory()
         self._reader = reader
         self._timers = timers
+        self._on_entry = on_entry
 
     def put(self, item: Item) -> None:
         try:
@@ -192,6 +207,8 @@
             target = None
         if not self.directory.put(item.key, target, revision=item.revision):
             return
+        if target is not None and self._on_entry is not None:
+            self._on_entry(target, item.revision)
         state = "unusable"
         if target is not None:
             state = "draining" if target.is_draining else "ready"
--- a/src/lavenderfold/direct/_target_selection.py
+++ b/src/lavenderfold/direct/_target_selection.py
@@ -47,8 +47,9 @@
         ``instead_of`` is left out as well.
         """
         now = self._services.timers.now()
-        targets = self._targets()
-        preferred = self._services.placement.preferred(targets, now=now, rng=_rng)
+        placement = self._services.placement
+        targets = placement.cold.permitted(self._targets(), now=now, rng=_rng)
+        preferred = placement.preferred(targets, now=now, rng=_rng)
         choice = self._choose_from(preferred, instead_of, now)
         if len(preferred) < len(targets) and (choice is None or choice.is_last_resort):
             choice = self._choose_from(targets, instead_of, now)
@@ -70,7 +71,7 @@
         )
 
     def pause_left_s(self) -> float | None:
-        """Return how long all targets pause, or None if they don't."""
+        """Return how long all targets pause or are cold, or None if they don't."""
         return self._pause_left_s(self._targets())
 
     async def wait_for_pause_end(self, limit: float) -> bool:
@@ -95,6 +96,18 @@
         return self._services.placement.allowed(usable, self._regions)
 
     def _pause_left_s(self, targets: list[Target]) -> float | None:
-        return self._services.load_tracker.pause_left_s(
-            targets, now=self._services.timers.now()
-        )
+        now = self._services.timers.now()
+        load_tracker = self._services.load_tracker
+        cold = self._services.placement.cold
+        permitted = cold.permitted(targets, now=now, rng=_rng)
+        if len(permitted) == len(targets):
+            return load_tracker.pause_left_s(targets, now=now)
+        available = load_tracker.available(targets, now=now)
+        waits = [cold.wait_s(each, now=now, rng=_rng) for each in available]
+        if None in waits:
+            return None
+        pausing = [each for each in targets if each not in available]
+        pause_left_s = load_tracker.pause_left_s(pausing, now=now)
+        if pause_left_s is not None:
+            waits.append(pause_left_s)
+        return min(waits, default=None)
--- a/src/lavenderfold/fleet/_directory.py
+++ b/src/lavenderfold/fleet/_directory.py
@@ -13,7 +13,8 @@
     """One registered target.
 
     ``domain`` is its failure domain. ``born`` distinguishes incarnations of a target
-    with the same id.
+    with the same id. ``warm_up_s`` is how long the target was still cold when its entry
+    was written, None if the entry doesn't say.
     """
 
     id: str
@@ -23,7 +24,7 @@
     domain: str
     slots: int
     is_draining: bool = False
-    warm_up_s: float = 0.0
+    warm_up_s: float | None = None
     born: int = 0
 
     @property
--- a/src/lavenderfold/placement/__init__.py
+++ b/src/lavenderfold/placement/__init__.py
@@ -3,5 +3,14 @@
 from lavenderfold.placement._evacuations import Evacuations
 from lavenderfold.placement._placement import Placement
 from lavenderfold.placement._regions import allowed_regions, in_regions
+from lavenderfold.placement._warm_up import ColdTargets, Permit, send_interval_s
 
-__all__ = ["Evacuations", "Placement", "allowed_regions", "in_regions"]
+__all__ = [
+    "ColdTargets",
+    "Evacuations",
+    "Permit",
+    "Placement",
+    "allowed_regions",
+    "in_regions",
+    "send_interval_s",
+]
--- a/src/lavenderfold/placement/_evacuations.py
+++ b/src/lavenderfold/placement/_evacuations.py
@@ -68,8 +68,10 @@
         """Return the evacuated domains."""
         return frozenset(self._evacuation_by_domain)
 
-    def is_evacuated(self, domain: str) -> bool:
-        return domain in self._evacuation_by_domain
+    @property
+    def has_evacuated(self) -> bool:
+        """Whether any domain is evacuated."""
+        return bool(self._evacuation_by_domain)
 
     def share_by_returning_domain(self, *, now: float) -> dict[str, float]:
         """Return the share of requests that may go to each domain that returns."""
--- a/tests/direct_support.py
+++ b/tests/direct_support.py
@@ -127,6 +127,7 @@
         domain=record.domain,
         slots=8,
         is_draining=record.is_draining,
+        warm_up_s=record.warm_up_s,
         born=record.born,
     )
 
--- a/tests/placement_support.py
+++ b/tests/placement_support.py
@@ -44,6 +44,7 @@
             evacuations=self.placement.evacuations,
             timers=self.timers,
             is_known=lambda _: True,
+            on_ended=self._record_return,
         )
         self.evacuations = evacuations
         self.sink = OperatorSink(
@@ -55,6 +56,10 @@
             evacuations=evacuations,
         )
 
+    def _record_return(self, domain: str) -> None:
+        targets = [each for each in self.directory.targets() if each.domain == domain]
+        self.placement.cold.record_return(targets, now=self.timers.now())
+
     def wait(self, seconds: float) -> None:
         self.timers.elapsed_s += seconds
         self.evacuations.expire(self.timers.now())
