Refuse restricted requests at once also if a service has no target

A request that is restricted to regions waited for tokens if no target of its service was listed at all. It is now refused before that, as when targets exist elsewhere. The adapter's choice of the followed prefix and the rate after an evacuation get tests.

--- a/src/lavenderfold/direct/_target_selection.py
+++ b/src/lavenderfold/direct/_target_selection.py
@@ -87,9 +87,14 @@
         return True
 
     def has_no_place(self) -> bool:
-        """Return whether the rules exclude all targets that could serve the request."""
+        """Return whether regions or evacuations leave no target for the request.
+
+        Without either, a service that has no target yet is no such case.
+        """
+        if self._targets():
+            return False
         usable = self._services.directory.usable(self._service_name)
-        return bool(usable) and not self._targets()
+        return bool(usable) or self._regions is not None
 
     def _targets(self) -> list[Target]:
         usable = self._services.directory.usable(self._service_name)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -6,9 +6,9 @@
 import trio
 from lavenderfold_platform.settings import CONFIG_KEY, OPERATOR_PREFIX
 
-from lavenderfold.fleet import PrefixFollower
+from lavenderfold.fleet import PrefixFollower, Service
 from lavenderfold.placement._evacuations import FIRST_SHARE, RETURN_S
-from tests.direct_support import DirectFleet, answer_successfully, make_config
+from tests.direct_support import DirectFleet, answer_successfully, fail, make_config
 from tests.placement_support import PREFIX, BadStore, Selector, make_target
 from tests.test_hub import SeenKeys, run as run_region
 
@@ -188,6 +188,33 @@
     assert count() > 2 * first
 
 
+def test_domain_that_returns_cold_gets_a_limited_rate():
+    """Other targets fail, so each retry would go to the targets that return."""
+    service = Service(
+        name="service",
+        connection_limit=9,
+        tokens_per_event=2,
+        warm_up_s=8.0,
+        warm_up_rate=17.0,
+    )
+
+    async def scenario(fleet):
+        fleet.configure(make_config(version=2, services=(service,)))
+        await fleet.start()
+        fleet.store.put(PREFIX + "a", b"{}")
+        await trio.sleep(0.3)
+        fleet.target_by_id["b"].script = fail
+        fleet.store.remove(PREFIX + "a")
+        await trio.sleep(0.3)
+        before = fleet.received("a")
+        for number in range(10):
+            await fleet.send_request("/read/x", attempt=f"{number}", tokens="1,1")
+        assert fleet.received("b") >= 9
+        assert fleet.received("a") - before <= 1
+
+    run(scenario, "a", "b")
+
+
 def test_one_hub_serves_routers_with_and_without_evacuations():
     """Routers of both kinds run while settings change; each needs its own prefix."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -11,7 +11,11 @@
 from lavenderfold_platform.headers import read_answer, read_request, write_call
 from lavenderfold_platform.process import SettingsFile
 from lavenderfold_platform.records import read_config, read_target
-from lavenderfold_platform.settings import read_settings, router_options
+from lavenderfold_platform.settings import (
+    OPERATOR_PREFIX,
+    read_settings,
+    router_options,
+)
 from lavenderfold_platform.store import PlatformStore
 
 from lavenderfold.direct import TargetCall, UnreadableItemError
@@ -256,6 +260,20 @@
     assert options.watch_wait_s == 2.0
 
 
+def test_evacuations_are_followed_only_where_the_settings_bound_them(tmp_path):
+    """Where nobody evacuates, a router must read no more than the configuration."""
+    path = tmp_path / "node.toml"
+    path.write_text(SETTINGS)
+    options = router_options(read_settings(path))
+    assert (options.evacuations_prefix, options.operator_prefix) == (None, "op/config")
+    changed = SETTINGS.replace("[bounds]", "[bounds]\nevacuation_ms = 5000")
+    path.write_text(changed + '[zones]\nz = "r"\n')
+    options = router_options(read_settings(path))
+    assert options.evacuations_prefix == "op/evacuate/"
+    assert options.operator_prefix == OPERATOR_PREFIX
+    assert options.region_by_domain == {"z": "r"}
+
+
 @pytest.mark.parametrize("fault", ["zone = 1", "not toml"])
 def test_error_in_invalid_settings_names_the_file(tmp_path, fault):
     path = tmp_path / "node.toml"
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -125,6 +125,18 @@
     )
 
 
+def test_service_without_any_target_is_refused_at_once_too():
+    """The request waits for tokens although nothing may serve it."""
+
+    async def scenario(fleet):
+        fleet.store.is_down = True
+        with trio.fail_after(0.5):
+            response = await fleet.send_request("/read/x", tokens="5000,4000")
+        assert response.status == 503 and b"no_target" in response.body
+
+    run(scenario, {}, route_regions=NORTH)
+
+
 def test_unrestricted_requests_use_targets_without_a_region():
     """A target whose domain isn't in the table is lost for all requests."""
 
