Move the router's options into a module of their own

RouterOptions and the names of those that can be reloaded are now in _router_options.py; the package exports them as before.

--- a/src/lavenderfold/direct/__init__.py
+++ b/src/lavenderfold/direct/__init__.py
@@ -10,7 +10,8 @@
     TargetCall,
     TokenDemand,
 )
-from lavenderfold.direct._router import DirectRouter, RouterOptions
+from lavenderfold.direct._router import DirectRouter
+from lavenderfold.direct._router_options import RouterOptions
 from lavenderfold.direct._sinks import RecordReader, UnreadableItemError
 
 __all__ = [
