--- a/src/lavenderfold/direct/_explain_route.py
+++ b/src/lavenderfold/direct/_explain_route.py
@@ -16,6 +16,7 @@
 from lavenderfold.direct._target_selection import TargetSelection
 from lavenderfold.fleet import RouteTable, Target
 from lavenderfold.http import HttpRequest, HttpResponse, json_response
+from lavenderfold.placement import in_regions
 
 EXPLAIN_PATH = "/explain-route"
 MS_PER_S = 1000
@@ -105,6 +106,8 @@
         service_name=service_name,
         service=table.service(service_name),
         request=request,
+        route=route,
+        organisation=table.organisation_by_name.get(organisation),
     )
     choice = selection.choose()
     return RouteExplanation(
@@ -118,6 +121,7 @@
             services,
             request,
             service_name,
+            regions=selection.regions,
             chosen=None if choice is None else choice.target,
         ),
     )
@@ -128,6 +132,7 @@
     request: CallerRequest,
     service_name: str,
     *,
+    regions: frozenset[str] | None,
     chosen: Target | None,
 ) -> list[TargetExplanation]:
     now = services.timers.now()
@@ -140,17 +145,24 @@
         )
         costed_by_id = {each.target.id: each for each in costed}
     return [
-        _explain_target(services, each, costed_by_id.get(each.id), chosen, now)
+        _explain_target(
+            each,
+            costed_by_id.get(each.id),
+            outstanding=services.load_tracker.state(each).outstanding,
+            is_chosen=each == chosen,
+            excluded=_exclusions(services, each, regions, now),
+        )
         for each in sorted(targets, key=lambda each: each.id)
     ]
 
 
 def _explain_target(
-    services: RouterServices,
     target: Target,
     costed: CostedTarget | None,
-    chosen: Target | None,
-    now: float,
+    *,
+    outstanding: int,
+    is_chosen: bool,
+    excluded: list[str],
 ) -> TargetExplanation:
     fields = {}
     if costed is not None:
@@ -164,15 +176,20 @@
         target=target.id,
         domain=target.domain,
         slots=target.slots,
-        outstanding=services.load_tracker.state(target).outstanding,
-        is_chosen=target == chosen,
-        excluded=_exclusions(services, target, now),
+        outstanding=outstanding,
+        is_chosen=is_chosen,
+        excluded=excluded,
         **fields,
     )
 
 
-def _exclusions(services: RouterServices, target: Target, now: float) -> list[str]:
-    load_tracker = services.load_tracker
+def _exclusions(
+    services: RouterServices,
+    target: Target,
+    regions: frozenset[str] | None,
+    now: float,
+) -> list[str]:
+    load_tracker, placement = services.load_tracker, services.placement
     state = load_tracker.state(target)
     is_excluded_by_reason = {
         "draining": target.is_draining,
@@ -180,6 +197,9 @@
         "pausing": state.is_pausing(now),
         "ejected": load_tracker.is_ejected(target, now=now),
         "silent": load_tracker.is_silent(target, now=now),
+        "region": not in_regions([target], regions, placement.region_by_domain),
+        "evacuated": target.domain in placement.evacuations.domains(),
+        "cold": placement.cold.is_cold(target, now=now),
     }
     return [reason for reason, holds in is_excluded_by_reason.items() if holds]
 
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -102,6 +102,10 @@
             service_name=self._service_name,
             service=service,
             request=request,
+            route=route,
+            # A public route doesn't charge the organisation of a key, but the request
+            # is still that organisation's.
+            organisation=organisation or table.organisation(request.key),
         )
         self._take_over = TakeOver(
             timers=services.timers,
@@ -180,7 +184,8 @@
             self._admission.leave(self._last_outcome)
 
     async def _admit_and_attempt(self) -> Refusal | None:
-        refusal = self._refuse_quarantined() or await self._admission.enter()
+        refusal = self._refuse_quarantined() or self._refuse_without_place()
+        refusal = refusal or await self._admission.enter()
         refusal = refusal or await self._reservation.reserve()
         if refusal is not None:
             return refusal
@@ -333,6 +338,8 @@
         self, started: StartedAttempt, outcome: AttemptOutcome | None
     ) -> None:
         target = started.target
+        if started.permit is not None:
+            started.permit.release()
         if started.attempt.failure_response is not None:
             self._failure_response = started.attempt.failure_response
         self._recorder.record_end(started.attempt, target, outcome)
@@ -394,6 +401,10 @@
             reason = Reason.CONNECTION_FAILED
         return self._refuse_not_run(reason)
 
+    def _refuse_without_place(self) -> Refusal | None:
+        """Refuse at once, without a reservation, if no target may get the request."""
+        return self._refuse_without_target() if self._selection.has_no_place() else None
+
     def _refuse_without_target(self) -> Refusal:
         self._not_repeated = "no_target"
         if self._progress.may_have_run:
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -19,6 +19,8 @@
 from lavenderfold.direct._notices import TargetNotices
 from lavenderfold.direct._reachability import Reachability
 from lavenderfold.direct._requests import PlatformCodec
+from lavenderfold.direct._router_options import RELOADABLE_OPTIONS, RouterOptions
+from lavenderfold.direct._router_placement import RouterPlacement
 from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.direct._sinks import ConfigSink, RecordReader, TargetSink
 from lavenderfold.escrow import BalanceManager
@@ -54,54 +56,10 @@
 EXPIRY_PERIOD_S = 0.2
 CLEANUP_PERIOD_S = 2.0
 REPORT_PERIOD_S = 4.0
-# Options that can change while the router runs.
-RELOADABLE_OPTIONS = ("grace_period_s", "retry_share", "fleet_retry_reserve")
 
 logger = logging.getLogger("lavenderfold.router")
 
 
-class RouterOptions(msgspec.Struct, frozen=True, kw_only=True):
-    """Options of a router. The prefixes are those of keys in the shared store.
-
-    ``config_key`` is the key of the configuration, ``crashes_key`` that of the crashes
-    that all routers share.
-    ``watch_wait_s`` is how long a watch without changes stays open.
-    ``retry_share`` is the fraction of its requests that a router may retry, and
-    ``fleet_retry_reserve`` the number of retries beyond that in a burst, of all
-    routers together.
-    ``region`` is that of the router, ``region_by_domain`` those of failure domains.
-    Failure domains are evacuated by keys under ``evacuations_prefix``, if it is given.
-    All routers together send a cold target its rate times ``warm_up_overshoot`` and
-    ``warm_up_tolerance`` requests per second at most. ``balances_by_cost`` chooses
-    targets by expected cost. ``memory_limit_bytes`` and ``descriptor_limit`` bound the
-    process; None is no bound. ``link_bytes_per_s`` is the capacity of the VM's link in
-    each direction, None if it isn't known.
-    """
-
-    name: str
-    domain: str
-    listen: Address
-    ready_listen: Address
-    metrics_listen: Address
-    grace_period_s: float
-    retry_share: float
-    fleet_retry_reserve: float
-    watch_wait_s: float
-    config_key: str
-    targets_prefix: str
-    ledger_prefix: str
-    crashes_key: str
-    region: str = ""
-    region_by_domain: dict[str, str] = {}
-    evacuations_prefix: str | None = None
-    warm_up_overshoot: float = 1.0
-    warm_up_tolerance: float = 0.0
-    balances_by_cost: bool = False
-    memory_limit_bytes: int | None = None
-    descriptor_limit: int | None = None
-    link_bytes_per_s: float | None = None
-
-
 class DirectRouter:
     """Follows configuration and targets, manages grants and serves callers."""
 
@@ -140,12 +98,25 @@
         self._config = ConfigSink(
             key=options.config_key, reader=reader, on_installed=self._apply_config
         )
-        self._targets = TargetSink(reader=reader, timers=timers)
+        self._placement = RouterPlacement(
+            region_by_domain=options.region_by_domain,
+            warm_up_overshoot=options.warm_up_overshoot,
+            warm_up_tolerance=options.warm_up_tolerance,
+            router_count=lambda: self._balance_manager.router_count,
+            timers=timers,
+        )
+        self._targets = TargetSink(
+            reader=reader, timers=timers, on_entry=self._placement.record_entry
+        )
         self._config_follower = PrefixFollower(
             store=store,
             timers=timers,
-            prefix=options.config_key,
-            sink=self._config,
+            prefix=options.operator_prefix,
+            sink=self._placement.operator_sink(
+                config_key=options.config_key,
+                config=self._config,
+                evacuations_prefix=options.evacuations_prefix,
+            ),
             wait_s=options.watch_wait_s,
             on_answer=self.reachability.record_answer,
             on_changed=self._metrics.record_change_delay,
@@ -159,6 +130,7 @@
             on_answer=self.reachability.record_answer,
             on_changed=self._metrics.record_change_delay,
         )
+        self._placement.follow(self._targets.directory, self._target_follower)
         self._quarantine = PromptQuarantine(timers=timers)
         self._crash_evidence = EvidencePublisher(
             store=store, quarantine=self._quarantine, key=options.crashes_key
@@ -195,6 +167,7 @@
             new_retry_budget=self._new_retry_budget,
             domain=options.domain,
             balancing=self._balancing,
+            placement=self._placement.placement,
         )
         self._caller_api = CallerApi(services=self._services, config=self._config)
         self._limits = CallerLimitHistory()
@@ -217,6 +190,7 @@
         return (
             not self._draining.is_set()
             and self._config.table is not None
+            and self._config_follower.is_listed
             and self._target_follower.is_listed
             and self._crash_follower.is_listed
             and self._balance_manager.loaded.is_set()
@@ -235,6 +209,7 @@
         new_values = {name: getattr(options, name) for name in RELOADABLE_OPTIONS}
         self._options = msgspec.structs.replace(self._options, **new_values)
         self._update_retry_limits()
+        self._placement.placement.region_by_domain = self._options.region_by_domain
         fields = {
             "installed": [name for name in changed if name in RELOADABLE_OPTIONS],
             "need_restart": [
@@ -253,6 +228,7 @@
         fields = {"router": self._options.name, "holder": self._holder}
         logger.info("router_started", extra=fields)
         self._timers.every(EXPIRY_PERIOD_S, self._targets.expire)
+        self._timers.every(EXPIRY_PERIOD_S, self._placement.expire)
         self._timers.every(
             REPORT_PERIOD_S, self._balance_manager.report, delay=REPORT_PERIOD_S
         )
@@ -343,6 +319,9 @@
         }
         now = self._timers.now()
         options = self._options
+        targets = self._targets.directory.targets()
+        targets_by_state = self._services.load_tracker.count_by_notice(targets, now=now)
+        targets_by_state |= self._placement.placement.count_by_state(targets, now=now)
         return RouterSnapshot(
             active=self._caller_api.active,
             admission_by_service=self._services.admission_states(),
@@ -352,14 +331,10 @@
             log_lines_left_out=self._log_lines_left_out(),
             quarantine=self._quarantine.snapshot(),
             states=frozenset(name for name, holds in is_true_by_state.items() if holds),
-            targets_by_notice=self._services.load_tracker.count_by_notice(
-                self._targets.directory.targets(), now=now
-            ),
-            send_spread_by_service=send_spread_by_service(
-                self._balancing, self._targets.directory.targets()
-            ),
+            targets_by_state=targets_by_state,
+            send_spread_by_service=send_spread_by_service(self._balancing, targets),
             watch_age_by_prefix={
-                options.config_key: now - self._config_follower.answered_at,
+                options.operator_prefix: now - self._config_follower.answered_at,
                 options.targets_prefix: now - self._target_follower.answered_at,
             },
         )
@@ -387,11 +362,11 @@
         while True:
             await trio.sleep(CLEANUP_PERIOD_S)
             self._update_retry_limits()
-            self._services.load_tracker.keep_only(
-                self._targets.directory.targets(), now=self._timers.now()
-            )
+            targets, now = self._targets.directory.targets(), self._timers.now()
+            self._services.load_tracker.keep_only(targets, now=now)
+            self._placement.placement.cold.keep_only(targets, now=now)
             if self._balancing is not None:
-                self._balancing.update(self._targets.directory.targets())
+                self._balancing.update(targets)
             await self._services.clients.keep_only(self._known_targets())
 
     @property
@@ -416,6 +391,7 @@
         return [each for name in services for each in directory.usable(name)]
 
     def _apply_config(self, table: RouteTable) -> None:
+        self._placement.placement.cold.set_services(table.config.services)
         self._metrics.set_config_version(table.version)
         self._limits.set(table.config.limits, now=self._timers.now())
         limit_by_organisation = {
--- a/src/lavenderfold/direct/_router_services.py
+++ b/src/lavenderfold/direct/_router_services.py
@@ -18,6 +18,7 @@
 from lavenderfold.direct._requests import PlatformCodec
 from lavenderfold.escrow import BalanceManager
 from lavenderfold.fleet import TargetDirectory
+from lavenderfold.placement import Placement
 from lavenderfold.quarantine import PromptQuarantine
 from lavenderfold.routing import RetryBudget
 from lavenderfold.timers import TimerService
@@ -46,6 +47,7 @@
     domain: str
     balancing: TargetBalancing | None = None
     draw: Callable[[], float] = random.random
+    placement: Placement = msgspec.field(default_factory=Placement)
     answer_memory: AnswerMemory = msgspec.field(default_factory=AnswerMemory)
     first_event_times: FirstEventTimes = msgspec.field(default_factory=FirstEventTimes)
     target_tokens: TargetTokens = msgspec.field(default_factory=TargetTokens)
