Refuse at once while the ledger is known to be unavailable

Cause: an outage counted only after a whole order had failed, which takes seconds if neither relays nor the store respond, and only for balances with a pending transfer. Requests that already waited weren't told. All others waited up to 0.7 s and were told to come back 0.3 s later.

Change: LedgerOutage counts from the start of the first unconfirmed order, also while it is in progress, and is known after 1 s or two failed orders. Waiting requests check it when an order ends and when the second is over. Retry-After is the time that the outage has lasted, at least 1 s, spread up to twice that within a third of the caller's time. Orders are repeated 0.25 s after a failure also if no request waits. The outage is logged at its begin and end, and shown in two metrics.

Result: in tests/test_ledger_outage.py nothing waits once the outage is known, with or without a transfer under way.

--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -19,11 +19,15 @@
     """State of a router at the time its metrics are read. Ages are in seconds.
 
     ``longest_turn_s`` is the duration of the event loop's longest turn.
+    ``ledger_outage_s`` is 0 while the ledger is available, and ``refused_in_outages``
+    counts the requests refused at once because it wasn't.
     ``targets_by_notice`` counts the listed targets that leave or pause.
     """
 
     active: int
     incomplete_answer_bytes: int
+    ledger_outage_s: float
+    refused_in_outages: int
     balances: list[LocalBalanceState]
     longest_turn_s: float
     log_lines_left_out: int
@@ -173,6 +177,16 @@
             ["organisation", "part"],
             registry=self._registry,
         )
+        self._ledger_outage = Gauge(
+            "lavenderfold_ledger_outage_seconds",
+            "How long this router has been unable to write the ledger; 0 if it can.",
+            registry=self._registry,
+        )
+        self._refused_in_outages = Gauge(
+            "lavenderfold_refused_in_ledger_outages",
+            "Requests since the start that were refused in outages of the ledger.",
+            registry=self._registry,
+        )
         self._config_version = Gauge(
             "lavenderfold_config_version",
             "Version of the configuration in force.",
@@ -251,6 +265,8 @@
         self._prompts.labels("suspected").set(quarantine.suspected)
         self._prompts.labels("quarantined").set(quarantine.quarantined)
         self._crashes_on_record.set(quarantine.crashes)
+        self._ledger_outage.set(snapshot.ledger_outage_s)
+        self._refused_in_outages.set(snapshot.refused_in_outages)
         self._active.set(snapshot.active)
         self._longest_turn.set(snapshot.longest_turn_s)
         self._incomplete_answers.set(snapshot.incomplete_answer_bytes)
--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -81,6 +81,7 @@
             request=request,
             organisation=organisation,
             service=table.service(self._service_name),
+            caller_deadline=limits.caller_deadline,
         )
         self._sent_attempts = 0
         self._last_outcome: AttemptOutcome | None = None
--- a/src/lavenderfold/direct/_reservation.py
+++ b/src/lavenderfold/direct/_reservation.py
@@ -1,5 +1,7 @@
 """The tokens that a request reserves in its organisation's balance, and their end."""
 
+import random
+
 import trio
 
 from lavenderfold.direct._refusals import Refusal, not_run
@@ -13,6 +15,10 @@
 # other region; a broken path to the store is detected and replaced within 0.6 s.
 FUNDING_WAIT_S = 0.7
 BUDGET_RETRY_AFTER_S = 0.3
+# Callers honour a Retry-After of up to this part of the time that they have left.
+HONOURED_SHARE = 1 / 3
+# Where that is too short for the whole interval, times are spread over this part of it.
+SPREAD_SHARE = 1 / 3
 BALANCE_REASONS = (Reason.BUDGET_SPENT.value, Reason.BUDGET_UNAVAILABLE.value)
 SIZE_MISSING = Refusal(status=400, reason="size_missing", outcome="not_run")
 
@@ -21,7 +27,8 @@
     """The worst case of one request, reserved until the request is settled.
 
     ``tokens`` is 0 and ``funded_at``, on the trio clock, is None until then.
-    ``service`` is None if the configuration doesn't name it.
+    ``service`` is None if the configuration doesn't name it. The caller leaves at
+    ``caller_deadline``, on the trio clock.
     """
 
     __slots__ = (
@@ -32,6 +39,7 @@
         "_request",
         "_organisation",
         "_service",
+        "_caller_deadline",
     )
 
     def __init__(
@@ -42,6 +50,7 @@
         request: CallerRequest,
         organisation: Organisation | None,
         service: Service | None,
+        caller_deadline: float,
     ):
         self.tokens = 0
         self.funded_at: float | None = None
@@ -50,6 +59,7 @@
         self._request = request
         self._organisation = organisation
         self._service = service
+        self._caller_deadline = caller_deadline
 
     async def reserve(self) -> Refusal | None:
         """Reserve the tokens that the request needs at most, or return a refusal."""
@@ -68,13 +78,20 @@
         if funding is Funding.SPENT:
             return not_run(Reason.BUDGET_SPENT)
         if funding is Funding.UNAVAILABLE:
-            return not_run(
-                Reason.BUDGET_UNAVAILABLE, retry_after_s=BUDGET_RETRY_AFTER_S
-            )
+            return self._refuse_unfunded()
         self.tokens = tokens.worst_case
         self.funded_at = trio.current_time()
         return None
 
+    def _refuse_unfunded(self) -> Refusal:
+        """Return a refusal whose Retry-After reaches past the end of an outage."""
+        retry_after_s = _retry_after_s(
+            expected_s=self._balance_manager.expected_outage_s or BUDGET_RETRY_AFTER_S,
+            caller_left_s=self._caller_deadline - trio.current_time(),
+            draw=random.random(),
+        )
+        return not_run(Reason.BUDGET_UNAVAILABLE, retry_after_s=retry_after_s)
+
     def balance_at(self, refusal: Refusal | None) -> LocalBalanceState | None:
         """Return the balance as the router knows it, if it was the refusal's cause."""
         if refusal is None or refusal.reason not in BALANCE_REASONS:
@@ -96,3 +113,14 @@
         self._balance_manager.settle(
             self._organisation.name, reserved=self.tokens, used=used
         )
+
+
+def _retry_after_s(*, expected_s: float, caller_left_s: float, draw: float) -> float:
+    """Return a time from ``expected_s`` to twice that, spread by ``draw`` of [0, 1).
+
+    It isn't above the part of the caller's remaining time that callers honour; if that
+    is shorter than the interval, it is spread below that part.
+    """
+    most_s = min(2 * expected_s, max(0.0, caller_left_s) * HONOURED_SHARE)
+    least_s = min(expected_s, most_s * (1 - SPREAD_SHARE))
+    return least_s + (most_s - least_s) * draw
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -323,6 +323,8 @@
         return RouterSnapshot(
             active=self._caller_api.active,
             incomplete_answer_bytes=self._services.answer_memory.held_bytes,
+            ledger_outage_s=self._balance_manager.outage_s,
+            refused_in_outages=self._balance_manager.refused_in_outages,
             balances=self._balance_manager.local_balance_states(),
             longest_turn_s=event_loop_turns().longest_s,
             log_lines_left_out=self._log_lines_left_out(),
--- a/src/lavenderfold/escrow/_balance_manager.py
+++ b/src/lavenderfold/escrow/_balance_manager.py
@@ -8,6 +8,7 @@
 import trio
 
 from lavenderfold.escrow._ledger import Transfer
+from lavenderfold.escrow._ledger_outage import LedgerOutage
 from lavenderfold.escrow._local_balances import (
     INSUFFICIENT_RETRY_S,
     LocalBalance,
@@ -29,12 +30,12 @@
 from lavenderfold.timers import TimerService
 
 SYNC_PERIOD_S = 0.5
-# Once the ledger has confirmed no order for this time, requests no longer wait for a
-# grant.
-LEDGER_UNAVAILABLE_S = 1.0
 # Delay after a failed call, so that a recovering store doesn't get the calls of all
 # routers at once.
 FAILURE_DELAY_S = 0.25
+# Requests that wait during an order check at most this often whether it has taken so
+# long that the ledger counts as unavailable.
+MIN_OUTAGE_CHECK_S = 0.01
 
 logger = logging.getLogger(__name__)
 
@@ -103,9 +104,10 @@
         self._limit_by_organisation: dict[str, Limit] = {}
         self._wait_ids = itertools.count()
         self._sync_requested = trio.Event()
-        self._sync_done = trio.Event()
+        self._sync_ended = trio.Event()
         self._is_exiting = False
-        self._unavailable_since: float | None = None
+        self._outage = LedgerOutage()
+        self.refused_in_outages = 0
 
     def set_limits(
         self, limit_by_organisation: dict[str, int], *, version: int
@@ -116,7 +118,29 @@
         self._request_sync()
 
     async def reserve(self, organisation: str, tokens: int, *, until: float) -> Funding:
-        """Reserve tokens; wait for the grant and the witness until ``until``."""
+        """Reserve tokens; wait for the grant and the witness until ``until``.
+
+        What can't be had without the ledger isn't waited for while the ledger is known
+        to be unavailable; see ``expected_outage_s``.
+        """
+        funding = await self._reserve(organisation, tokens, until)
+        if funding is Funding.UNAVAILABLE and self.expected_outage_s is not None:
+            self._outage.refused += 1
+            self.refused_in_outages += 1
+        return funding
+
+    @property
+    def expected_outage_s(self) -> float | None:
+        """Return how much longer the ledger is expected to be unavailable, or None."""
+        return self._outage.expected_rest_s(self._timers.now())
+
+    @property
+    def outage_s(self) -> float:
+        """Return how long the ledger has been unavailable; 0 if it is available."""
+        now = self._timers.now()
+        return self._outage.elapsed_s(now) if self._outage.is_known(now) else 0.0
+
+    async def _reserve(self, organisation: str, tokens: int, until: float) -> Funding:
         balance = self.balances.get_or_create(organisation, now=self._timers.now())
         if not balance.reserve(tokens):
             funding = await self._reserve_after_grant(balance, tokens, until)
@@ -125,17 +149,20 @@
         is_confirmed = False
         try:
             with trio.move_on_after(max(0.0, until - self._timers.now())):
-                await self._confirm(organisation, balance)
-                is_confirmed = True
+                is_confirmed = await self._confirm(organisation, balance)
         finally:
             if not is_confirmed:
                 balance.settle(reserved=tokens, used=0)
         return Funding.RESERVED if is_confirmed else Funding.UNAVAILABLE
 
-    async def _confirm(self, organisation: str, balance: LocalBalance) -> None:
+    async def _confirm(self, organisation: str, balance: LocalBalance) -> bool:
+        """Wait for the witness; return False if the ledger can't record it now."""
         if not balance.is_witnessed_only_by(self._confirmer.witness):
+            if self._outage.is_known(self._timers.now()):
+                return False
             self._request_sync()
         await self._confirmer.confirm(organisation)
+        return True
 
     async def _reserve_after_grant(
         self, balance: LocalBalance, tokens: int, until: float
@@ -168,6 +195,8 @@
             self._confirmer.choose_witness()
             if not await self._sync():
                 await trio.sleep(FAILURE_DELAY_S)
+                # Requests that are refused at once don't ask for the next order.
+                self._request_sync()
 
     @property
     def router_count(self) -> int:
@@ -240,12 +269,14 @@
             remaining_s = until - self._timers.now()
             if remaining_s <= 0:
                 return Funding.UNAVAILABLE
-            if balance.pending is not None and self._is_ledger_unavailable():
+            now = self._timers.now()
+            if self._outage.is_known(now):
                 return Funding.UNAVAILABLE
             self._request_sync()
-            sync_done = self._sync_done
-            with trio.move_on_after(remaining_s):
-                await sync_done.wait()
+            sync_ended = self._sync_ended
+            outage_in_s = max(MIN_OUTAGE_CHECK_S, self._outage.remaining_s(now))
+            with trio.move_on_after(min(remaining_s, outage_in_s)):
+                await sync_ended.wait()
 
     def _has_tokens_to_return(self) -> bool:
         return any(
@@ -254,12 +285,6 @@
             if organisation in self._limit_by_organisation
         )
 
-    def _is_ledger_unavailable(self) -> bool:
-        """Return whether orders have failed for LEDGER_UNAVAILABLE_S or longer."""
-        if self._unavailable_since is None:
-            return False
-        return self._timers.now() - self._unavailable_since >= LEDGER_UNAVAILABLE_S
-
     def _request_sync(self) -> None:
         self._sync_requested.set()
 
@@ -274,8 +299,10 @@
         """Make the planned transfers; return False if they weren't confirmed."""
         transfer_by_organisation = self._plan_transfers()
         if not transfer_by_organisation:
+            # Nothing shows any more that the ledger is unavailable, nor that it isn't.
+            self._end_outage()
             return True
-        started_at = self._timers.now()
+        self._outage.record_start(self._timers.now())
         order = LedgerOrder(
             holder=self._holder,
             limit_by_organisation={
@@ -287,14 +314,39 @@
         try:
             views = await self._order_sender.submit(order)
         except LedgerUnavailableError as error:
-            if self._unavailable_since is None:
-                self._unavailable_since = started_at
+            self._outage.record_failure()
             logger.info("transfers_not_confirmed", extra={"cause": str(error)})
+            self._report_outage()
+            self._notify_waiting()
             return False
-        self._unavailable_since = None
+        self._end_outage()
         self._update_balances(views)
         return True
 
+    def _report_outage(self) -> None:
+        """Log once that the ledger is unavailable, and what this router holds."""
+        now = self._timers.now()
+        if self._outage.is_reported or not self._outage.is_known(now):
+            return
+        self._outage.is_reported = True
+        balances = self.balances.by_organisation.values()
+        fields = {
+            "since_s": round(self._outage.elapsed_s(now), 3),
+            "balances": len(balances),
+            "free": sum(max(0, each.free) for each in balances),
+            "reserved": sum(each.reserved for each in balances),
+        }
+        logger.warning("ledger_unavailable", extra=fields)
+
+    def _end_outage(self) -> None:
+        if self._outage.is_reported:
+            fields = {
+                "outage_s": round(self._outage.elapsed_s(self._timers.now()), 3),
+                "refused": self._outage.refused,
+            }
+            logger.warning("ledger_available", extra=fields)
+        self._outage.end()
+
     def _plan_transfers(self) -> dict[str, Transfer]:
         transfers = {}
         for organisation, balance in self.balances.by_organisation.items():
@@ -324,5 +376,8 @@
         for organisation, view in view_by_organisation.items():
             self.balances.get_or_create(organisation, now=now).update(view, now=now)
         self._confirmer.balances_updated()
-        self._sync_done.set()
-        self._sync_done = trio.Event()
+        self._notify_waiting()
+
+    def _notify_waiting(self) -> None:
+        self._sync_ended.set()
+        self._sync_ended = trio.Event()
