Refuse orders that arrive while a combiner's write fails

Cause: a combiner writes one batch at a time. While the store is silent, an order that arrives during a batch waited for its end and for a batch of its own, longer than its router waits. The combiner counted as failed, so after the outage routers wrote the ledger themselves and met each other.

Change: orders that arrive during a write that fails are refused with it.

--- a/src/lavenderfold/escrow/_combiner.py
+++ b/src/lavenderfold/escrow/_combiner.py
@@ -89,6 +89,9 @@
         try:
             results = await self._writer.apply([each.order for each in batch])
         except LedgerUnavailableError as error:
+            # Those that have arrived meanwhile would wait for the same store, longer
+            # than their routers wait for this combiner.
+            batch, self._pending = batch + self._pending, []
             for each in batch:
                 each.failure = str(error)
         else:
--- a/tests/test_held_tokens.py
+++ b/tests/test_held_tokens.py
@@ -115,12 +115,16 @@
 class Fleet:
     """Routers that use one combiner, and requests that are spread unevenly."""
 
-    def __init__(self, nursery: trio.Nursery):
+    def __init__(
+        self, nursery: trio.Nursery, *, uses_combiner: bool = True, limit: int = LIMIT
+    ):
         self.store = OutageStore()
         self.used = 0
         self.used_at_first_denial: int | None = None
         self.managers: list[BalanceManager] = []
         self._nursery = nursery
+        self._uses_combiner = uses_combiner
+        self._limit = limit
         pages = LedgerPages(store=self.store, prefix=PREFIX)
         self._combiner = OrderCombiner(writer=LedgerWriter(pages=pages))
 
@@ -134,9 +138,10 @@
                 holder=f"router-{number}/1",
                 prefix=PREFIX,
             )
-            # In place of the calls over HTTP, which virtual time doesn't reach.
-            manager._order_sender = self._combiner
-            manager.set_limits({"org": LIMIT}, version=1)
+            if self._uses_combiner:
+                # In place of the calls over HTTP, which virtual time doesn't reach.
+                manager._order_sender = self._combiner
+            manager.set_limits({"org": self._limit}, version=1)
             self._nursery.start_soon(manager.run)
             await manager.loaded.wait()
             self.managers.append(manager)
