Ask for a balance again as soon as its limit is raised

Cause: for 0.4 s after the last state of an exhausted balance, requests were refused as budget_spent although a new configuration had raised the limit, and routers without a request didn't ask for the balance at all.

Change: a raised limit makes the known state outdated: it refuses no request, ends the shortage, and the next order, sent at once, asks for it. It counts as known again once an order that carried the new limit is confirmed.

--- a/src/lavenderfold/escrow/_balance_manager.py
+++ b/src/lavenderfold/escrow/_balance_manager.py
@@ -114,7 +114,11 @@
     ) -> None:
         """Install the limits of a configuration version, in tokens."""
         for organisation, tokens in limit_by_organisation.items():
+            earlier = self._limit_by_organisation.get(organisation)
             self._limit_by_organisation[organisation] = Limit(tokens, version)
+            balance = self.balances.by_organisation.get(organisation)
+            if balance and earlier and tokens > earlier.tokens:
+                balance.limit_raised()
         self._request_sync()
 
     async def reserve(self, organisation: str, tokens: int, *, until: float) -> Funding:
@@ -260,6 +264,7 @@
                 return Funding.RESERVED
             if (
                 balance.pending is None
+                and not balance.is_limit_raised
                 and balance.updated_at > requested_at - INSUFFICIENT_RETRY_S
             ):
                 left = (balance.rest or 0) + max(0, balance.free)
@@ -320,7 +325,7 @@
             self._notify_waiting()
             return False
         self._end_outage()
-        self._update_balances(views)
+        self._update_balances(views, order)
         return True
 
     def _report_outage(self) -> None:
@@ -370,11 +375,20 @@
         )
         return planned or balance.plan_refresh(now)
 
-    def _update_balances(self, view_by_organisation: dict[str, BalanceView]) -> None:
-        """Update the local balances with the confirmed state of the ledger."""
+    def _update_balances(
+        self, view_by_organisation: dict[str, BalanceView], order: LedgerOrder
+    ) -> None:
+        """Update the local balances with the state that confirms an order."""
         now = self._timers.now()
         for organisation, view in view_by_organisation.items():
-            self.balances.get_or_create(organisation, now=now).update(view, now=now)
+            balance = self.balances.get_or_create(organisation, now=now)
+            balance.update(view, now=now)
+            sent_limit = order.limit_by_organisation[organisation]
+            if sent_limit == self._limit_by_organisation[organisation]:
+                if balance.is_limit_raised:
+                    # The balance may now have what was refused before.
+                    self._request_sync()
+                balance.is_limit_raised = False
         self._confirmer.balances_updated()
         self._notify_waiting()
 
--- a/src/lavenderfold/escrow/_local_balances.py
+++ b/src/lavenderfold/escrow/_local_balances.py
@@ -74,6 +74,7 @@
         "is_short",
         "written_off",
         "limit_allowance",
+        "is_limit_raised",
         "updated_at",
         "refresh_interval_s",
         "waiting_tokens_by_id",
@@ -98,6 +99,7 @@
         self.is_short = False
         self.written_off = 0
         self.limit_allowance = 0
+        self.is_limit_raised = False
         self.updated_at = -math.inf
         self.refresh_interval_s = MAX_REFRESH_S
         self.waiting_tokens_by_id: dict[int, int] = {}
@@ -251,11 +253,19 @@
 
         It isn't needed while no other router can count on tokens of this one.
         """
+        if self.is_limit_raised:
+            return Transfer(number=self.number, is_read_only=True)
         is_counted_as_held = self.free > 0 or not self._is_spending_reported
         if not is_counted_as_held or now - self.updated_at < self.refresh_interval_s:
             return None
         return Transfer(number=self.number, is_read_only=True)
 
+    def limit_raised(self) -> None:
+        """Record that a configuration has raised the limit."""
+        if self.rest is not None:
+            self.is_limit_raised = True
+            self.is_short = False
+
     def plan_return(self) -> Transfer | None:
         """Return the pending transfer, or one that hands back all free tokens.
 
@@ -318,9 +328,15 @@
         is_recent = now - self.updated_at < MIN_REFRESH_S
         return not is_recent and not self._is_spending_reported
 
+    def is_recent(self, now: float) -> bool:
+        """Return whether requests may be refused by the known state of the balance."""
+        if self.rest is None or self.is_limit_raised:
+            return False
+        return now - self.updated_at <= INSUFFICIENT_RETRY_S
+
     def _is_known_insufficient(self, now: float) -> bool:
         """Return whether the ledger lately had too little for any waiting request."""
-        if self.rest is None or now - self.updated_at > INSUFFICIENT_RETRY_S:
+        if not self.is_recent(now):
             return False
         smallest_need = min(self.partial_needs, default=0)
         return self.rest == 0 or self.rest < smallest_need
--- a/tests/test_held_tokens.py
+++ b/tests/test_held_tokens.py
@@ -173,10 +173,10 @@
                 await trio.sleep(1 / REQUESTS_PER_S)
 
 
-def run_fleet(scenario) -> None:
+def run_fleet(scenario, *, limit: int = LIMIT) -> None:
     async def main():
         async with trio.open_nursery() as nursery:
-            fleet = Fleet(nursery)
+            fleet = Fleet(nursery, limit=limit)
             await fleet.start()
             await scenario(fleet)
             nursery.cancel_scope.cancel()
@@ -200,3 +200,37 @@
         assert LIMIT - fleet.used < max(REQUEST_TOKENS, left - 2 * USED_TOKENS)
 
     run_fleet(scenario)
+
+
+async def use_up(manager: BalanceManager) -> None:
+    """Spend a balance until a request is refused for it."""
+    for _ in range(100):
+        until = trio.current_time() + 0.7
+        funding = await manager.reserve("org", 100, until=until)
+        if funding is Funding.SPENT:
+            return
+        if funding is Funding.RESERVED:
+            manager.settle("org", reserved=100, used=100)
+        await trio.sleep(0.05)
+    raise AssertionError("the balance has no end")
+
+
+@pytest.mark.parametrize("idle_s", [0.0, 5.0])
+def test_raised_limit_is_used_at_once(idle_s):
+    """Routers refused requests by the state of the balance before it was raised."""
+
+    async def scenario(fleet):
+        first, second = fleet.managers[:2]
+        await use_up(first)
+        await use_up(second)
+        await trio.sleep(idle_s)
+        for manager in fleet.managers:
+            manager.set_limits({"org": 1_000_000}, version=2)
+        until = trio.current_time() + 0.7
+        assert await first.reserve("org", 4000, until=until) is Funding.RESERVED
+        # The router that got no request asks, too.
+        await trio.sleep(0.3)
+        assert second.local_balance_state("org").rest > 900_000
+        assert not second.balances.by_organisation["org"].is_limit_raised
+
+    run_fleet(scenario, limit=2000)
