--- a/tests/test_ledger_outage.py
+++ b/tests/test_ledger_outage.py
@@ -3,11 +3,14 @@
 Requests waited for 0.7 s and were told to come back within the same outage.
 """
 
+from types import SimpleNamespace
+
 import pytest
 import trio
 import trio.testing
 
-from lavenderfold.direct._reservation import _retry_after_s
+from lavenderfold.direct._requests import TokenDemand
+from lavenderfold.direct._reservation import Reservation, _retry_after_s
 from lavenderfold.escrow import BalanceManager, Funding
 from lavenderfold.timers import TimerService
 from standins.memory_store import MemoryStore
@@ -141,6 +144,55 @@
     run_scenario(scenario)
 
 
+def test_nothing_waits_for_a_witness_that_the_ledger_can_t_record():
+    """The tokens are free, but the grant names a witness that is gone."""
+
+    async def scenario(nursery, store):
+        manager = await start_manager(nursery, store)
+        await request(manager, 100)
+        store.is_silent = True
+        await request(manager, 50_000)
+        await trio.sleep(1.0)
+        balance = manager.balances.by_organisation["org"]
+        balance.granted += 100
+        balance.witness = "gone"
+        funding, waited_s = await request(manager, 100)
+        assert funding is Funding.UNAVAILABLE
+        assert waited_s < 0.01
+        assert balance.reserved == 0
+
+    run_scenario(scenario)
+
+
+class UnavailableBalances:
+    """A balance manager in an outage of the ledger that lasts for 4 s more."""
+
+    expected_outage_s = 4.0
+
+    async def reserve(self, organisation, tokens, *, until):
+        return Funding.UNAVAILABLE
+
+
+@pytest.mark.parametrize(("left_s", "least_s", "most_s"), [(30, 4, 8), (6, 1, 2)])
+def test_refusal_tells_callers_to_return_after_the_outage(left_s, least_s, most_s):
+    """Callers came back after 0.3 s, were refused again and gave up."""
+
+    async def main():
+        reservation = Reservation(
+            balance_manager=UnavailableBalances(),
+            timers=TimerService(clock=trio.current_time),
+            request=SimpleNamespace(tokens=TokenDemand(100, 100)),
+            organisation=SimpleNamespace(name="org", limit_tokens=LIMIT),
+            service=None,
+            caller_deadline=trio.current_time() + left_s,
+        )
+        refusal = await reservation.reserve()
+        assert (refusal.status, refusal.reason) == (503, "budget_unavailable")
+        assert least_s <= refusal.retry_after_s <= most_s
+
+    trio.run(main)
+
+
 @pytest.mark.parametrize(
     ("expected_s", "left_s", "least_s", "most_s"),
     [(1.0, 30.0, 1.0, 2.0), (4.0, 15.0, 3.0, 5.0), (4.0, 6.0, 1.0, 2.0), (1, -1, 0, 0)],
