Take the newest grant of a router for the one that is alive

Cause: of several grants of one router all but the smallest counted as lost. What a router held then lowered what it might hold, it handed tokens back, and took them again, until the old grant was written off. Random examples of the state machine found routers that never settled.

Change: grants are in the order in which they were opened; all but the last one of a router count as lost.

--- a/src/lavenderfold/escrow/_orders.py
+++ b/src/lavenderfold/escrow/_orders.py
@@ -148,11 +148,13 @@
 def _unresolved_tokens(grant_by_holder: dict[str, Grant]) -> int:
     """Return the most that earlier incarnations of routers may have left unspent.
 
-    Of several grants of one router only one is alive, and it isn't known which: a
-    dead router's first order may arrive late. The one with the least is assumed.
+    Grants are in the order in which they were opened, so the last one of a router is
+    that of its newest incarnation. Counting by amount would let a router's own grant
+    lower what it may hold, and raise it again once the router has handed that back.
     """
-    unspent_by_router: dict[str, list[int]] = {}
-    for holder, grant in grant_by_holder.items():
-        unspent = unspent_by_router.setdefault(router_name(holder), [])
-        unspent.append(max(0, grant.unspent))
-    return sum(sum(each) - min(each) for each in unspent_by_router.values())
+    newest_by_router = {router_name(holder): holder for holder in grant_by_holder}
+    return sum(
+        max(0, grant.unspent)
+        for holder, grant in grant_by_holder.items()
+        if newest_by_router[router_name(holder)] != holder
+    )
