Make the test of released tokens fail without their report

Cause: the transfer in it was due for other reasons too, so the test passed without the report of released tokens.

Change: what the router holds lies within both thresholds, so that only the report is left.

Result: the test passes, and fails with the report taken out.

--- a/tests/test_held_tokens.py
+++ b/tests/test_held_tokens.py
@@ -98,18 +98,25 @@
     """The ledger takes them for spent; after a kill they weren't counted as lost."""
     balance = balance_with(left=0.5, routers=0)
     local_balance = LocalBalance(now=0.0)
-    local_balance.waiting_tokens_by_id = {1: 8000}
-    for now in (0.0, 1.0, 2.0):
-        planned = local_balance.plan_transfer(now)
-        if planned is not None:
-            balance = transfer(balance, "router/1", planned)
+
+    def sync(now: float) -> None:
+        nonlocal balance
+        planned = local_balance.plan_transfer(now, witness=f"relay-{now}")
+        balance = transfer(balance, "router/1", planned)
         local_balance.update(BalanceView.of(balance, "router/1"), now=now)
-        if local_balance.waiting_tokens_by_id:
-            local_balance.waiting_tokens_by_id = {}
-            assert local_balance.reserve(8000)
-    assert balance.grant_by_holder["router/1"].spent == 8000
-    local_balance.settle(reserved=8000, used=1000)
-    assert local_balance.plan_transfer(5.0).spent == 1000
+
+    local_balance.waiting_tokens_by_id = {1: 95_000}
+    sync(0.0)
+    local_balance.update(BalanceView.of(balance, "router/1"), now=0.2)
+    local_balance.waiting_tokens_by_id = {}
+    assert local_balance.reserve(40_000)
+    sync(1.0)
+    assert balance.grant_by_holder["router/1"].spent == 40_000
+    local_balance.settle(reserved=40_000, used=37_000)
+    witness = local_balance.witness
+    assert local_balance.plan_transfer(1.5, witness=witness) is None
+    reported = local_balance.plan_transfer(3.05, witness=witness)
+    assert (reported.spent, reported.wanted, reported.returned) == (37_000, 0, 0)
 
 
 class Fleet:
