Refuse answers with an unknown status or version

Callers got a target's answer with status 600 to 999, or of a version such as HTTP/2.0, as its answer. Cause: h11 accepts each status from 200 to 999 and each version of two digits. Ruled out by the same test file: a reset while a long upload is being written (48 cases, all lost, as they should be), statuses below 100 or of another length, interim answers without an end.

The HTTP client now checks both, for all paths. tests/test_answers_that_look_whole.py: 8 of 75 cases failed before, none after.

--- a/src/lavenderfold/direct/_attempt.py
+++ b/src/lavenderfold/direct/_attempt.py
@@ -230,7 +230,7 @@
         elif isinstance(error, MixedHeadError):
             self.invalid_answer = InvalidAnswerError(InvalidCause.MIXED_HEAD)
         elif isinstance(error, MalformedResponseError):
-            detail = str(error.__cause__)[:DETAIL_CHARACTERS_LIMIT]
+            detail = str(error.__cause__ or error)[:DETAIL_CHARACTERS_LIMIT]
             self.invalid_answer = InvalidAnswerError(InvalidCause.MALFORMED, detail)
         elif isinstance(error, RequestNotSentError):
             return AttemptOutcome.NOT_CONNECTED
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -4,7 +4,6 @@
 that isn't idempotent may be repeated only if it was never sent.
 """
 
-import re
 import socket
 from collections import deque
 from collections.abc import AsyncIterator, Callable
@@ -20,6 +19,7 @@
     encode_headers,
 )
 from lavenderfold.http._resets import reset_on_close
+from lavenderfold.http._response_head import contains_status_line, unknown_status_line
 from lavenderfold.settings import Address
 
 RECEIVE_BYTES = 65536
@@ -36,7 +36,6 @@
 # the peer reads it.
 SEND_FIRST_LIMIT_BYTES = 8192
 METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD"))
-STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 STATES_AFTER_RESPONSE = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
@@ -241,10 +240,13 @@
             event = await self.next_event(on_head_bytes)
             if not isinstance(event, (h11.Response, h11.InformationalResponse)):
                 raise ResponseLostError(self.address, "connection closed")
-            if _contains_status_line(event):
+            if contains_status_line(event):
                 cause = "a response started within the head of another one"
                 raise MixedHeadError(self.address, cause)
             if isinstance(event, h11.Response):
+                cause = unknown_status_line(event)
+                if cause is not None:
+                    raise MalformedResponseError(self.address, cause)
                 return event
             if on_head_bytes is not None:
                 on_head_bytes(False)
@@ -278,16 +280,6 @@
         return is_complete and not self.protocol.trailing_data[0]
 
 
-def _contains_status_line(head: h11.Response | h11.InformationalResponse) -> bool:
-    """Return whether the reason phrase or a header's value contains a status line.
-
-    If a torn response stops there, h11 takes the next response's status line for the
-    rest of that text.
-    """
-    values = (bytes(value) for _, value in head.headers)
-    return STATUS_LINE.search(b"\n".join((bytes(head.reason), *values))) is not None
-
-
 class HttpClient:
     """Sends requests to one address and keeps idle connections for reuse."""
 
