Keep revisions in order when the store returns from an older copy

After such a return the store gives revisions out again. Routers and relays compared them, so newer entries were ignored, a watch could miss changes, and a conditional write could match a revision that now means another value.

Relays pass the header on and register again. A target that drains isn't used again in the same incarnation, and a configuration version never goes back (as before).

Without the header nothing changes.

--- a/src/lavenderfold/fleet/_directory.py
+++ b/src/lavenderfold/fleet/_directory.py
@@ -40,10 +40,20 @@
         self.expires_at: float | None = None
 
 
+def _is_revived(known: Target | None, target: Target | None) -> bool:
+    """Return whether an incarnation that is known to drain seems to be usable."""
+    if known is None or target is None or not known.is_draining:
+        return False
+    # Without ``born`` a restarted target can't be told from the one that drained.
+    return target.born == known.born != 0 and not target.is_draining
+
+
 class TargetDirectory:
     """Registered targets. Times are seconds of the router's monotonic clock.
 
-    An entry is never replaced by an older revision.
+    An entry is never replaced by an older revision. A target that drains doesn't become
+    usable again in the same incarnation: an entry that says so comes from an older copy
+    of the store.
     """
 
     def __init__(self):
@@ -58,6 +68,8 @@
         entry = self._entry_by_key.get(key)
         if entry is not None and revision < entry.revision:
             return False
+        if entry is not None and _is_revived(entry.target, target):
+            target = entry.target
         self._entry_by_key[key] = _Entry(target=target, revision=revision)
         self._rebuild()
         return True
--- a/src/lavenderfold/relay/_relay.py
+++ b/src/lavenderfold/relay/_relay.py
@@ -33,6 +33,7 @@
     SharedStore,
     SharedStoreError,
     StoreCallCounter,
+    StoreEra,
     WriteConflictError,
 )
 from lavenderfold.timers import TimerService
@@ -52,7 +53,8 @@
 class RelayOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Options of a relay. The prefixes are those of keys in the store.
 
-    ``domain`` is the failure domain of the relay.
+    ``domain`` is the failure domain of the relay. ``forwarded_answer_headers`` are
+    those of the store's answers that routers need, in lower case.
     """
 
     name: str
@@ -62,11 +64,14 @@
     store_address: Address
     prefix: str
     ledger_prefix: str
+    forwarded_answer_headers: frozenset[str] = frozenset()
 
 
 class StoreRelay:
     """Forwards calls to the store and relays its answers.
 
+    ``era`` is that of ``store``; the relay registers again when a new one begins.
+
     It also serves routers as a witness, combines their ledger orders and hosts a
     hub; ``_answer`` dispatches by path.
     """
@@ -78,6 +83,7 @@
         store: SharedStore,
         timers: TimerService,
         store_calls: StoreCallCounter,
+        era: StoreEra | None = None,
     ):
         self._hub = PrefixHub(store=store, timers=timers)
         self._incarnation = secrets.token_hex(INCARNATION_BYTES)
@@ -89,6 +95,7 @@
         self._options = options
         self._timers = timers
         self._store = store
+        self._era = era or StoreEra()
         self._store_calls = store_calls
         self._client = HttpClient(
             address=options.store_address, connect_timeout_s=CONNECT_TIMEOUT_S
@@ -108,9 +115,16 @@
             address = await nursery.start(start_server)
             nursery.start_soon(self._combiner.run)
             nursery.start_soon(self._hub.run)
-            nursery.start_soon(self._register, address)
+            nursery.start_soon(self._stay_registered, address)
             task_status.started(address)
 
+    async def _stay_registered(self, address: Address) -> None:
+        while True:
+            era = self._era.current
+            await self._register(address)
+            # Before the first call the era isn't known.
+            await self._era.wait_for_later(era or self._era.current)
+
     async def _register(self, address: Address) -> None:
         key = f"{self._options.prefix}{self._options.name}"
         while True:
@@ -169,4 +183,8 @@
             logger.info("store_answer_lost", extra={"cause": str(error)})
             await writer.send(HttpResponse(status=502))
             return
-        await writer.send(HttpResponse(status=answer.status, body=answer.body))
+        names = self._options.forwarded_answer_headers
+        headers = [item for item in answer.headers if item[0] in names]
+        await writer.send(
+            HttpResponse(status=answer.status, headers=headers, body=answer.body)
+        )
--- a/src/lavenderfold/shared/__init__.py
+++ b/src/lavenderfold/shared/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from lavenderfold.shared._counted import CountedStore, StoreCall, StoreCallCounter
+from lavenderfold.shared._era import StoreEra
 from lavenderfold.shared._failover import FailoverStore
 from lavenderfold.shared._listing import (
     FIRST_LISTING_WAIT_S,
@@ -51,6 +52,7 @@
     "SharedStoreError",
     "StoreCall",
     "StoreCallCounter",
+    "StoreEra",
     "WriteConflictError",
     "WriteRefusedError",
     "WriteUncertainError",
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -35,11 +35,25 @@
     LATE = "late"
 
 
+# Revisions of a later era are higher than any of an earlier one, as in the adapter.
+ERA_REVISIONS = 2**40
+
+
+class StoreCopy:
+    """The items and the revision of a store at one moment."""
+
+    __slots__ = ("item_by_key", "revision")
+
+    def __init__(self, *, item_by_key: dict[str, Item], revision: int):
+        self.item_by_key = item_by_key
+        self.revision = revision
+
+
 class MemoryStore:
     """Shared store in memory.
 
     While ``is_down`` is set, each call fails. ``write_fault`` sets what happens to
-    writes.
+    writes. ``restore`` has the store return from an older copy.
     """
 
     def __init__(self):
@@ -74,6 +88,24 @@
         self._history.clear()
         self._history_start = self.revision + 1
 
+    def copy(self) -> StoreCopy:
+        """Return a copy that ``restore`` can return to."""
+        return StoreCopy(item_by_key=dict(self._item_by_key), revision=self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Begin a new era with the items of a copy; their revisions go back."""
+        era = self.revision // ERA_REVISIONS + 1
+        self.revision = era * ERA_REVISIONS + copy.revision % ERA_REVISIONS
+        self._item_by_key = {
+            key: Item(
+                key, item.value, era * ERA_REVISIONS + item.revision % ERA_REVISIONS
+            )
+            for key, item in copy.item_by_key.items()
+        }
+        self.forget_history()
+        self._changed.set()
+        self._changed = trio.Event()
+
     def run_late_writes(self) -> None:
         """Apply the delayed writes whose conditions still hold and drop the others."""
         late_writes, self._late_writes = self._late_writes, []
