Show what hostile clients do to the memory of routers and relays

Nothing bounds the bytes that a process holds for all callers together, nor its descriptors. The tests start real routers and relays with memory_limit_mb 100 and max_open_files 400, and attack them on 100 connections (500 idle ones).

--- /dev/null
+++ b/tests/test_hostile_clients.py
@@ -0,0 +1,260 @@
+"""Processes stay within their memory and descriptors, whatever their callers send."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+from functools import partial
+
+import pytest
+import trio
+
+from lavenderfold.http import (
+    HttpClient,
+    HttpClientError,
+    HttpRequest,
+    HttpResponse,
+    ResponseWriter,
+    serve,
+)
+from lavenderfold.settings import Address
+from tests.platform_processes import (
+    READY_TIMEOUT_S,
+    PlatformProcess,
+    PlatformStoreStandIn,
+)
+
+MEMORY_MB = 100
+OPEN_FILES = 400
+CROWD = 100
+# More than the process may hold open.
+IDLE_CROWD = 500
+BODY_BYTES = 1024 * 1024
+RELAY_BODY_BYTES = 4 * 1024 * 1024
+ANSWER_BYTES = 768 * 1024
+PIPELINED_REQUESTS = 3000
+CROWD_S = 2.5
+ANSWER_TIMEOUT_S = 15.0
+
+TARGET_ENTRY = {
+    "backend": "ledger",
+    "zone": "zone-a",
+    "state": "ready",
+    "capacity": 200,
+}
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "sign",
+            "hostname": "host",
+            "path_prefix": "/",
+            "route_type": "idempotent",
+            "timeout_ms": 20000,
+            "backend": "ledger",
+            "anonymous": True,
+        }
+    ],
+    "backends": [{"name": "ledger", "max_connections": 200}],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": BODY_BYTES,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+
+Attack = Callable[[trio.SocketStream, int], Awaitable[None]]
+
+
+def head(path: str, *lines: str) -> bytes:
+    fields = ["host: host", "attempt-id: a", *lines]
+    return "\r\n".join([f"POST {path} HTTP/1.1", *fields, "", ""]).encode()
+
+
+def chunk(size: int) -> bytes:
+    return b"%x\r\n%s\r\n" % (size, b"x" * size)
+
+
+async def send_length(stream: trio.SocketStream, body_bytes: int) -> None:
+    """Send a body whose last byte is missing, and stay."""
+    await stream.send_all(head("/x", f"content-length: {body_bytes}"))
+    await stream.send_all(b"x" * (body_bytes - 1))
+
+
+async def send_chunks(stream: trio.SocketStream, body_bytes: int) -> None:
+    """Send a body in chunks, without the last one, and stay."""
+    await stream.send_all(head("/x", "transfer-encoding: chunked"))
+    for _ in range(body_bytes // 16384):
+        await stream.send_all(chunk(16384))
+
+
+async def announce_too_much(stream: trio.SocketStream, body_bytes: int) -> None:
+    await stream.send_all(head("/x", f"content-length: {1000 * body_bytes}"))
+    for _ in range(64):
+        await stream.send_all(b"x" * 65536)
+
+
+async def send_endless_chunks(stream: trio.SocketStream, body_bytes: int) -> None:
+    await stream.send_all(head("/x", "transfer-encoding: chunked"))
+    for _ in range(64):
+        await stream.send_all(chunk(65536))
+
+
+async def send_ahead(stream: trio.SocketStream, body_bytes: int) -> None:
+    """Send many requests, and read none of the answers."""
+    request = head("/kv-range?path_prefix=none", "content-length: 0")
+    for _ in range(PIPELINED_REQUESTS // 100):
+        await stream.send_all(100 * request)
+
+
+async def send_endless_head(stream: trio.SocketStream, body_bytes: int) -> None:
+    await stream.send_all(b"POST /x HTTP/1.1\r\n")
+    for _ in range(4000):
+        await stream.send_all(b"x-field: " + b"y" * 1000 + b"\r\n")
+
+
+async def read_nothing(stream: trio.SocketStream, body_bytes: int) -> None:
+    """Ask for long answers, one after the other, and read none."""
+    stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 4096)
+    await stream.send_all(head("/long", "content-length: 0"))
+
+
+async def stay_idle(stream: trio.SocketStream, body_bytes: int) -> None:
+    """Send nothing."""
+
+
+async def answer_target(request: HttpRequest, writer: ResponseWriter) -> None:
+    headers = [
+        ("attempt-id", request.header("attempt-id") or ""),
+        ("replica-signature", "sound"),
+    ]
+    body = b"x" * ANSWER_BYTES if request.path == "/long" else b"done"
+    await writer.send(HttpResponse(status=200, headers=headers, body=body))
+
+
+@asynccontextmanager
+async def running(role: str, folder):
+    """Run a process beside the stand-ins of its store and its target."""
+    loopback = Address(host="127.0.0.1", port=0)
+    async with trio.open_nursery() as nursery:
+        target = await nursery.start(partial(serve, answer_target, address=loopback))
+        entry = {**TARGET_ENTRY, "address": str(target)}
+        store = PlatformStoreStandIn({"op/config": CONFIG, "servers/t1": entry})
+        store_address = await nursery.start(
+            partial(serve, store.handle, address=loopback)
+        )
+        process = PlatformProcess(
+            role=role,
+            store=store_address,
+            folder=folder,
+            memory_mb=MEMORY_MB,
+            open_files=OPEN_FILES,
+        )
+        try:
+            await wait_ready(role, process)
+            yield process
+        finally:
+            process.end()
+            nursery.cancel_scope.cancel()
+
+
+async def wait_ready(role: str, process: PlatformProcess) -> None:
+    for _ in range(int(READY_TIMEOUT_S / 0.1)):
+        if await ask_ready(role, process) == 200:
+            return
+        await trio.sleep(0.1)
+    raise AssertionError(process.log_path.read_text())
+
+
+async def ask_ready(role: str, process: PlatformProcess) -> int | None:
+    if role == "relay":
+        return await ask(process.listen)
+    return await ask(process.ready)
+
+
+async def ask(address: Address) -> int | None:
+    """Send an ordinary request; return its status, or None without an answer."""
+    target = "/kv-range?path_prefix=servers/"
+    fields = [("host", "host"), ("attempt-id", "ordinary")]
+    request = HttpRequest(method="POST", target=target, headers=fields, body=b"x" * 600)
+    client = HttpClient(address=address)
+    try:
+        return (await client.request(request)).status
+    except HttpClientError:
+        return None
+    finally:
+        await client.close()
+
+
+async def attack_once(attack: Attack, address: Address, body_bytes: int) -> None:
+    """Attack on one connection, and keep it open until cancelled."""
+    with suppress(OSError, trio.BrokenResourceError):
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        async with stream:
+            await attack(stream, body_bytes)
+            await trio.sleep_forever()
+
+
+async def check(role: str, attack: Attack, folder, *, crowd=CROWD, at_ready=False):
+    body_bytes = BODY_BYTES if role == "router" else RELAY_BODY_BYTES
+    open_files = 0
+    async with running(role, folder) as process:
+        attacked = process.ready if at_ready else process.listen
+        async with trio.open_nursery() as nursery:
+            for _ in range(crowd):
+                nursery.start_soon(attack_once, attack, attacked, body_bytes)
+            for _ in range(25):
+                await trio.sleep(CROWD_S / 25)
+                assert process.is_alive
+                open_files = max(open_files, process.open_files)
+            status = None
+            with trio.move_on_after(ANSWER_TIMEOUT_S):
+                status = await ask(process.listen)
+            ready_status = None
+            with trio.move_on_after(ANSWER_TIMEOUT_S):
+                ready_status = await ask_ready(role, process)
+            nursery.cancel_scope.cancel()
+        assert process.is_alive
+        peak_mb = process.peak_memory_mb
+        seen = {
+            "within memory": peak_mb < MEMORY_MB,
+            "within descriptors": open_files < OPEN_FILES,
+            "answered": status == 200,
+            "ready": ready_status == 200,
+        }
+        assert all(seen.values()), f"{seen}, peak {peak_mb:.0f} MB, {open_files} files"
+
+
+ATTACKS = (
+    send_length,
+    send_chunks,
+    announce_too_much,
+    send_endless_chunks,
+    send_ahead,
+    send_endless_head,
+)
+
+
+@pytest.mark.parametrize("role", ("router", "relay"))
+@pytest.mark.parametrize("attack", ATTACKS, ids=lambda each: each.__name__)
+def test_crowd_leaves_the_process_within_its_memory(attack, role, tmp_path):
+    """Guards against a kill by the platform, which loses all requests in progress."""
+    trio.run(partial(check, role, attack, tmp_path))
+
+
+def test_unread_answers_leave_the_router_within_its_memory(tmp_path):
+    """Guards against whole answers that are held for callers that read nothing."""
+    trio.run(partial(check, "router", read_nothing, tmp_path))
+
+
+@pytest.mark.parametrize(
+    "attack", (send_length, send_ahead, send_endless_head), ids=lambda a: a.__name__
+)
+def test_crowd_at_the_readiness_path(attack, tmp_path):
+    """Guards against a readiness server that takes the whole event loop or memory."""
+    trio.run(partial(check, "router", attack, tmp_path, at_ready=True))
+
+
+@pytest.mark.parametrize("role", ("router", "relay"))
+def test_idle_connections_leave_descriptors(role, tmp_path):
+    """Guards against a process that can't open connections to targets any more."""
+    trio.run(partial(check, role, stay_idle, tmp_path, crowd=IDLE_CROWD))
