Bound the memory and descriptors that a process holds for its callers

Nothing bounded the bodies, heads, pipelined requests and unread answers of all connections together, so 100 callers with bodies of 1 MB took a router over 100 MB. ProcessMemory now counts them before they are kept, and the answers of targets with them. Over it, requests that stall and then the largest are refused with 503 as not run; unread answers are cut. Pipelined requests yield to other connections, and the connection is closed after 64. Bodies are sent to targets, and answers to callers, without copies.

--- a/src/lavenderfold/direct/_answer_memory.py
+++ b/src/lavenderfold/direct/_answer_memory.py
@@ -5,9 +5,17 @@
 the VM, however many requests wait for it.
 """
 
-MIB = 1024 * 1024
+import time
+
+from lavenderfold.process_memory import (
+    ALL_ANSWERS_BYTES_LIMIT,
+    MIB,
+    OutOfMemoryError,
+    ProcessMemory,
+)
+
 ANSWER_BYTES_LIMIT = 16 * MIB
-ALL_ANSWERS_BYTES_LIMIT = 48 * MIB
+ANSWER_KIND = "answer"
 
 
 class AnswerTooLongError(Exception):
@@ -15,40 +23,30 @@
 
 
 class AnswerMemory:
-    """The buffers of all incomplete answers, bounded in their sum.
+    """The buffers of all incomplete answers, which are shares of the process's memory.
 
     Beyond ``limit_bytes`` the longest one is dropped: an answer without an end becomes
-    the longest, while ordinary ones go on.
+    the longest, while ordinary ones go on. Without ``memory`` nothing else is counted.
     """
 
-    __slots__ = ("_limit_bytes", "_held_bytes", "_open_buffers")
+    __slots__ = ("_memory",)
 
-    def __init__(self, *, limit_bytes: int = ALL_ANSWERS_BYTES_LIMIT):
-        self._limit_bytes = limit_bytes
-        self._held_bytes = 0
-        self._open_buffers: set[AnswerBuffer] = set()
+    def __init__(
+        self,
+        *,
+        limit_bytes: int = ALL_ANSWERS_BYTES_LIMIT,
+        memory: ProcessMemory | None = None,
+    ):
+        self._memory = memory or ProcessMemory(answers_limit_bytes=limit_bytes)
 
     @property
     def held_bytes(self) -> int:
         """Return the bytes of all incomplete answers."""
-        return self._held_bytes
+        return self._memory.held_by(ANSWER_KIND)
 
     def open_buffer(self) -> "AnswerBuffer":
         """Return an empty buffer, to be closed when its answer has ended."""
-        buffer = AnswerBuffer(memory=self)
-        self._open_buffers.add(buffer)
-        return buffer
-
-    def _add(self, added_bytes: int) -> None:
-        self._held_bytes += added_bytes
-        while self._held_bytes > self._limit_bytes:
-            max(self._open_buffers, key=len)._drop()
-
-    def _remove(self, removed_bytes: int) -> None:
-        self._held_bytes -= removed_bytes
-
-    def _close(self, buffer: "AnswerBuffer") -> None:
-        self._open_buffers.discard(buffer)
+        return AnswerBuffer(memory=self._memory)
 
 
 class AnswerBuffer:
@@ -57,44 +55,45 @@
     ``data`` may be read and searched, but is changed by the methods only.
     """
 
-    __slots__ = ("data", "_memory", "_is_dropped")
+    __slots__ = ("data", "_share", "_is_closed")
 
-    def __init__(self, *, memory: AnswerMemory):
+    def __init__(self, *, memory: ProcessMemory):
         self.data = bytearray()
-        self._memory = memory
-        self._is_dropped = False
+        self._share = memory.open_share(ANSWER_KIND, self._drop)
+        self._is_closed = False
 
     def __len__(self) -> int:
         return len(self.data)
 
     def append(self, chunk: bytes) -> None:
         """Add bytes; raise AnswerTooLongError if the buffer was or is dropped."""
-        if not self._is_dropped:
-            self.data += chunk
-            self._memory._add(len(chunk))
-        if self._is_dropped:
+        try:
+            if self._is_closed:
+                raise OutOfMemoryError("closed")
+            self._share.add(len(chunk), now=time.monotonic())
+        except OutOfMemoryError as error:
             raise AnswerTooLongError(
                 "the longest of the incomplete answers, which took too much memory"
-            )
+            ) from error
+        self.data += chunk
 
     def take(self, count: int) -> bytes:
         """Remove the first ``count`` bytes and return them.
 
         Raises AnswerTooLongError if the buffer was dropped.
         """
-        if self._is_dropped:
+        if self._share.is_evicted or self._is_closed:
             raise AnswerTooLongError("the answer was dropped before it was complete")
-        taken = bytes(self.data[:count])
+        taken = bytes(memoryview(self.data)[:count])
         del self.data[:count]
-        self._memory._remove(len(taken))
+        self._share.set(len(self.data))
         return taken
 
     def close(self) -> None:
         """Free the memory; the bytes are gone."""
+        self._is_closed = True
         self._drop()
-        self._memory._close(self)
+        self._share.close()
 
     def _drop(self) -> None:
-        self._is_dropped = True
-        self._memory._remove(len(self.data))
         self.data = bytearray()
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -6,6 +6,7 @@
 
 from lavenderfold.escrow import LocalBalanceState
 from lavenderfold.http import CloseReason, HttpRequest, HttpResponse, ResponseWriter
+from lavenderfold.process_memory import MemoryUse
 from lavenderfold.quarantine import QuarantineSnapshot
 from lavenderfold.shared import StoreCall
 
@@ -27,6 +28,7 @@
     balances: list[LocalBalanceState]
     longest_turn_s: float
     log_lines_left_out: int
+    memory: MemoryUse
     quarantine: QuarantineSnapshot
     states: frozenset[str]
     targets_by_notice: dict[str, int]
@@ -145,6 +147,18 @@
             "Bytes of all answers that are kept until they are complete.",
             registry=self._registry,
         )
+        self._held_memory = Gauge(
+            "lavenderfold_held_bytes",
+            "Bytes held for callers and targets (held) and their bound (limit).",
+            ["state"],
+            registry=self._registry,
+        )
+        self._evicted = Gauge(
+            "lavenderfold_evicted",
+            "Requests and answers given up for memory since the start, by kind.",
+            ["kind"],
+            registry=self._registry,
+        )
         self._states = Gauge(
             "lavenderfold_router_state",
             "Whether the router is ready, draining, isolated or overloaded.",
@@ -254,6 +268,11 @@
         self._active.set(snapshot.active)
         self._longest_turn.set(snapshot.longest_turn_s)
         self._incomplete_answers.set(snapshot.incomplete_answer_bytes)
+        self._held_memory.labels("held").set(snapshot.memory.held_bytes)
+        if snapshot.memory.limit_bytes is not None:
+            self._held_memory.labels("limit").set(snapshot.memory.limit_bytes)
+        for kind, count in snapshot.memory.evicted_by_kind.items():
+            self._evicted.labels(kind).set(count)
         self._log_lines_left_out.set(snapshot.log_lines_left_out)
         return generate_latest(self._registry)
 
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from lavenderfold.direct._answer_memory import AnswerMemory
 from lavenderfold.direct._caller_api import CallerApi
 from lavenderfold.direct._caller_limits import CallerLimitHistory
 from lavenderfold.direct._connections import TargetClients
@@ -26,8 +27,11 @@
     HttpResponse,
     ResponseWriter,
     ServerOptions,
+    connections_limit,
+    platform_connections_limit,
     serve,
 )
+from lavenderfold.process_memory import ProcessMemory, held_limit
 from lavenderfold.quarantine import EvidencePublisher, PromptQuarantine
 from lavenderfold.routing import RetryBudget, router_reserve
 from lavenderfold.settings import Address
@@ -166,6 +170,7 @@
             on_answer=self.reachability.record_answer,
             on_changed=self._metrics.record_change_delay,
         )
+        self._memory = ProcessMemory(limit_bytes=held_limit(options.memory_limit_bytes))
         load_tracker = LoadTracker()
         self._services = RouterServices(
             balance_manager=self._balance_manager,
@@ -183,6 +188,7 @@
             timers=timers,
             new_retry_budget=self._new_retry_budget,
             domain=options.domain,
+            answer_memory=AnswerMemory(memory=self._memory),
         )
         self._caller_api = CallerApi(services=self._services, config=self._config)
         self._limits = CallerLimitHistory()
@@ -272,6 +278,15 @@
             cancels_on_disconnect=True,
             on_closed=self._metrics.record_closed_connection,
             stop_requested=self._stop_requested,
+            memory=self._memory,
+            connections_limit=connections_limit(self._options.descriptor_limit),
+        )
+        platform_options = ServerOptions(
+            memory=self._memory,
+            connections_limit=platform_connections_limit(
+                self._options.descriptor_limit
+            ),
+            closes_each=True,
         )
 
         async def serve_callers(task_status) -> None:
@@ -287,6 +302,7 @@
             await serve(
                 self._answer_readiness,
                 address=self._options.ready_listen,
+                options=platform_options,
                 task_status=task_status,
             )
 
@@ -294,6 +310,7 @@
             await serve(
                 self._answer_metrics,
                 address=self._options.metrics_listen,
+                options=platform_options,
                 task_status=task_status,
             )
 
@@ -326,6 +343,7 @@
             balances=self._balance_manager.local_balance_states(),
             longest_turn_s=event_loop_turns().longest_s,
             log_lines_left_out=self._log_lines_left_out(),
+            memory=self._memory.use(),
             quarantine=self._quarantine.snapshot(),
             states=frozenset(name for name, holds in is_true_by_state.items() if holds),
             targets_by_notice=self._services.load_tracker.count_by_notice(
--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -23,8 +23,15 @@
     PeerClient,
 )
 from lavenderfold.http._response_writer import ResponseWriter, SlowCallerError
-from lavenderfold.http._server import IDLE_GRACE_S, serve
-from lavenderfold.http._server_options import CloseReason, ServerLimits, ServerOptions
+from lavenderfold.http._serve import serve
+from lavenderfold.http._server import IDLE_GRACE_S
+from lavenderfold.http._server_options import (
+    CloseReason,
+    ServerLimits,
+    ServerOptions,
+    connections_limit,
+    platform_connections_limit,
+)
 
 __all__ = [
     "BodyTooLargeError",
@@ -47,7 +54,9 @@
     "ServerOptions",
     "SlowCallerError",
     "StreamedResponse",
+    "connections_limit",
     "json_response",
+    "platform_connections_limit",
     "refuses_connections",
     "serve",
 ]
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -161,16 +161,19 @@
         Nothing is read before the first bytes of the request were written: what
         arrived earlier isn't a response to it.
         """
-        data = self._encode(request)
-        if len(request.body) <= SEND_FIRST_LIMIT_BYTES:
-            await self._write(data)
+        head_data, body = self._encode(request)
+        if len(body) <= SEND_FIRST_LIMIT_BYTES:
+            await self._write(head_data + body)
             self.is_request_sent = True
             return await self.response_head(on_head_bytes)
-        await self._write(data[:SEND_FIRST_LIMIT_BYTES])
+        # A long body isn't copied.
+        await self._write(head_data + body[:SEND_FIRST_LIMIT_BYTES])
         head: h11.Response | None = None
         failure: HttpClientError | None = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send_rest, data[SEND_FIRST_LIMIT_BYTES:])
+            nursery.start_soon(
+                self._send_rest, memoryview(body)[SEND_FIRST_LIMIT_BYTES:]
+            )
             try:
                 head = await self.response_head(on_head_bytes)
             except HttpClientError as error:
@@ -180,7 +183,7 @@
             raise failure
         return head
 
-    async def _send_rest(self, data: bytes) -> None:
+    async def _send_rest(self, data: memoryview) -> None:
         try:
             await self._write(data)
             self.is_request_sent = True
@@ -189,7 +192,8 @@
             # it and then an end, which would make a response without a length whole.
             self.is_broken = True
 
-    def _encode(self, request: HttpRequest) -> bytes:
+    def _encode(self, request: HttpRequest) -> tuple[bytes, bytes]:
+        """Return the bytes of the head and the body."""
         headers = list(request.headers)
         if request.header("host") is None:
             headers.insert(0, ("host", str(self.address)))
@@ -200,14 +204,16 @@
             target=request.target,
             headers=encode_headers(headers),
         )
-        events = (head, h11.Data(data=request.body), h11.EndOfMessage())
         try:
-            return b"".join(self.protocol.send(event) or b"" for event in events)
+            data = self.protocol.send(head)
+            body = self.protocol.send(h11.Data(data=request.body))
+            self.protocol.send(h11.EndOfMessage())
+            return data, body
         except h11.LocalProtocolError as error:
             # The peer closed the idle connection just before this request used it.
             raise ResponseLostError(self.address, error) from error
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, data: bytes | memoryview) -> None:
         try:
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
--- a/src/lavenderfold/http/_messages.py
+++ b/src/lavenderfold/http/_messages.py
@@ -21,6 +21,13 @@
         self.limit = limit
 
 
+class RefusedForMemoryError(MalformedRequestError):
+    """The process has no memory for the request, which wasn't passed on."""
+
+    def __init__(self):
+        super().__init__("no memory is left for the request", status=503)
+
+
 def decode_headers(headers: Iterable[tuple[bytes, bytes]]) -> list[tuple[str, str]]:
     """Return headers with values as Latin-1 text, which stands for any bytes."""
     return [(name.decode("ascii"), value.decode("latin-1")) for name, value in headers]
--- a/src/lavenderfold/http/_response_writer.py
+++ b/src/lavenderfold/http/_response_writer.py
@@ -2,12 +2,14 @@
 
 import math
 import os
+import time
 from collections.abc import Callable
 
 import h11
 import trio
 
 from lavenderfold.http._messages import HttpResponse, encode_headers
+from lavenderfold.process_memory import MemoryShare, OutOfMemoryError
 
 # The part of an answer that a caller must take within the idle timeout.
 WRITE_BYTES = 16384
@@ -29,8 +31,9 @@
     terminating chunk, so that the caller can't take a truncated response for a
     complete one. ``deadline`` is when the response should be complete, on the trio
     clock; a write that blocks longer raises SlowCallerError. ``idle_timeout_s`` returns
-    how long a caller that reads nothing is waited for. The body is left out if
-    ``is_for_head_request`` is set or the status has none.
+    how long a caller that reads nothing is waited for. What waits for the caller is
+    counted in ``share``. The body is left out if ``is_for_head_request`` is set or the
+    status has none.
     """
 
     __slots__ = (
@@ -38,6 +41,7 @@
         "_stream",
         "_is_closing",
         "_idle_timeout_s",
+        "_share",
         "started",
         "finished",
         "deadline",
@@ -52,11 +56,13 @@
         stream: trio.SocketStream,
         is_closing: Callable[[], bool] = bool,
         idle_timeout_s: Callable[[], float],
+        share: MemoryShare | None = None,
     ):
         self._connection = connection
         self._stream = stream
         self._is_closing = is_closing
         self._idle_timeout_s = idle_timeout_s
+        self._share = share
         self.started = False
         self.finished = False
         self.deadline = math.inf
@@ -123,14 +129,40 @@
         # A write that is cancelled before its first byte leaves the response as it
         # was, so that another one can be sent.
         await trio.lowlevel.checkpoint_if_cancelled()
-        data = b"".join(self._connection.send(event) or b"" for event in events)
+        parts = [self._connection.send(event) or b"" for event in events]
         self.started = True
-        await self._write_data(data)
+        if sum(map(len, parts)) <= WRITE_BYTES:
+            parts = [b"".join(parts)]
+        # Long bodies aren't copied.
+        for part in parts:
+            await self._write_data(part)
 
     async def _write_data(self, data: bytes) -> None:
-        sent_bytes = self._write_now(data)
-        if sent_bytes < len(data):
-            await self._write_rest(data[sent_bytes:])
+        sent_bytes = self._write_now(data) if data else 0
+        if sent_bytes == len(data):
+            return
+        rest = memoryview(data)[sent_bytes:]
+        if self._share is None:
+            await self._write_rest(rest)
+            return
+        request_bytes = self._share.held_bytes
+        self._count_waiting(len(rest))
+        try:
+            await self._write_rest(rest)
+        finally:
+            self._share.is_evictable = False
+            self._share.set(request_bytes)
+
+    def _count_waiting(self, waiting_bytes: int) -> None:
+        """Count what the caller hasn't taken; raise BrokenResourceError over the bound.
+
+        Other shares can take the memory of this one until the caller has read all.
+        """
+        self._share.is_evictable = True
+        try:
+            self._share.add(waiting_bytes, now=time.monotonic())
+        except OutOfMemoryError as error:
+            raise trio.BrokenResourceError from error
 
     def _write_now(self, data: bytes | memoryview) -> int:
         """Write what the socket takes at once; return how many bytes that is.
@@ -144,7 +176,7 @@
         except OSError as error:
             raise trio.BrokenResourceError from error
 
-    async def _write_rest(self, data: bytes) -> None:
+    async def _write_rest(self, rest: memoryview) -> None:
         """Write in parts that each have the idle timeout.
 
         A slow caller takes them in time; for one that stops reading, or reads only a
@@ -153,9 +185,10 @@
         written as well.
         """
         limit = max(trio.current_time(), self.deadline) + WRITE_GRACE_S
-        rest = memoryview(data)
         while rest:
             await self._write_part(rest[:WRITE_BYTES], limit=limit)
+            if self._share is not None:
+                self._share.progressed_at = time.monotonic()
             rest = rest[WRITE_BYTES:]
 
     async def _write_part(self, part: memoryview, *, limit: float) -> None:
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -1,26 +1,27 @@
-"""HTTP server with one trio task per connection; h11 implements the protocol."""
+"""One connection of the HTTP server; h11 implements the protocol."""
 
 import logging
 import sys
 from collections.abc import Awaitable, Callable
-from contextlib import ExitStack
 
 import h11
 import trio
 
-from lavenderfold.accepting import (
-    AcceptedConnection,
-    Acceptor,
-    open_listening_sockets,
-)
+from lavenderfold.accepting import AcceptedConnection
 from lavenderfold.http._arrivals import ArrivalBound
 from lavenderfold.http._messages import (
     BodyTooLargeError,
     HttpRequest,
     MalformedRequestError,
+    RefusedForMemoryError,
     decode_headers,
     json_response,
 )
+from lavenderfold.http._open_connections import (
+    CONNECTION_BYTES,
+    OpenConnections,
+    Stage,
+)
 from lavenderfold.http._request_head import check_head
 from lavenderfold.http._resets import reset_on_close
 from lavenderfold.http._response_writer import (
@@ -28,17 +29,22 @@
     SlowCallerError,
 )
 from lavenderfold.http._server_options import CloseReason, ServerOptions
-from lavenderfold.http._stop import IdleConnections, wait_for_close
-from lavenderfold.settings import Address
+from lavenderfold.http._stop import LINGER_BYTES, IdleConnections, wait_for_close
+from lavenderfold.process_memory import OutOfMemoryError
 
 RECEIVE_BYTES = 65536
+# The same where the memory is bounded: each connection may receive a part at once.
+BOUNDED_RECEIVE_BYTES = 16384
+# Requests that a caller may send ahead of their answers before the connection is
+# closed. The others wait for theirs meanwhile.
+REQUESTS_AHEAD_LIMIT = 64
+# When a caller that was refused for lack of memory may come again.
+MEMORY_RETRY_AFTER_S = 1.0
 # Callers may learn of a lowered idle timeout this much later than the server, and of
 # a raised one that much sooner.
 IDLE_GRACE_S = 3.0
 # Bounds what h11 buffers for a head, if the limit in force is lower.
 HEAD_BUFFER_BYTES = 65536
-# How long a stopping server waits for the requests of callers that have just connected.
-LAST_REQUESTS_S = 0.2
 # How long a caller may take to close a connection after its last answer.
 LINGER_S = 1.0
 
@@ -49,7 +55,7 @@
 Handler = Callable[[HttpRequest, ResponseWriter], Awaitable[None]]
 
 
-class _ServerConnection:
+class ServerConnection:
     """Reads requests from one connection and calls the handler for each."""
 
     def __init__(
@@ -59,6 +65,7 @@
         handler: Handler,
         options: ServerOptions,
         idle_connections: IdleConnections,
+        open_connections: OpenConnections,
     ):
         self._idle_connections = idle_connections
         self._stream = accepted.stream
@@ -75,40 +82,102 @@
         self._is_caller_disconnected = False
         self._is_request_answered = False
         self._pipelined_bytes = 0
+        self._requests_ahead = 0
+        self._body = bytearray()
+        self._read_scope = trio.CancelScope()
         self._close_reason = CloseReason.LEFT
+        self._open_connections = open_connections
+        self._held = open_connections.open(
+            on_evicted=self._evict, on_closed=self._close_now
+        )
+        self._receive_bytes = RECEIVE_BYTES
+        if options.memory.is_bounded:
+            self._receive_bytes = BOUNDED_RECEIVE_BYTES
+
+    def _evict(self) -> None:
+        """Free the memory of this connection.
+
+        A request that is still read is refused; an answer that waits is cut.
+        """
+        self._body = bytearray()
+        if self._held.stage is Stage.READING:
+            self._read_scope.cancel()
+        else:
+            self._close_now()
+
+    def _close_now(self) -> None:
+        """Close the connection; a request or an answer is visibly cut."""
+        if self._held is not None and self._held.stage is not Stage.IDLE:
+            reset_on_close(self._stream)
+        self._stream.socket.close()
 
     async def run(self) -> None:
+        if self._held is None:
+            self._options.on_closed(CloseReason.EVICTED)
+            self._close_now()
+            return
         try:
             async with self._stream:
                 while await self._serve_one():
                     self._connection.start_next_cycle()
                     self._arrival_bound.begin_request()
+                    await self._begin_next()
                 if self._is_request_answered:
-                    await wait_for_close(self._stream, timeout_s=LINGER_S)
+                    self._held.is_closable = True
+                    await wait_for_close(
+                        self._stream,
+                        timeout_s=LINGER_S,
+                        limit_bytes=max(LINGER_BYTES, self._limits.body_bytes),
+                    )
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._close_reason = CloseReason.LEFT
         finally:
+            if self._held.share.is_evicted:
+                self._close_reason = CloseReason.EVICTED
+            self._open_connections.close(self._held)
             self._options.on_closed(self._close_reason)
 
+    async def _begin_next(self) -> None:
+        """Count what was sent ahead of the answer, and let other connections go on."""
+        self._pipelined_bytes = len(self._connection.trailing_data[0])
+        self._held.is_closable = self._pipelined_bytes > 0
+        self._held.share.set(CONNECTION_BYTES + self._pipelined_bytes)
+        if not self._pipelined_bytes:
+            self._requests_ahead = 0
+            return
+        self._requests_ahead += 1
+        await trio.lowlevel.checkpoint()
+
+    def _is_closing(self) -> bool:
+        is_ahead = self._requests_ahead >= REQUESTS_AHEAD_LIMIT
+        return is_ahead or self._options.closes_each or self._options.is_closing()
+
     async def _serve_one(self) -> bool:
         """Serve one request and return whether the connection can be used again."""
         self._close_reason = CloseReason.LEFT
         self._is_request_answered = False
-        self._pipelined_bytes = 0
+        self._held.enter(Stage.IDLE)
         writer = ResponseWriter(
             connection=self._connection,
             stream=self._stream,
-            is_closing=self._options.is_closing,
+            is_closing=self._is_closing,
             idle_timeout_s=lambda: self._options.limits().idle_timeout_s,
+            share=self._held.share,
         )
         try:
             request = await self._read_request(writer)
+        except OutOfMemoryError:
+            await self._refuse_for_memory(writer)
+            return False
         except (h11.RemoteProtocolError, MalformedRequestError) as error:
             await self._send_error(writer, error)
             self._close_reason = CloseReason.ANSWERED
+            # A caller that still sends its body would lose the refusal.
+            self._is_request_answered = isinstance(error, BodyTooLargeError)
             return False
         if request is None:
             return False
+        self._held.enter(Stage.RUNNING)
         if self._options.cancels_on_disconnect and await self._has_caller_left():
             logger.info("caller_left_unread", extra={"path": request.path})
             return False
@@ -136,7 +205,8 @@
 
         To callers of HTTP/1.0 the close of the connection is the end of the answer.
         """
-        if self._connection.their_http_version < b"1.1":
+        is_open = self._stream.socket.fileno() >= 0
+        if is_open and self._connection.their_http_version < b"1.1":
             reset_on_close(self._stream)
 
     async def _handle_until_disconnect(
@@ -161,12 +231,11 @@
         A busy server reads requests long after they arrived.
         """
         try:
-            while self._stream.socket.is_readable():
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+            while self._may_send_ahead() and self._stream.socket.is_readable():
+                data = await self._stream.receive_some(self._receive_bytes)
                 if not data:
                     return True
-                if not self._keep_pipelined(data):
-                    return False
+                self._keep_pipelined(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             logger.debug("caller_connection_broken")
             return True
@@ -174,22 +243,36 @@
 
     async def _cancel_on_disconnect(self, handler_scope: trio.CancelScope) -> None:
         try:
-            while data := await self._stream.receive_some(RECEIVE_BYTES):
-                if not self._keep_pipelined(data):
-                    return
+            while self._may_send_ahead():
+                data = await self._stream.receive_some(self._receive_bytes)
+                if not data:
+                    break
+                self._keep_pipelined(data)
+            else:
+                return
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             logger.debug("caller_connection_broken")
         self._is_caller_disconnected = True
         handler_scope.cancel()
 
-    def _keep_pipelined(self, data: bytes) -> bool:
-        """Buffer what a caller sends before it is answered, to be read after that.
+    def _may_send_ahead(self) -> bool:
+        """Whether more is received of a caller before its request is answered."""
+        return self._pipelined_bytes <= self._limits.header_bytes
 
-        Returns False if it is so much that no more should be received until then.
-        """
+    def _keep_pipelined(self, data: bytes) -> None:
+        """Buffer what a caller sends before it is answered, to be read after that."""
+        self._count_received(data)
         self._connection.receive_data(data)
         self._pipelined_bytes += len(data)
-        return self._pipelined_bytes <= self._limits.header_bytes
+        self._held.is_closable = True
+
+    def _count_received(self, data: bytes) -> None:
+        try:
+            self._held.keep(len(data))
+        except OutOfMemoryError as error:
+            if self._held.stage is Stage.READING:
+                raise
+            raise trio.BrokenResourceError from error
 
     async def _handle(self, request: HttpRequest, writer: ResponseWriter) -> None:
         try:
@@ -213,12 +296,25 @@
         head = await self._read_head()
         if not isinstance(head, h11.Request):
             return None
+        self._held.enter(Stage.READING)
         writer.is_for_head_request = head.method == b"HEAD"
         check_head(head, limit=self._limits.header_bytes)
-        with trio.move_on_after(self._limits.read_timeout_s):
+        with trio.move_on_after(self._limits.read_timeout_s) as self._read_scope:
             return await self._read_body(head)
+        self._raise_if_evicted()
         raise MalformedRequestError("the request took too long", status=408)
 
+    def _raise_if_evicted(self) -> None:
+        if self._held.share.is_evicted:
+            raise OutOfMemoryError
+
+    async def _refuse_for_memory(self, writer: ResponseWriter) -> None:
+        """Refuse a request that wasn't passed on."""
+        await self._send_error(writer, RefusedForMemoryError())
+        # Without the wait for the close, the refusal is lost to callers that still
+        # send.
+        self._is_request_answered = True
+
     async def _read_head(self) -> h11.Event | None:
         """Return the next request head, or None if the idle timeout expired first."""
         self._sent_after = trio.current_time()
@@ -230,8 +326,10 @@
             self._close_reason = CloseReason.IDLE
             return None
         self._limits = self._options.limits()
-        with trio.move_on_after(self._limits.read_timeout_s):
+        self._held.enter(Stage.READING)
+        with trio.move_on_after(self._limits.read_timeout_s) as self._read_scope:
             return await self._next_event()
+        self._raise_if_evicted()
         raise MalformedRequestError("the head took too long", status=408)
 
     async def _receive_first(self) -> bool:
@@ -241,12 +339,17 @@
             is_received = await self._receive_after_idling()
         if not is_received and self._stream.socket.is_readable():
             # A request has arrived just when the wait ended.
-            self._connection.receive_data(
-                await self._stream.receive_some(RECEIVE_BYTES)
+            self._receive_in_request(
+                await self._stream.receive_some(self._receive_bytes)
             )
             return True
         return is_received
 
+    def _receive_in_request(self, data: bytes) -> None:
+        self._held.enter(Stage.READING)
+        self._count_received(data)
+        self._connection.receive_data(data)
+
     async def _receive_after_idling(self) -> bool:
         """Receive bytes unless the idle timeout passes first; return whether any came.
 
@@ -258,9 +361,9 @@
         while True:
             self._arrival_bound.begin_wait()
             with trio.move_on_at(idle_since + timeout_s + IDLE_GRACE_S):
-                data = await self._stream.receive_some(RECEIVE_BYTES)
+                data = await self._stream.receive_some(self._receive_bytes)
                 self._sent_after = self._arrival_bound.arrived_after()
-                self._connection.receive_data(data)
+                self._receive_in_request(data)
                 return True
             self._arrival_bound.begin_request()
             latest_timeout_s = self._options.limits().idle_timeout_s
@@ -272,21 +375,25 @@
         if self._connection.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._connection.send(interim))
-        body = bytearray()
+        announced = dict(head.headers).get(b"content-length")
+        if announced is not None and int(announced) > self._limits.body_bytes:
+            raise BodyTooLargeError(self._limits.body_bytes)
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 break
             if isinstance(event, h11.ConnectionClosed):
                 raise MalformedRequestError("the connection closed inside a request")
-            body += event.data
-            if len(body) > self._limits.body_bytes:
+            self._body += event.data
+            if len(self._body) > self._limits.body_bytes:
                 raise BodyTooLargeError(self._limits.body_bytes)
+        self._raise_if_evicted()
+        body, self._body = bytes(self._body), bytearray()
         return HttpRequest(
             method=head.method.decode("ascii"),
             target=head.target.decode("ascii", "replace"),
             headers=decode_headers(head.headers),
-            body=bytes(body),
+            body=body,
             sent_after=self._sent_after,
         )
 
@@ -297,10 +404,10 @@
                 return event
             self._check_incomplete()
             self._arrival_bound.begin_wait()
-            data = await self._stream.receive_some(RECEIVE_BYTES)
+            data = await self._stream.receive_some(self._receive_bytes)
             # A caller that sends slowly has its whole time for the answer.
             self._sent_after += self._arrival_bound.waited_s()
-            self._connection.receive_data(data)
+            self._receive_in_request(data)
 
     def _check_incomplete(self) -> None:
         """Bound what h11 buffers of a head, or of the framing of a body."""
@@ -319,60 +426,7 @@
         details = {"type": "malformed_request", "message": str(error)}
         body = {"error": {**details, "request_id": None, "outcome": "not_run"}}
         response = json_response(status, body)
+        if isinstance(error, RefusedForMemoryError):
+            response.headers.append(("retry-after", f"{MEMORY_RETRY_AFTER_S:.3f}"))
         response.headers.append(("connection", "close"))
         await writer.send(response)
-
-
-async def serve(
-    handler: Handler,
-    *,
-    address: Address,
-    options: ServerOptions | None = None,
-    task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve HTTP on ``address`` until cancelled or stopped.
-
-    Reports the bound address to ``task_status``, which tells the port if 0 was given.
-    """
-    options = options or ServerOptions()
-    idle_connections = IdleConnections()
-
-    async def serve_connection(accepted: AcceptedConnection) -> None:
-        connection = _ServerConnection(
-            accepted=accepted,
-            handler=handler,
-            options=options,
-            idle_connections=idle_connections,
-        )
-        try:
-            await connection.run()
-        except (OSError, h11.LocalProtocolError) as error:
-            logger.info("connection_failed", extra={"cause": repr(error)})
-        except Exception:
-            # The requests of other connections go on.
-            logger.exception("connection_failed")
-
-    async with trio.open_nursery() as connections:
-
-        def start_serving(accepted: AcceptedConnection) -> None:
-            connections.start_soon(serve_connection, accepted)
-
-        # Closed before the connections end, so that a cancelled server takes no more.
-        with ExitStack() as open_sockets:
-            sockets = await open_listening_sockets(address.host, address.port)
-            for each in sockets:
-                open_sockets.enter_context(each)
-            acceptors = [
-                Acceptor(listening=each, on_accepted=start_serving) for each in sockets
-            ]
-            async with trio.open_nursery() as accepting:
-                for acceptor in acceptors:
-                    accepting.start_soon(acceptor.run)
-                host, port = sockets[0].getsockname()[:2]
-                task_status.started(Address(host=host, port=port))
-                await options.stop_requested.wait()
-                accepting.cancel_scope.cancel()
-            for acceptor in acceptors:
-                acceptor.accept_rest()
-        await trio.sleep(LAST_REQUESTS_S)
-        idle_connections.close()
--- a/src/lavenderfold/http/_stop.py
+++ b/src/lavenderfold/http/_stop.py
@@ -39,9 +39,13 @@
             scope.cancel()
 
 
-async def wait_for_close(stream: trio.SocketStream, *, timeout_s: float) -> None:
+async def wait_for_close(
+    stream: trio.SocketStream, *, timeout_s: float, limit_bytes: int = LINGER_BYTES
+) -> None:
     """End the sending side, then drop what arrives until the peer closes as well.
 
+    At most ``limit_bytes`` are dropped.
+
     Bytes that arrive at a closed socket, or that weren't read before, reset the
     connection, and the peer loses what it hasn't received yet.
     """
@@ -51,7 +55,7 @@
     ):
         await stream.send_eof()
         dropped_bytes = 0
-        while dropped_bytes <= LINGER_BYTES:
+        while dropped_bytes <= limit_bytes:
             data = await stream.receive_some(RECEIVE_BYTES)
             if not data:
                 break
--- a/src/lavenderfold/relay/_relay.py
+++ b/src/lavenderfold/relay/_relay.py
@@ -2,7 +2,6 @@
 
 import logging
 import secrets
-from functools import partial
 
 import msgspec
 import trio
@@ -24,8 +23,11 @@
     RequestNotSentError,
     ResponseLostError,
     ResponseWriter,
+    ServerOptions,
+    connections_limit,
     serve,
 )
+from lavenderfold.process_memory import ProcessMemory, held_limit
 from lavenderfold.settings import Address
 from lavenderfold.shared import (
     ConditionalWrite,
@@ -52,7 +54,8 @@
 class RelayOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Options of a relay. The prefixes are those of keys in the store.
 
-    ``domain`` is the failure domain of the relay.
+    ``domain`` is the failure domain of the relay. ``memory_limit_bytes`` and
+    ``descriptor_limit`` bound the process; None is no bound.
     """
 
     name: str
@@ -62,6 +65,8 @@
     store_address: Address
     prefix: str
     ledger_prefix: str
+    memory_limit_bytes: int | None = None
+    descriptor_limit: int | None = None
 
 
 class StoreRelay:
@@ -104,13 +109,25 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._timers.run)
-            start_server = partial(serve, self._answer, address=self._options.listen)
-            address = await nursery.start(start_server)
+            address = await nursery.start(self._serve)
             nursery.start_soon(self._combiner.run)
             nursery.start_soon(self._hub.run)
             nursery.start_soon(self._register, address)
             task_status.started(address)
 
+    async def _serve(self, task_status: trio.TaskStatus[Address]) -> None:
+        limit_bytes = held_limit(self._options.memory_limit_bytes)
+        options = ServerOptions(
+            memory=ProcessMemory(limit_bytes=limit_bytes),
+            connections_limit=connections_limit(self._options.descriptor_limit),
+        )
+        await serve(
+            self._answer,
+            address=self._options.listen,
+            options=options,
+            task_status=task_status,
+        )
+
     async def _register(self, address: Address) -> None:
         key = f"{self._options.prefix}{self._options.name}"
         while True:
--- a/src/lavenderfold/router/_router.py
+++ b/src/lavenderfold/router/_router.py
@@ -8,9 +8,16 @@
 import trio
 
 from lavenderfold.config import ConfigState, ConfigWatcher, FleetConfig, Revisions
-from lavenderfold.http import ServerLimits, ServerOptions, serve
+from lavenderfold.http import (
+    ServerLimits,
+    ServerOptions,
+    connections_limit,
+    platform_connections_limit,
+    serve,
+)
 from lavenderfold.logs import log_event
 from lavenderfold.messages import PeerHello, RouterHello
+from lavenderfold.process_memory import ProcessMemory, held_limit
 from lavenderfold.router._components import RouterComponents
 from lavenderfold.router._liveness_key import LivenessKey
 from lavenderfold.router._members import Membership
@@ -135,12 +142,18 @@
 
     async def _start_servers(self, nursery: trio.Nursery) -> None:
         parts = self._components
-        limits = ServerLimits(body_bytes=self.settings.limits.body_bytes)
+        own_limits = self.settings.limits
+        limits = ServerLimits(body_bytes=own_limits.body_bytes)
+        memory = ProcessMemory(limit_bytes=held_limit(own_limits.memory_limit_bytes))
         serve_operators = partial(
             serve,
             parts.operator_api.handle,
             address=self.settings.operator_listen,
-            options=ServerOptions(limits=lambda: limits),
+            options=ServerOptions(
+                limits=lambda: limits,
+                memory=memory,
+                connections_limit=platform_connections_limit(own_limits.max_open_files),
+            ),
         )
 
         async def serve_callers(task_status: trio.TaskStatus[Address]) -> None:
@@ -148,6 +161,8 @@
                 limits=lambda: limits,
                 is_closing=lambda: self.is_draining,
                 stop_requested=self._stop_requested,
+                memory=memory,
+                connections_limit=connections_limit(own_limits.max_open_files),
             )
             await serve(
                 parts.caller_api.handle,
--- a/src/lavenderfold/router/_settings.py
+++ b/src/lavenderfold/router/_settings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from lavenderfold.process_memory import MIB
 from lavenderfold.settings import Address
 
 
@@ -15,6 +16,8 @@
     ``reclaim_sweep_s`` is how often all shards are searched for grants that a
     retired router opened after its other grants had been reclaimed. The router
     keeps links to at most ``targets_per_group`` targets of one model or service.
+    ``memory_limit_mb`` and ``max_open_files`` are those of the process; without them
+    nothing bounds what it holds for all callers together.
     """
 
     body_bytes: int = 4 * 1024 * 1024
@@ -36,12 +39,22 @@
     reclaim_sweep_s: float = 600.0
     decisions: int = 5000
     targets_per_group: int = 9
+    memory_limit_mb: float | None = None
+    max_open_files: int | None = None
 
     def __post_init__(self) -> None:
         for name in self.__struct_fields__:
-            if getattr(self, name) <= 0:
+            value = getattr(self, name)
+            if value is not None and value <= 0:
                 raise ValueError(f"{name} must be more than 0")
 
+    @property
+    def memory_limit_bytes(self) -> int | None:
+        """The memory of the process in bytes, None if it isn't bounded."""
+        if self.memory_limit_mb is None:
+            return None
+        return int(self.memory_limit_mb * MIB)
+
 
 class RouterSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
--- a/tests/test_callers_that_leave.py
+++ b/tests/test_callers_that_leave.py
@@ -113,5 +113,5 @@
     async def ignore(self, handler_scope):
         await trio.sleep_forever()
 
-    monkeypatch.setattr(_server._ServerConnection, "_cancel_on_disconnect", ignore)
+    monkeypatch.setattr(_server.ServerConnection, "_cancel_on_disconnect", ignore)
     assert any(run(seed).late_ids for seed in range(3))
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -221,7 +221,10 @@
             "answered": status == 200,
             "ready": ready_status == 200,
         }
-        assert all(seen.values()), f"{seen}, peak {peak_mb:.0f} MB, {open_files} files"
+        figures = f"peak {peak_mb:.0f} MB, {open_files} files"
+        log = process.log_path.read_text()[-2000:]
+        statuses = f"statuses {status} and {ready_status}"
+        assert all(seen.values()), f"{seen}, {figures}, {statuses}\n{log}"
 
 
 ATTACKS = (
