--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -107,6 +107,9 @@
 
     def _close_now(self) -> None:
         """Close the connection; a request or an answer is visibly cut."""
+        # The connection may have been closed, and its task may not have run since.
+        if self._stream.socket.fileno() < 0:
+            return
         if self._held is not None and self._held.stage is not Stage.IDLE:
             reset_on_close(self._stream)
         self._stream.socket.close()
