Return freed buffers to the system, and drop the input of refused callers in small parts

With 1,000 callers that send 4 MB each, a router with a limit of 300 MB took 308 MB (287 MB chunked): refused callers were drained with 64 KB each at the same time, and the allocator kept freed bodies in its heap.

--- a/bench/caller_memory.py
+++ b/bench/caller_memory.py
@@ -2,10 +2,12 @@
 
 Starts a router process of the platform beside stand-ins in this process, as the tests
 of hostile clients do, with a limit of 300 MB and bodies of 4 MB. The cost is that of
-the accounting alone, per request with a body of 16 KB.
-Run: python -m bench.caller_memory
+the accounting alone, and of a whole request, each with a body of 16 KB.
+Run: python -m bench.caller_memory [--requests], which measures no peaks
 """
 
+import os
+import sys
 import tempfile
 import time
 from functools import partial
@@ -13,6 +15,7 @@
 
 import trio
 
+from lavenderfold.http import HttpClient, HttpRequest
 from tests import test_hostile_clients as hostile
 
 CROWDS = (10, 100, 1000)
@@ -28,6 +31,8 @@
     hostile.read_nothing,
 )
 COUNTED_REQUESTS = 100_000
+SERVED_REQUESTS = 3000
+SERVED_BODY = b"x" * 16384
 
 
 async def measure(attack, crowd: int, folder: Path) -> float:
@@ -45,6 +50,25 @@
         return process.peak_memory_mb
 
 
+def processor_s(process) -> float:
+    fields = Path(f"/proc/{process.child.pid}/stat").read_text().split()
+    return (int(fields[13]) + int(fields[14])) / os.sysconf("SC_CLK_TCK")
+
+
+async def measure_request_us(folder: Path) -> float:
+    """Return the router's processor time for a request, one after the other."""
+    fields = [("host", "host"), ("attempt-id", "a")]
+    request = HttpRequest(method="POST", target="/x", headers=fields, body=SERVED_BODY)
+    async with hostile.running("router", folder) as process:
+        client = HttpClient(address=process.listen)
+        before_s = processor_s(process)
+        for _ in range(SERVED_REQUESTS):
+            await client.request(request)
+        elapsed_s = processor_s(process) - before_s
+        await client.close()
+    return elapsed_s / SERVED_REQUESTS * 1e6
+
+
 def accounting_us() -> float | None:
     """Return the time of the accounting for one request, None if there is none."""
     try:
@@ -70,6 +94,11 @@
     cost_us = accounting_us()
     if cost_us is not None:
         print(f"accounting: {cost_us:.2f} us per request")
+    with tempfile.TemporaryDirectory() as folder:
+        request_us = trio.run(measure_request_us, Path(folder))
+    print(f"router's processor time: {request_us:.0f} us per request", flush=True)
+    if sys.argv[1:] == ["--requests"]:
+        return
     for attack in KINDS:
         for crowd in CROWDS:
             with tempfile.TemporaryDirectory() as folder:
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -9,13 +9,13 @@
 
 from lavenderfold.accepting import AcceptedConnection
 from lavenderfold.http._arrivals import ArrivalBound
+from lavenderfold.http._error_response import error_response
 from lavenderfold.http._messages import (
     BodyTooLargeError,
     HttpRequest,
     MalformedRequestError,
     RefusedForMemoryError,
     decode_headers,
-    json_response,
 )
 from lavenderfold.http._open_connections import (
     CONNECTION_BYTES,
@@ -38,8 +38,6 @@
 # Requests that a caller may send ahead of their answers before the connection is
 # closed. The others wait for theirs meanwhile.
 REQUESTS_AHEAD_LIMIT = 64
-# When a caller that was refused for lack of memory may come again.
-MEMORY_RETRY_AFTER_S = 1.0
 # Callers may learn of a lowered idle timeout this much later than the server, and of
 # a raised one that much sooner.
 IDLE_GRACE_S = 3.0
@@ -424,13 +422,4 @@
             return
         if self._connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        status = getattr(error, "status", None) or getattr(
-            error, "error_status_hint", 400
-        )
-        details = {"type": "malformed_request", "message": str(error)}
-        body = {"error": {**details, "request_id": None, "outcome": "not_run"}}
-        response = json_response(status, body)
-        if isinstance(error, RefusedForMemoryError):
-            response.headers.append(("retry-after", f"{MEMORY_RETRY_AFTER_S:.3f}"))
-        response.headers.append(("connection", "close"))
-        await writer.send(response)
+        await writer.send(error_response(error))
--- a/src/lavenderfold/http/_stop.py
+++ b/src/lavenderfold/http/_stop.py
@@ -5,7 +5,8 @@
 
 import trio
 
-RECEIVE_BYTES = 65536
+# Small, because many callers that are refused at once are waited for together.
+RECEIVE_BYTES = 8192
 # A peer that sends more than this after its last answer is not waited for.
 LINGER_BYTES = 1024 * 1024
 
--- a/src/lavenderfold/process_memory.py
+++ b/src/lavenderfold/process_memory.py
@@ -4,6 +4,7 @@
 up first, so that a crowd of unfinished requests leaves room for ordinary ones.
 """
 
+import ctypes
 from collections import Counter
 from collections.abc import Callable
 
@@ -24,6 +25,10 @@
 STALLED_S = 0.25
 STALLED_BYTES = 16 * 1024
 ALL_ANSWERS_BYTES_LIMIT = 48 * MIB
+# The allocator's parameter and its initial value. It raises the value up to 32 MB when
+# long buffers are freed, and then keeps freed ones between others in its heap.
+M_MMAP_THRESHOLD = -3
+MMAP_THRESHOLD_BYTES = 128 * 1024
 
 
 class OutOfMemoryError(Exception):
@@ -187,6 +192,15 @@
     return max(evictable, key=_held_bytes, default=None)
 
 
+def return_freed_buffers() -> bool:
+    """Have the allocator return long buffers to the system when they are freed.
+
+    Returns False if the system's allocator has no such setting.
+    """
+    mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
+    return mallopt is not None and mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES) == 1
+
+
 def held_limit(memory_limit_bytes: int | None) -> int | None:
     """Return how much a process with this limit may hold; None is no bound."""
     if memory_limit_bytes is None:
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -261,3 +261,31 @@
 def test_idle_connections_leave_descriptors(role, tmp_path):
     """Guards against a process that can't open connections to targets any more."""
     trio.run(partial(check, role, stay_idle, tmp_path, crowd=IDLE_CROWD))
+
+
+async def check_refusal(folder) -> None:
+    """Hold back many bodies, and read the answer of the first one."""
+    request = head("/x", f"content-length: {BODY_BYTES}") + b"x" * (BODY_BYTES - 1)
+    async with running("router", folder) as process:
+        streams = []
+        for _ in range(CROWD):
+            stream = await trio.open_tcp_stream(
+                process.listen.host, process.listen.port
+            )
+            streams.append(stream)
+            with trio.move_on_after(1.0):
+                await stream.send_all(request)
+            await trio.sleep(0.02)
+        with trio.fail_after(ANSWER_TIMEOUT_S):
+            answer = await streams[0].receive_some(65536)
+        for stream in streams:
+            await trio.aclose_forcefully(stream)
+    lines = answer.lower().splitlines()
+    assert lines[0].startswith(b"http/1.1 503 ")
+    assert {b"retry-after: 1.000", b"connection: close"} <= set(lines)
+    assert b'"not_run"' in answer
+
+
+def test_evicted_request_is_refused_as_not_run(tmp_path):
+    """Guards against callers that don't know whether they may try again."""
+    trio.run(check_refusal, tmp_path)
