--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -34,7 +34,7 @@
 
 RECEIVE_BYTES = 65536
 # The same where the memory is bounded: each connection may receive a part at once.
-BOUNDED_RECEIVE_BYTES = 16384
+BOUNDED_RECEIVE_BYTES = 32768
 # Requests that a caller may send ahead of their answers before the connection is
 # closed. The others wait for theirs meanwhile.
 REQUESTS_AHEAD_LIMIT = 64
