--- a/tests/answer_bytes.py
+++ b/tests/answer_bytes.py
@@ -82,6 +82,8 @@
         self.script = script
         self.answers_early = answers_early
         self.born = 0
+        self.domain = "domain"
+        self.warm_up_s: float | None = None
         self.address: Address | None = None
         self.received: list[str] = []
         self.connections = 0
