--- a/tests/test_answer_fuzz.py
+++ b/tests/test_answer_fuzz.py
@@ -51,7 +51,7 @@
 )
 def test_fuzzer_finds_planted_faults(monkeypatch, is_codec_old, faults):
     """A fuzzer whose late copies miss their connections would find nothing."""
-    monkeypatch.setattr(_client, "_contains_status_line", lambda head: False)
+    monkeypatch.setattr(_client, "contains_status_line", lambda head: False)
     if is_codec_old:
         codec = msgspec.structs.replace(PLATFORM_CODEC, read_answer=read_last_values)
         monkeypatch.setattr(answer_bytes, "PLATFORM_CODEC", codec)
