Serve on without a witness when no relay answers

After three failures the router gave its witness up, but chose the first listed relay again before its next order, and entries of relays stay in the store. It now goes without one for 5 s, doubled up to 60 s while none answers. The test fails before.

--- a/src/lavenderfold/escrow/_reservation_confirmer.py
+++ b/src/lavenderfold/escrow/_reservation_confirmer.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+import math
 
 import trio
 
@@ -14,6 +15,10 @@
 STATEMENT_PERIOD_S = 0.5
 # After this many witnesses failed in a row, the router continues without one.
 MAX_WITNESS_FAILURES = 3
+# It looks for one again after this time, doubled up to the limit while none answers.
+# Requests wait meanwhile.
+WITNESS_RETRY_S = 5.0
+WITNESS_RETRY_LIMIT_S = 60.0
 
 logger = logging.getLogger(__name__)
 
@@ -38,6 +43,8 @@
         self._last_sent = 0
         self._last_acknowledged = 0
         self._consecutive_failures = 0
+        self._without_until = -math.inf
+        self._retry_s = WITNESS_RETRY_S
         self._statement_due = trio.Event()
         self._state_changed = trio.Event()
 
@@ -53,9 +60,12 @@
         """Choose a witness if there is none, or a near one instead of a distant one.
 
         Relays that register after the first listing may be nearer than those in it.
+        After several have failed there is none for a while.
         """
         if not self._directory or not self._directory.relays:
             return
+        if trio.current_time() < self._without_until:
+            return
         first = self._directory.relays[0]
         if self.relay is None or self._is_nearer(first):
             self._use_witness(first)
@@ -115,6 +125,7 @@
             self._replace_witness(relay)
             return
         self._consecutive_failures = 0
+        self._retry_s = WITNESS_RETRY_S
         self._last_acknowledged = statement.sequence
         self._notify_waiting()
 
@@ -126,6 +137,8 @@
         others = [each for each in self._directory.relays if each != failed]
         if self._consecutive_failures >= MAX_WITNESS_FAILURES or not others:
             self._consecutive_failures = 0
+            self._without_until = trio.current_time() + self._retry_s
+            self._retry_s = min(WITNESS_RETRY_LIMIT_S, 2 * self._retry_s)
             self._use_witness(None)
             return
         self._use_witness(others[0])
--- a/tests/test_witness.py
+++ b/tests/test_witness.py
@@ -2,6 +2,7 @@
 
 import logging
 
+import msgspec
 import pytest
 import trio
 import trio.testing
@@ -33,6 +34,7 @@
 )
 from lavenderfold.escrow._reclaim import Reclaimer
 from lavenderfold.escrow._witness import WitnessError
+from lavenderfold.settings import Address
 from lavenderfold.shared import RelayDirectory
 from lavenderfold.timers import TimerService
 from standins.memory_store import MemoryStore
@@ -407,3 +409,31 @@
         assert site.directory.relays[0] != far
 
     run_site(scenario, limit=LIMIT)
+
+
+def test_router_serves_on_without_a_witness_when_all_relays_are_gone():
+    """Guards against refusing all prepaid requests for good.
+
+    The entries of relays stay in the store, and the router chose the first one again
+    before each order.
+    """
+
+    async def scenario(site):
+        timers = TimerService()
+        await site.start_relay(name="second")
+        site.relay_scope.cancel()
+        site.directory.relays = [
+            msgspec.structs.replace(each, address=Address(host="127.0.0.1", port=1))
+            for each in site.directory.relays
+        ]
+        manager = await site.start_manager("router/1", trio.CancelScope())
+        attempts = [
+            await manager.reserve("org", 10, until=timers.now() + 0.7) for _ in range(6)
+        ]
+        assert Funding.RESERVED in attempts
+        for _ in range(10):
+            funding = await manager.reserve("org", 10, until=timers.now() + 0.7)
+            assert funding is Funding.RESERVED
+            await trio.sleep(0.2)
+
+    run_site(scenario, limit=LIMIT)
