Limit requests to cold targets whose rate is 0

Services with a warm-up time and rate 0 were read like services without a rate, so their cold targets got all requests. Also a tiny rate gave an infinite interval, from which no phase and no Retry-After can be computed.

With rate 0 all routers together send what the tolerance allows, and an interval is at most 600 s.

--- a/src/lavenderfold/placement/_warm_up.py
+++ b/src/lavenderfold/placement/_warm_up.py
@@ -21,6 +21,9 @@
 JOINING_ROUTERS = 4
 # The number is learnt from the ledger, where some routers may not have appeared yet.
 COUNT_RESERVE = 2
+# A rate near 0 would give an infinite interval, which no Retry-After can hold. No
+# target is cold for longer than this.
+MAX_INTERVAL_S = 600.0
 # Another attempt, which has its permit but hasn't been sent, is looked at again after
 # this time.
 PENDING_RECHECK_S = 0.05
@@ -35,14 +38,18 @@
 ) -> float:
     """Return the time that a router leaves between two requests to a cold target.
 
-    ``router_count`` is 0 if the number of routers isn't known.
+    With rate 0 all routers together send what ``tolerance`` allows. ``router_count`` is
+    0 if the number of routers isn't known.
     """
     routers = (router_count or DEFAULT_ROUTERS) + JOINING_ROUTERS
     if COUNT_RESERVE * routers <= rate * overshoot + tolerance:
         shortest_s = MIN_INTERVAL_S
     else:
         shortest_s = CROWDED_INTERVAL_S
-    return max(shortest_s, routers / rate)
+    shared_rate = rate or tolerance
+    if shared_rate <= 0:
+        return MAX_INTERVAL_S
+    return min(MAX_INTERVAL_S, max(shortest_s, routers / shared_rate))
 
 
 class _TargetState:
@@ -137,7 +144,9 @@
     def set_services(self, services: Iterable[Service]) -> None:
         """Apply the figures of the configuration in force."""
         self._service_by_name = {
-            each.name: each for each in services if each.warm_up_rate > 0
+            each.name: each
+            for each in services
+            if each.warm_up_rate > 0 or each.warm_up_s > 0
         }
 
     def record_entry(
