Keep the target of the warm-up machine cold

The target was meant to be cold all the time.

The machine now writes an entry before the stated time is over, has cut-off routers take any target for cold as Placement does, and lets them read the entry when they are connected again. The bound is unchanged.

--- a/tests/test_warm_up_machine.py
+++ b/tests/test_warm_up_machine.py
@@ -53,8 +53,8 @@
                 permit.record_sending(now)
                 sent.append(now)
         self.pending = [each for each in self.pending if each[1] > now]
-        if self.cold.permitted([target], now=now, rng=self.rng):
-            permit = self.cold.take(target, now=now)
+        if self.is_permitted(target, now):
+            permit = self.cold.take(target, now=now, counts_warm=self.is_cut_off)
             # Some attempts never get through, others late.
             if self.rng.random() < 0.2:
                 permit.release()
@@ -62,6 +62,11 @@
                 self.pending.append((permit, now + self.rng.random() * self.connect_s))
         return sent
 
+    def is_permitted(self, target, now: float) -> bool:
+        # A router that reads no entries takes any target for cold.
+        permitted = self.cold.unused if self.is_cut_off else self.cold.permitted
+        return bool(permitted([target], now=now, rng=self.rng))
+
 
 class WarmUpMachine(RuleBasedStateMachine):
     """Counts the requests to one target that is cold all the time."""
@@ -77,6 +82,7 @@
         self.count = round(count * routers)
         self.target = make_target("t", "d", warm_up_s=WARM_UP_S, born=5)
         self.revision = 1
+        self.cold_until = self.now + WARM_UP_S
         self.sent = []
         self.routers = []
         for _ in range(routers):
@@ -85,17 +91,23 @@
     def add_router(self, *, is_first_listing):
         self.seed += 1
         router = Router(seed=self.seed, count=self.count)
+        self.read_entry(router, is_first_listing=is_first_listing)
+        self.routers.append(router)
+
+    def read_entry(self, router, *, is_first_listing=False):
         router.cold.record_entry(
             self.target,
             revision=self.revision,
             is_first_listing=is_first_listing,
             now=self.now,
         )
-        self.routers.append(router)
 
     @rule(seconds=st.sampled_from((0.3, 1.0, 3.0)))
     def run_for(self, seconds):
         ends_at = self.now + seconds
+        if ends_at + STEP_S > self.cold_until:
+            # Without a new entry the target would be warm, and get everything.
+            self.write_entry(WARM_UP_S)
         while self.now < ends_at:
             self.now += STEP_S * random.Random(self.seed).uniform(0.5, 1.0)
             for router in self.routers:
@@ -106,6 +118,8 @@
     def write_entry(self, stays_cold_s):
         """A heartbeat; only connected routers see it."""
         self.revision += 1
+        if stays_cold_s is not None:
+            self.cold_until = self.now + stays_cold_s
         entry = make_target("t", "d", warm_up_s=stays_cold_s, born=5)
         for router in self.routers:
             if not router.is_cut_off:
@@ -115,7 +129,10 @@
 
     @rule(index=st.integers(0, MOST_ROUTERS), is_cut_off=st.booleans())
     def change_link(self, index, is_cut_off):
-        self.routers[index % len(self.routers)].is_cut_off = is_cut_off
+        router = self.routers[index % len(self.routers)]
+        router.is_cut_off = is_cut_off
+        if not is_cut_off:
+            self.read_entry(router)
 
     @rule(connect_s=st.sampled_from((0.0, 0.4)))
     def change_connect_time(self, connect_s):
