Show a cold target as excluded only while it gets no request

explain-route listed every cold target as excluded, also the one that it named as chosen because a request to it was allowed.

It now asks the limiter whether a request may be sent now.

--- a/src/lavenderfold/direct/_explain_route.py
+++ b/src/lavenderfold/direct/_explain_route.py
@@ -4,6 +4,7 @@
 """
 
 import math
+import random
 import re
 from urllib.parse import parse_qs
 
@@ -22,12 +23,15 @@
 MS_PER_S = 1000
 TOKENS = re.compile(r"[0-9]{1,9}")
 
+_rng = random.Random()
+
 
 class TargetExplanation(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One target as the router sees it.
 
     ``excluded`` is why it can't be chosen; a target with only "ejected" or "silent" is
-    used if there is no other. ``outstanding`` are the router's own requests there.
+    used if there is no other. A "cold" one gets no request at this moment.
+    ``outstanding`` are the router's own requests there.
     """
 
     target: str
@@ -199,7 +203,7 @@
         "silent": load_tracker.is_silent(target, now=now),
         "region": not in_regions([target], regions, placement.region_by_domain),
         "evacuated": target.domain in placement.evacuations.domains(),
-        "cold": placement.cold.is_cold(target, now=now),
+        "cold": placement.cold.wait_s(target, now=now, rng=_rng) is not None,
     }
     return [reason for reason, holds in is_excluded_by_reason.items() if holds]
 
--- a/tests/test_explain_route.py
+++ b/tests/test_explain_route.py
@@ -7,9 +7,13 @@
 
 from lavenderfold.ctl.__main__ import main
 from lavenderfold.direct._balancing import TargetBalancing
+from lavenderfold.direct._explain_route import _exclusions
+from lavenderfold.fleet import Service
 from tests.direct_support import answer_successfully, direct_fleet, run_scenario
+from tests.placement_support import Selector, make_target
 
 HOST = "host"
+TARGET = make_target("t", "d", warm_up_s=60.0, born=5)
 
 
 def explain(*arguments: str, by_cost: bool = True) -> int:
@@ -100,3 +104,15 @@
             assert len(balancer._shares._count_by_part) == 0
 
     trio.run(scenario)
+
+
+def test_cold_target_with_a_permit_is_not_excluded():
+    """An operator would read that the chosen target can't be chosen."""
+    selector = Selector()
+    selector.services.directory.put("t", TARGET, revision=1)
+    cold = selector.placement.cold
+    cold.set_services([Service(name="service", connection_limit=1, warm_up_rate=17.0)])
+    now = selector.timers.now()
+    cold.record_entry(TARGET, revision=1, is_first_listing=False, now=now)
+    assert _exclusions(selector.services, TARGET, None, now) == ["cold"]
+    assert _exclusions(selector.services, TARGET, None, now + 30) == []
