Bound what one request moves the mean size in admission

Callers state any number of tokens up to 15 digits. One such number raised the mean of the service so far that all others counted as a quarter of a request for hundreds of requests, and 4 times the limit was admitted.

A request now counts as 4 times the mean at most, as its size does.

--- a/src/lavenderfold/admission/_service_admission.py
+++ b/src/lavenderfold/admission/_service_admission.py
@@ -181,7 +181,9 @@
         if not tokens:
             return
         mean = tokens if self._mean_tokens is None else self._mean_tokens
-        self._mean_tokens = mean + TOKENS_WEIGHT * (tokens - mean)
+        # Callers state any number; one absurd number must not make all others small.
+        counted = min(tokens, MAX_SIZE * mean)
+        self._mean_tokens = mean + TOKENS_WEIGHT * (counted - mean)
         entry.size = min(MAX_SIZE, max(MIN_SIZE, tokens / self._mean_tokens))
 
     def _rank(self, entry: Entry, now: float) -> tuple[int, float, float]:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -31,6 +31,16 @@
     return entries
 
 
+def test_absurd_number_of_tokens_leaves_the_size_of_others():
+    """Requests after it would count as a quarter, and 4 times the limit would pass."""
+    admission = ServiceAdmission(on_admitted=lambda _: None)
+    for tokens in (1000, 10**15):
+        admission.arrive(make_entry(tokens=tokens), wait_until=0.0, now=0.0)
+    usual = make_entry()
+    admission.arrive(usual, wait_until=0.0, now=0.0)
+    assert usual.size > 0.8
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_refuses_and_delays_nothing_in_normal_operation(seed):
     """Load: 15 requests/s of 0.1 to 3 s, a third of them long, and bursts of 2.5 times.
