--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -142,6 +142,20 @@
     assert (service.warm_up_s, service.warm_up_rate) == (warm_up_s, 0.0)
 
 
+def test_missing_regions_may_be_null():
+    """The configuration before it would stay in force for the whole fleet."""
+    text = (
+        '{"version":1,"routes":[{"name":"r","hostname":"h","path_prefix":"/",'
+        '"route_type":"idempotent","timeout_ms":1,"allowed_regions":null}],'
+        '"backends":[],"limits":{"max_header_bytes":1,"max_body_bytes":1,'
+        '"header_timeout_ms":1,"idle_timeout_ms":1},'
+        '"tenants":[{"name":"t","allowed_regions":null}]}'
+    )
+    config = read_config(Item("op/config", text.encode(), 1))
+    assert config.routes[0].allowed_regions == frozenset()
+    assert config.organisations[0].allowed_regions == frozenset()
+
+
 def test_warm_up_is_read():
     """An entry that says 0 is warm; one that says nothing may be cold."""
     for milliseconds, seconds in ((0, 0.0), (8000, 8.0), (1.5, 0.0015)):
