Take a request as begun only on routes with resumption

Every request with a Last-Event-ID passed the queue and the limit of its service. Callers could send that header on any route.

It now counts only where streams can be resumed.

--- a/src/lavenderfold/direct/_request_admission.py
+++ b/src/lavenderfold/direct/_request_admission.py
@@ -63,7 +63,8 @@
                 organisation=organisation.name if organisation else "",
                 tokens=request.tokens.worst_case if request.tokens else None,
                 deadline=deadline,
-                has_begun=request.last_event_id is not None,
+                # Any caller can send an id, which means nothing on other routes.
+                has_begun=route.is_resumable and request.last_event_id is not None,
             )
 
     async def enter(self) -> Refusal | None:
--- a/tests/test_admission_router.py
+++ b/tests/test_admission_router.py
@@ -1,11 +1,14 @@
 """Priority and admission in a router with targets on loopback."""
 
 from functools import partial
+from types import SimpleNamespace
 
 import msgspec
 import pytest
 import trio
 
+from lavenderfold.admission import AdmissionGate
+from lavenderfold.direct._request_admission import RequestAdmission
 from lavenderfold.fleet import Organisation, RepeatPolicy, RouteTable
 from lavenderfold.http import HttpClient, HttpRequest
 from tests.direct_support import (
@@ -17,6 +20,7 @@
     run_scenario,
 )
 from tests.notice_support import turn_away
+from tests.test_direct_decisions import make_request
 
 
 def ordered_config(**changes):
@@ -72,6 +76,25 @@
     assert table.priority("service", route, None) == 9
 
 
+@pytest.mark.parametrize("is_resumable", [False, True])
+def test_id_of_an_event_counts_only_on_resumable_routes(is_resumable):
+    """Guards against callers who pass the queue by a header without a meaning."""
+    table = RouteTable(ordered_config())
+    route = table.route("host", "/batch/x")
+    admission = RequestAdmission(
+        services=SimpleNamespace(
+            admission_gate=lambda *_: AdmissionGate(), metrics=None
+        ),
+        table=table,
+        service_name="service",
+        request=msgspec.structs.replace(make_request(), last_event_id="1"),
+        route=msgspec.structs.replace(route, is_resumable=is_resumable),
+        organisation=None,
+        deadline=1.0,
+    )
+    assert admission._entry.has_begun is is_resumable
+
+
 def test_refusal_while_the_targets_have_no_room():
     """Load: ten requests in progress, and targets that reject all others.
 
