--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -10,18 +10,13 @@
 from lavenderfold.direct._choice import TargetChoice
 from lavenderfold.direct._outcome import AttemptOutcome
 from lavenderfold.direct._patience import CallerPatience
-from lavenderfold.direct._pauses import pause_wait_limit, refuse_not_run
-from lavenderfold.direct._refusals import (
-    DEFAULT_EXPECTED_S,
-    Refusal,
-    may_have_run,
-    not_run,
-    refusal_response,
-    unanswered,
-)
-from lavenderfold.direct._relay_progress import RelayProgress, can_be_continued
+from lavenderfold.direct._pauses import pause_wait_limit
+from lavenderfold.direct._refusals import Refusal, refusal_response
+from lavenderfold.direct._relay_progress import RelayProgress
+from lavenderfold.direct._repeat_rules import RepeatRules
 from lavenderfold.direct._request_admission import RequestAdmission
 from lavenderfold.direct._request_log import RequestLog, RequestResult, answer_state
+from lavenderfold.direct._request_refusals import RequestRefusals
 from lavenderfold.direct._requests import CallerRequest
 from lavenderfold.direct._reservation import Reservation
 from lavenderfold.direct._router_services import RouterServices
@@ -32,7 +27,6 @@
 from lavenderfold.fleet import Organisation, Route, RouteTable, Target
 from lavenderfold.http import HttpResponse, ResponseWriter
 from lavenderfold.outcomes import Reason
-from lavenderfold.quarantine import Verdict
 
 # A target that can't be connected to doesn't count as an attempt, because nothing
 # ran, but each failed connection takes time. Give up after this many.
@@ -97,7 +91,15 @@
         )
         self._choice_reason = ""
         self._choice_costed: CostedTarget | None = None
-        self._not_repeated: str | None = None
+        self._repeats = RepeatRules(
+            request=request,
+            route=route,
+            quarantine=services.quarantine,
+            retry_budget=self._retry_budget,
+            patience=self._patience,
+            progress=self._progress,
+            writer=writer,
+        )
         self._selection = TargetSelection(
             services=services,
             service_name=self._service_name,
@@ -108,6 +110,14 @@
             # is still that organisation's.
             organisation=organisation or table.organisation(request.key),
         )
+        self._refusals = RequestRefusals(
+            quarantine=services.quarantine,
+            request=request,
+            progress=self._progress,
+            patience=self._patience,
+            selection=self._selection,
+            deadline=self._deadline,
+        )
         self._take_over = TakeOver(
             timers=services.timers,
             start=self._start_successor,
@@ -159,7 +169,7 @@
             with self._stop_scope:
                 refusal = await self._answer()
             if self._stop_scope.cancelled_caught:
-                refusal = self._refuse(Reason.DRAINING)
+                refusal = self._refusals.because(Reason.DRAINING)
             if refusal is not None and await self._relay_failure_response():
                 refusal = None
             if refusal is not None:
@@ -185,7 +195,7 @@
             self._admission.leave(self._last_outcome)
 
     async def _admit_and_attempt(self) -> Refusal | None:
-        refusal = self._refuse_quarantined() or self._refuse_without_place()
+        refusal = self._refusals.quarantined() or self._refuse_without_place()
         refusal = refusal or await self._admission.enter()
         refusal = refusal or await self._reservation.reserve()
         if refusal is not None:
@@ -194,22 +204,10 @@
             return await self._attempt_targets()
         return await self._take_over.run(self._attempt_targets)
 
-    def _refuse(self, reason: Reason) -> Refusal:
-        if self._progress.may_have_run:
-            return may_have_run(reason)
-        return not_run(reason, expected_s=DEFAULT_EXPECTED_S)
-
     @property
     def _answer_by(self) -> float:
         return self._patience.answer_by(self._deadline)
 
-    def _refuse_late(self) -> Refusal:
-        is_uncertain = self._progress.may_have_run
-        if self._patience.ends_before(self._deadline):
-            return unanswered(Reason.PATIENCE_OVER, is_uncertain=is_uncertain)
-        is_uncertain = is_uncertain or self._sent_attempts > 0
-        return unanswered(Reason.DEADLINE_PASSED, is_uncertain=is_uncertain)
-
     async def _attempt_targets(self) -> Refusal | None:
         failed_connections = 0
         started = await self._prepare_attempt()
@@ -218,16 +216,16 @@
             if outcome is AttemptOutcome.DELIVERED:
                 return None
             if outcome is AttemptOutcome.TIMED_OUT:
-                return self._refuse_late()
+                return self._refusals.late(self._sent_attempts)
             self._selection.record_failure(started.target)
             failed_connections += outcome is AttemptOutcome.NOT_CONNECTED
             self._sent_attempts += outcome is not AttemptOutcome.NOT_CONNECTED
             successor = self._take_over.adopt()
             if successor is None and (
                 failed_connections >= MAX_CONNECTION_FAILURES
-                or not self._may_repeat(outcome)
+                or not self._repeats.may_repeat(outcome, self._sent_attempts)
             ):
-                return self._give_up(outcome)
+                return self._refusals.give_up(outcome)
             started = successor or await self._prepare_attempt()
         return started
 
@@ -237,8 +235,8 @@
             # Other routers may have seen the prompt crash a target meanwhile.
             await self._wait_for_decision()
             if trio.current_time() >= self._answer_by:
-                return self._refuse_late()
-            refusal = self._refuse_quarantined()
+                return self._refusals.late(self._sent_attempts)
+            refusal = self._refusals.quarantined()
             if refusal is not None:
                 return refusal
             choice = self._selection.choose()
@@ -263,17 +261,6 @@
         if wait_s:
             await trio.sleep_until(min(trio.current_time() + wait_s, self._answer_by))
 
-    def _refuse_quarantined(self) -> Refusal | None:
-        quarantine = self._services.quarantine
-        part_ids = self._request.shared_part_ids
-        if quarantine.verdict(part_ids) is not Verdict.QUARANTINED:
-            return None
-        if self._progress.may_have_run:
-            return may_have_run(Reason.PROMPT_QUARANTINED)
-        return not_run(
-            Reason.PROMPT_QUARANTINED, retry_after_s=quarantine.remaining_s(part_ids)
-        )
-
     def _start_attempt(self, choice: TargetChoice, *, earlier: int) -> StartedAttempt:
         """Begin an attempt, after ``earlier`` ones that were sent."""
         can_repeat = (
@@ -296,12 +283,8 @@
 
         It must be one that hasn't failed lately.
         """
-        if not (self._is_prompt_sound and self._can_go_on_elsewhere):
-            return None
-        if not self._patience.allows_attempt(trio.current_time()):
-            return None
         earlier = self._sent_attempts + 1
-        if earlier >= self._route.attempt_limit:
+        if not self._repeats.may_add(earlier):
             return None
         choice = self._selection.choose(instead_of=silent)
         if choice is None or choice.is_last_resort:
@@ -359,61 +342,13 @@
             self._log.write_lost_attempt(attempt, target, sent_at=sent_at)
         await self._recorder.record_outcome(attempt, target, outcome, sent_at=sent_at)
 
-    def _may_repeat(self, outcome: AttemptOutcome) -> bool:
-        """Return whether another target may be tried after this outcome."""
-        if not outcome.is_certainly_not_run and not self._route.is_repeatable:
-            self._not_repeated = "not_repeatable"
-            return False
-        if not self._can_go_on_elsewhere:
-            self._not_repeated = "not_resumable"
-            return False
-        if not self._patience.allows_attempt(trio.current_time()):
-            self._not_repeated = "patience"
-            return False
-        if outcome is AttemptOutcome.NOT_CONNECTED:
-            return True
-        if self._sent_attempts >= self._route.attempt_limit:
-            self._not_repeated = "attempt_limit"
-            return False
-        if not outcome.is_certainly_not_run and not self._is_prompt_sound:
-            # It may crash the next target as well.
-            self._not_repeated = "prompt_suspected"
-            return False
-        if not self._retry_budget.try_acquire():
-            self._not_repeated = "retry_budget"
-            return False
-        return True
-
-    @property
-    def _can_go_on_elsewhere(self) -> bool:
-        """Whether another target may answer after what the caller has received."""
-        return not self._writer.started or can_be_continued(self._route, self._progress)
-
-    @property
-    def _is_prompt_sound(self) -> bool:
-        part_ids = self._request.shared_part_ids
-        return self._services.quarantine.verdict(part_ids) is Verdict.SOUND
-
-    def _give_up(self, outcome: AttemptOutcome) -> Refusal:
-        if self._progress.may_have_run:
-            return may_have_run(Reason.TARGET_FAILED)
-        reason = Reason.OVERLOADED
-        if outcome is AttemptOutcome.NOT_CONNECTED:
-            reason = Reason.CONNECTION_FAILED
-        return self._refuse_not_run(reason)
-
     def _refuse_without_place(self) -> Refusal | None:
         """Refuse at once, without a reservation, if no target may get the request."""
         return self._refuse_without_target() if self._selection.has_no_place() else None
 
     def _refuse_without_target(self) -> Refusal:
-        self._not_repeated = "no_target"
-        if self._progress.may_have_run:
-            return may_have_run(Reason.TARGET_FAILED)
-        return self._refuse_not_run(Reason.NO_TARGET)
-
-    def _refuse_not_run(self, reason: Reason) -> Refusal:
-        return refuse_not_run(reason, pause_left_s=self._selection.pause_left_s())
+        self._repeats.not_repeated = "no_target"
+        return self._refusals.without_target()
 
     async def _send(self, refusal: Refusal) -> None:
         if self._writer.started:
@@ -450,7 +385,7 @@
             refusal=refusal,
             outcome=self._last_outcome,
             answer=answer_state(self._writer),
-            not_repeated=self._not_repeated,
+            not_repeated=self._repeats.not_repeated,
             reserved_tokens=self._reservation.tokens,
             progress=self._progress,
             started_at=self._started_at,
