Divide by a usual time that is never 0

The usual time of a service is the divisor of the wait that counts as overdue and of the factor of a silence. If the clock showed no time between all its requests and answers, a choice raised ZeroDivisionError and the request ended with it.

The usual time has a least value of 1 us, as the other divisors had. The new test fails before with that error.

--- a/src/lavenderfold/balancing/_delays.py
+++ b/src/lavenderfold/balancing/_delays.py
@@ -22,6 +22,9 @@
 LOG_SPEED_LIMIT = math.log(2.0)
 # Weight of the newest sample in the usual times of a service.
 USUAL_WEIGHT = 0.05
+# Costs and factors are relative to the usual time, so it is never 0, even if the clock
+# shows no time between a request and its answer.
+MIN_USUAL_S = 1e-6
 # Assumed until the first answer of a service.
 DEFAULT_USUAL_S = 0.1
 # A wait counts as evidence of a delay beyond so many usual times, as a part of the
@@ -60,7 +63,9 @@
     @property
     def usual_s(self) -> float:
         """The usual time to the first event, or of the whole plain answer."""
-        return self._first.value if self._first.count else DEFAULT_USUAL_S
+        if not self._first.count:
+            return DEFAULT_USUAL_S
+        return max(MIN_USUAL_S, self._first.value)
 
     def first_factor(self, duration_s: float, unread_tokens: float) -> float:
         """Record a time to the first event; return it relative to the usual time."""
@@ -68,12 +73,12 @@
         average = self._first_by_size.setdefault(size, _Average())
         average.add(duration_s)
         self._first.add(duration_s)
-        return duration_s / max(average.value, 1e-6)
+        return duration_s / max(MIN_USUAL_S, average.value)
 
     def pause_factor(self, pause_s: float) -> float:
         """Record a pause between events; return it relative to the usual one."""
         self._pause.add(pause_s)
-        return pause_s / max(self._pause.value, 1e-6)
+        return pause_s / max(MIN_USUAL_S, self._pause.value)
 
     def weight(self, tokens: int) -> float:
         """Return the load of a request relative to the usual one of the service."""
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -323,3 +323,16 @@
     memory.record("p", ("t", 0), now=0.0)
     likely = [memory.likelihood("p", ("t", 0), now=now) for now in (1.0, 8.0, 11.0)]
     assert likely[0] > likely[1] > likely[2] == 0.0
+
+
+def test_answers_that_take_no_time_by_the_clock():
+    """Guards against a division by the usual time of a service, which was 0 then."""
+    balancer, [target] = Balancer(), make_targets(1)
+    first = balancer.record_send(target, PLAIN, now=1.0)
+    balancer.record_first(first, now=1.0)
+    balancer.record_end(first)
+    waiting = balancer.record_send(target, PLAIN, now=1.0)
+    rng = random.Random(1)
+    chosen = balancer.choose([target], PLAIN, router_count=1, rng=rng, now=2.0)
+    assert chosen.cost_s > 0.0
+    balancer.record_silence(waiting, now=3.0)
