Bound how long a router with a full link stays out of rotation

A router whose link is used by more than 75% isn't ready. If the links of all routers of a failure domain are that full, all left at the same time, came back together without load and left again.

The new test fails before.

--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -196,7 +196,7 @@
             and self._balance_manager.loaded.is_set()
             and not self.reachability.is_isolated
             and not self.event_loop_monitor.is_overloaded
-            and not self.link_monitor.is_saturated
+            and not self.link_monitor.is_out_of_rotation
         )
 
     def reload(self, options: RouterOptions) -> None:
@@ -256,7 +256,7 @@
         return (
             self._draining.is_set()
             or self.event_loop_monitor.is_overloaded
-            or self.link_monitor.is_saturated
+            or self.link_monitor.is_out_of_rotation
         )
 
     async def _start_servers(self, nursery: trio.Nursery) -> None:
--- a/tests/test_link_monitor.py
+++ b/tests/test_link_monitor.py
@@ -1,5 +1,8 @@
 """Routers whose network link is full while others of their failure domain idle."""
 
+import random
+
+import pytest
 import trio
 
 from lavenderfold.direct._link_monitor import SAMPLE_PERIOD_S, LinkMonitor
@@ -39,6 +42,30 @@
     assert not monitor.is_saturated
 
 
+@pytest.mark.parametrize("own_share", [0.0, 0.55])
+def test_links_of_all_routers_of_a_failure_domain_are_full(own_share):
+    """Guards against routers that all leave the rotation together, again and again.
+
+    The load: callers use 80% of the links and go to the routers that are ready at a
+    check each 0.5 s. ``own_share`` of each link is used by other traffic, with which
+    the routers never returned.
+    """
+    monitors = [
+        LinkMonitor(capacity_bytes_per_s=CAPACITY, rng=random.Random(number))
+        for number in range(4)
+    ]
+    ready_by_check = []
+    for _ in range(240):
+        ready = [each for each in monitors if not each.is_out_of_rotation]
+        ready_by_check.append(len(ready))
+        for monitor in monitors:
+            callers_share = 0.8 * len(monitors) / len(ready) if monitor in ready else 0
+            share = min(1.0, own_share + callers_share)
+            play(monitor, share=share, duration_s=0.5)
+    assert ready_by_check.count(0) <= 0.05 * len(ready_by_check)
+    assert any(each < len(monitors) for each in ready_by_check)
+
+
 def test_unknown_capacity_is_never_used_up():
     monitor = LinkMonitor(capacity_bytes_per_s=None)
     play(monitor, share=5.0, duration_s=5)
