--- a/src/lavenderfold/direct/_explain_route.py
+++ b/src/lavenderfold/direct/_explain_route.py
@@ -4,12 +4,15 @@
 """
 
 import math
+import random
 import re
+from collections.abc import Hashable, Set
 from urllib.parse import parse_qs
 
 import msgspec
 
 from lavenderfold.balancing import CostedTarget
+from lavenderfold.direct._load import target_key
 from lavenderfold.direct._requests import CallerRequest, PromptPart, TokenDemand
 from lavenderfold.direct._router_services import RouterServices
 from lavenderfold.direct._service_choice import pick_service
@@ -22,12 +25,15 @@
 MS_PER_S = 1000
 TOKENS = re.compile(r"[0-9]{1,9}")
 
+_rng = random.Random()
+
 
 class TargetExplanation(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One target as the router sees it.
 
-    ``excluded`` is why it can't be chosen; a target with only "ejected" or "silent" is
-    used if there is no other. ``outstanding`` are the router's own requests there.
+    ``excluded`` is why it can't be chosen; a target with only "ejected", "silent" or
+    "full" is used if there is no other. A cold target with a permit isn't excluded.
+    ``outstanding`` are the router's own requests there.
     """
 
     target: str
@@ -122,6 +128,7 @@
             request,
             service_name,
             regions=selection.regions,
+            full=selection.full_targets(),
             chosen=None if choice is None else choice.target,
         ),
     )
@@ -133,6 +140,7 @@
     service_name: str,
     *,
     regions: frozenset[str] | None,
+    full: Set[Hashable],
     chosen: Target | None,
 ) -> list[TargetExplanation]:
     now = services.timers.now()
@@ -150,7 +158,7 @@
             costed_by_id.get(each.id),
             outstanding=services.load_tracker.state(each).outstanding,
             is_chosen=each == chosen,
-            excluded=_exclusions(services, each, regions, now),
+            excluded=_exclusions(services, each, regions, full, now),
         )
         for each in sorted(targets, key=lambda each: each.id)
     ]
@@ -187,6 +195,7 @@
     services: RouterServices,
     target: Target,
     regions: frozenset[str] | None,
+    full: Set[Hashable],
     now: float,
 ) -> list[str]:
     load_tracker, placement = services.load_tracker, services.placement
@@ -199,7 +208,8 @@
         "silent": load_tracker.is_silent(target, now=now),
         "region": not in_regions([target], regions, placement.region_by_domain),
         "evacuated": target.domain in placement.evacuations.domains(),
-        "cold": placement.cold.is_cold(target, now=now),
+        "cold": not placement.cold.permitted([target], now=now, rng=_rng),
+        "full": target_key(target) in full,
     }
     return [reason for reason, holds in is_excluded_by_reason.items() if holds]
 
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -12,7 +12,7 @@
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 
 
-ROUTER_STATES = ("ready", "draining", "isolated", "overloaded")
+ROUTER_STATES = ("ready", "draining", "isolated", "overloaded", "link_saturated")
 
 
 class AdmissionState(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/lavenderfold/direct/_target_selection.py
+++ b/src/lavenderfold/direct/_target_selection.py
@@ -1,7 +1,7 @@
 """The targets that one request may still be sent to."""
 
 import random
-from collections.abc import Set
+from collections.abc import Hashable, Set
 from functools import partial
 
 import trio
@@ -117,12 +117,7 @@
 
         Without one that is healthy and not in ``avoid``, return all.
         """
-        service, tokens = self._service, self._request.tokens
-        if service is None or not service.cache_capacity_tokens or tokens is None:
-            return targets
-        full = self._services.target_tokens.full(
-            tokens=tokens.worst_case, capacity=service.cache_capacity_tokens
-        )
+        full = self.full_targets()
         if not full:
             return targets
         others = [each for each in targets if target_key(each) not in full]
@@ -136,6 +131,15 @@
             return others
         return targets
 
+    def full_targets(self) -> set[Hashable]:
+        """Return the keys of the targets without room for the request's tokens."""
+        service, tokens = self._service, self._request.tokens
+        if service is None or not service.cache_capacity_tokens or tokens is None:
+            return set()
+        return self._services.target_tokens.full(
+            tokens=tokens.worst_case, capacity=service.cache_capacity_tokens
+        )
+
     def has_no_place(self) -> bool:
         """Return whether regions or evacuations leave no target for the request.
 
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -259,6 +259,7 @@
         assert writes in page
         assert b'lavenderfold_watch_age_seconds{prefix="targets/"}' in page
         assert b'lavenderfold_router_state{state="ready"} 1.0' in page
+        assert b'lavenderfold_router_state{state="link_saturated"} 0.0' in page
         assert b"lavenderfold_active_requests 0.0" in page
         assert b"lavenderfold_log_lines_left_out 0.0" in page
         assert b"lavenderfold_longest_pause_seconds_count" in page
--- a/tests/test_explain_route.py
+++ b/tests/test_explain_route.py
@@ -1,13 +1,21 @@
 """``lavenderfoldctl explain-route`` against a live direct router."""
 
 import json
+import random
 
 import pytest
 import trio
 
 from lavenderfold.ctl.__main__ import main
 from lavenderfold.direct._balancing import TargetBalancing
-from tests.direct_support import answer_successfully, direct_fleet, run_scenario
+from lavenderfold.direct._load import target_key
+from lavenderfold.fleet import Service
+from tests.direct_support import (
+    answer_successfully,
+    direct_fleet,
+    make_config,
+    run_scenario,
+)
 
 HOST = "host"
 
@@ -59,6 +67,44 @@
     assert all(each["unread_tokens"] < 4100 for each in answer["targets"])
 
 
+def test_only_targets_that_cannot_be_chosen_are_excluded(capsys):
+    """A cold target with a permit was shown as excluded, and a full one as free."""
+    service = Service(
+        name="service",
+        connection_limit=9,
+        warm_up_s=30.0,
+        warm_up_rate=100.0,
+        cache_capacity_tokens=1000,
+    )
+
+    async def excluded(fleet):
+        argv = ["ctl", "explain-route", f"{HOST}/read/x", "--parts", "p:400", "--json"]
+        argv += ["--routers", str(fleet.router.metrics_address)]
+        assert await trio.to_thread.run_sync(main, argv) == 0
+        targets = json.loads(capsys.readouterr().out)["targets"]
+        return {each["target"]: each.get("excluded", []) for each in targets}
+
+    async def scenario(fleet):
+        await fleet.wait_until(lambda: fleet.router.is_ready)
+        services = fleet.router._services
+        await fleet.add_target("late", answer_successfully)
+        await fleet.wait_until(lambda: len(services.directory.targets()) == 2)
+        by_id = {each.id: each for each in services.directory.targets()}
+        services.target_tokens.add(target_key(by_id["t0"]), 300)
+        cold, late = services.placement.cold, by_id["late"]
+
+        def has_permit():
+            now = services.timers.now()
+            return bool(cold.permitted([late], now=now, rng=random.Random(1)))
+
+        await fleet.wait_until(has_permit)
+        assert cold.is_cold(late, now=services.timers.now())
+        assert await excluded(fleet) == {"late": [], "t0": ["full"]}
+
+    config = make_config(services=(service,))
+    run_scenario(scenario, answer_successfully, config=config)
+
+
 @pytest.mark.parametrize(
     ("arguments", "text"),
     [
