--- a/src/lavenderfold/ctl/_options.py
+++ b/src/lavenderfold/ctl/_options.py
@@ -72,6 +72,27 @@
 
     Raises BadInputError if a flag is unknown or has an invalid value.
     """
+    values = _new_flag_values()
+    try:
+        arguments = values(argv)[1:]
+    except flags.Error as error:
+        raise BadInputError(str(error)) from error
+    return Options(
+        command=arguments[0] if arguments else "",
+        arguments=arguments[1:],
+        store=_parse_address_flag("store", values.store) if values.store else None,
+        routers=[_parse_address_flag("routers", text) for text in values.routers],
+        logs=values.logs,
+        base=values.base,
+        token=values.token,
+        organisation=values.organisation,
+        parts=values.parts,
+        json=values.json,
+        help=values.help,
+    )
+
+
+def _new_flag_values() -> flags.FlagValues:
     values = flags.FlagValues()
     values.set_gnu_getopt(True)
     flags.DEFINE_string("store", "", "IP:PORT of the store.", flag_values=values)
@@ -93,23 +114,7 @@
     flags.DEFINE_string("parts", "", "Parts of the prompt.", flag_values=values)
     flags.DEFINE_bool("json", False, "Print JSON.", flag_values=values)
     flags.DEFINE_bool("help", False, "Show the usage.", flag_values=values)
-    try:
-        arguments = values(argv)[1:]
-    except flags.Error as error:
-        raise BadInputError(str(error)) from error
-    return Options(
-        command=arguments[0] if arguments else "",
-        arguments=arguments[1:],
-        store=_parse_address_flag("store", values.store) if values.store else None,
-        routers=[_parse_address_flag("routers", text) for text in values.routers],
-        logs=values.logs,
-        base=values.base,
-        token=values.token,
-        organisation=values.organisation,
-        parts=values.parts,
-        json=values.json,
-        help=values.help,
-    )
+    return values
 
 
 def _parse_address_flag(flag: str, text: str) -> Address:
--- a/src/lavenderfold/direct/_choice.py
+++ b/src/lavenderfold/direct/_choice.py
@@ -70,6 +70,22 @@
     ] or targets
 
 
+def _least_loaded(
+    targets: list[Target],
+    load_tracker: LoadTracker,
+    request: CallerRequest,
+    failure_domain: str,
+) -> Target:
+    return min(
+        targets,
+        key=lambda each: (
+            load_tracker.state(each).outstanding / max(1, each.slots),
+            each.domain != failure_domain,
+            _rendezvous_score(each, request.attempt_id),
+        ),
+    )
+
+
 def choose_target(
     candidates: list[Target],
     load_tracker: LoadTracker,
@@ -106,13 +122,6 @@
         home = _home_target(pool, load_tracker, prefix_id)
         if home is not None:
             return TargetChoice(home, "prefix", not responsive)
-    chosen = min(
-        pool,
-        key=lambda each: (
-            load_tracker.state(each).outstanding / max(1, each.slots),
-            each.domain != failure_domain,
-            _rendezvous_score(each, request.attempt_id),
-        ),
-    )
+    chosen = _least_loaded(pool, load_tracker, request, failure_domain)
     reason = "least_outstanding" if responsive else "all_set_aside"
     return TargetChoice(chosen, reason, not responsive)
--- a/src/lavenderfold/direct/_router.py
+++ b/src/lavenderfold/direct/_router.py
@@ -25,7 +25,7 @@
 from lavenderfold.direct._sinks import ConfigSink, RecordReader, TargetSink
 from lavenderfold.escrow import BalanceManager
 from lavenderfold.event_loop import event_loop_turns
-from lavenderfold.fleet import PrefixFollower, RouteTable, Target
+from lavenderfold.fleet import ItemSink, PrefixFollower, RouteTable, Target
 from lavenderfold.http import (
     HttpRequest,
     HttpResponse,
@@ -108,42 +108,31 @@
         self._targets = TargetSink(
             reader=reader, timers=timers, on_entry=self._placement.record_entry
         )
-        self._config_follower = PrefixFollower(
-            store=store,
-            timers=timers,
-            prefix=options.operator_prefix,
-            sink=self._placement.operator_sink(
-                config_key=options.config_key,
-                config=self._config,
-                evacuations_prefix=options.evacuations_prefix,
-            ),
-            wait_s=options.watch_wait_s,
-            on_answer=self.reachability.record_answer,
-            on_changed=self._metrics.record_change_delay,
-        )
-        self._target_follower = PrefixFollower(
-            store=store,
-            timers=timers,
-            prefix=options.targets_prefix,
-            sink=self._targets,
-            wait_s=options.watch_wait_s,
-            on_answer=self.reachability.record_answer,
-            on_changed=self._metrics.record_change_delay,
+
+        def new_follower(prefix: str, sink: ItemSink) -> PrefixFollower:
+            return PrefixFollower(
+                store=store,
+                timers=timers,
+                prefix=prefix,
+                sink=sink,
+                wait_s=options.watch_wait_s,
+                on_answer=self.reachability.record_answer,
+                on_changed=self._metrics.record_change_delay,
+            )
+
+        operator_sink = self._placement.operator_sink(
+            config_key=options.config_key,
+            config=self._config,
+            evacuations_prefix=options.evacuations_prefix,
         )
+        self._config_follower = new_follower(options.operator_prefix, operator_sink)
+        self._target_follower = new_follower(options.targets_prefix, self._targets)
         self._placement.follow(self._targets.directory, self._target_follower)
         self._quarantine = PromptQuarantine(timers=timers)
         self._crash_evidence = EvidencePublisher(
             store=store, quarantine=self._quarantine, key=options.crashes_key
         )
-        self._crash_follower = PrefixFollower(
-            store=store,
-            timers=timers,
-            prefix=options.crashes_key,
-            sink=self._crash_evidence,
-            wait_s=options.watch_wait_s,
-            on_answer=self.reachability.record_answer,
-            on_changed=self._metrics.record_change_delay,
-        )
+        self._crash_follower = new_follower(options.crashes_key, self._crash_evidence)
         load_tracker = LoadTracker()
         self._balancing: TargetBalancing | None = None
         if options.balances_by_cost:
--- a/src/lavenderfold/escrow/__init__.py
+++ b/src/lavenderfold/escrow/__init__.py
@@ -6,11 +6,7 @@
 only the tokens of its grant above that amount are reclaimed.
 """
 
-from lavenderfold.escrow._balance_manager import (
-    BalanceManager,
-    Funding,
-    LocalBalanceState,
-)
+from lavenderfold.escrow._balance_manager import BalanceManager, Funding
 from lavenderfold.escrow._combiner import ORDER_PATH, OrderCombiner
 from lavenderfold.escrow._ledger import (
     Balance,
@@ -21,7 +17,11 @@
     reclaim,
     transfer,
 )
-from lavenderfold.escrow._local_balances import LocalBalance, LocalBalances
+from lavenderfold.escrow._local_balances import (
+    LocalBalance,
+    LocalBalances,
+    LocalBalanceState,
+)
 from lavenderfold.escrow._order_sender import OrderSender
 from lavenderfold.escrow._orders import (
     BalanceView,
--- a/src/lavenderfold/escrow/_balance_manager.py
+++ b/src/lavenderfold/escrow/_balance_manager.py
@@ -14,6 +14,7 @@
     INSUFFICIENT_RETRY_S,
     LocalBalance,
     LocalBalances,
+    LocalBalanceState,
 )
 from lavenderfold.escrow._order_sender import OrderSender
 from lavenderfold.escrow._orders import (
@@ -52,25 +53,6 @@
     UNAVAILABLE = "unavailable"
 
 
-class LocalBalanceState(msgspec.Struct, frozen=True, kw_only=True):
-    """What a router knows of one balance, in tokens, as it is logged and reported.
-
-    ``rest`` is what the ledger can still grant, ``rest_of_others`` what other
-    routers hold unspent and ``written_off`` what stays charged although no router is
-    known to have spent it, all as of ``age_ms`` milliseconds ago.
-    """
-
-    organisation: str
-    limit: int | None
-    granted: int
-    spent: int
-    reserved: int
-    rest: int | None
-    rest_of_others: int
-    written_off: int
-    age_ms: int | None
-
-
 class BalanceManager:
     """Reserves tokens for requests and moves tokens between grants and the ledger.
 
--- a/src/lavenderfold/escrow/_local_balances.py
+++ b/src/lavenderfold/escrow/_local_balances.py
@@ -3,6 +3,8 @@
 import itertools
 import math
 
+import msgspec
+
 from lavenderfold.escrow._ledger import Transfer
 from lavenderfold.escrow._orders import BalanceView
 
@@ -43,6 +45,25 @@
 MAX_REFRESH_S = 2.0
 
 
+class LocalBalanceState(msgspec.Struct, frozen=True, kw_only=True):
+    """What a router knows of one balance, in tokens, as it is logged and reported.
+
+    ``rest`` is what the ledger can still grant, ``rest_of_others`` what other
+    routers hold unspent and ``written_off`` what stays charged although no router is
+    known to have spent it, all as of ``age_ms`` milliseconds ago.
+    """
+
+    organisation: str
+    limit: int | None
+    granted: int
+    spent: int
+    reserved: int
+    rest: int | None
+    rest_of_others: int
+    written_off: int
+    age_ms: int | None
+
+
 class LocalBalance:
     """One organisation's grant at this router. All amounts are in tokens.
 
