Count long writes in parts while they are sent

A write was counted once it had ended. A large answer to a slow reader then counted as sent in one sample of 0.1 s: 4 MB over 10 s look like 64 times the capacity of a link with 5 Mbit/s, and the router left the rotation although its link was nearly idle.

Writes are counted in parts of 64 KB. The new test fails before.

--- a/src/lavenderfold/link_traffic.py
+++ b/src/lavenderfold/link_traffic.py
@@ -4,6 +4,9 @@
 
 # Headers of the packets that carry one write, at least.
 WRITE_OVERHEAD_BYTES = 66
+# Long writes are counted in parts of this size. Counted as a whole at its end, a large
+# answer to a slow reader would look like a full link.
+PART_BYTES = 65536
 
 _traffic_of_run: trio.lowlevel.RunVar["LinkTraffic"] = trio.lowlevel.RunVar("traffic")
 
@@ -34,6 +37,15 @@
         self.getsockopt = self._stream.getsockopt
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        if len(data) <= PART_BYTES:
+            await self._send_part(data)
+            return
+        with memoryview(data) as view:
+            for start in range(0, len(view), PART_BYTES):
+                with view[start : start + PART_BYTES] as part:
+                    await self._send_part(part)
+
+    async def _send_part(self, data: bytes | bytearray | memoryview) -> None:
         await self._stream.send_all(data)
         self._traffic.sent_bytes += len(data) + WRITE_OVERHEAD_BYTES
 
--- a/tests/test_link_monitor.py
+++ b/tests/test_link_monitor.py
@@ -1,9 +1,11 @@
 """Routers whose network link is full while others of their failure domain idle."""
 
 import random
+from itertools import pairwise
 
 import pytest
 import trio
+import trio.testing
 
 from lavenderfold.direct._link_monitor import SAMPLE_PERIOD_S, LinkMonitor
 from lavenderfold.link_traffic import CountedStream, link_traffic
@@ -84,6 +86,33 @@
     trio.run(main)
 
 
+def test_long_write_to_a_slow_reader_is_counted_as_it_is_sent():
+    """Guards against a router that leaves the rotation at the end of one answer.
+
+    An answer of 4 MB that took 10 s counted as sent in 0.1 s, many times the capacity.
+    """
+
+    async def main():
+        left, right = trio.socket.socketpair()
+        counts, size_bytes = [0], 4_000_000
+        async with (
+            CountedStream(left) as sender,
+            CountedStream(right) as reader,
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(sender.send_all, bytes(size_bytes))
+            read_bytes = 0
+            while read_bytes < size_bytes:
+                await trio.testing.wait_all_tasks_blocked()
+                counts.append(link_traffic().sent_bytes)
+                read_bytes += len(await reader.receive_some(65536))
+        assert link_traffic().sent_bytes >= size_bytes
+        steps = [after - before for before, after in pairwise(counts)]
+        assert max(steps) < size_bytes / 4
+
+    trio.run(main)
+
+
 def test_router_with_a_full_link_is_not_ready_and_closes_connections():
     """Guards against callers that stay with the one router that can't answer."""
 
