--- a/src/lavenderfold/ctl/_explain_route.py
+++ b/src/lavenderfold/ctl/_explain_route.py
@@ -77,13 +77,13 @@
     response = await _ask(address, f"/explain-route?{urlencode(query)}")
     if response.status != 200:
         raise _failure(address, response)
-    if options.json:
-        print(response.body.decode())
-        return
     try:
         explanation = msgspec.json.decode(response.body, type=_Explanation)
     except msgspec.DecodeError as error:
         raise _wrong_address(address, error) from error
+    if options.json:
+        print(response.body.decode())
+        return
     _print_table(explanation)
 
 
--- a/tests/test_explain_route.py
+++ b/tests/test_explain_route.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from functools import partial
 
 import pytest
 import trio
@@ -10,6 +11,8 @@
 from lavenderfold.direct._balancing import TargetBalancing
 from lavenderfold.direct._load import target_key
 from lavenderfold.fleet import Service
+from lavenderfold.http import HttpResponse, serve
+from lavenderfold.settings import Address
 from tests.direct_support import (
     answer_successfully,
     direct_fleet,
@@ -128,6 +131,33 @@
     assert "router 127.0.0.1:9" in capsys.readouterr().err
 
 
+@pytest.mark.parametrize("flags", [(), ("--json",)])
+def test_answer_that_explains_nothing_is_a_failure(capsys, flags):
+    """A router of an earlier version answers any path with its metrics.
+
+    With --json they were printed as the answer, with exit status 0.
+    """
+
+    async def answer_metrics(request, writer):
+        await writer.send(HttpResponse(status=200, body=b"# HELP lavenderfold"))
+
+    async def scenario():
+        async with trio.open_nursery() as nursery:
+            listen = Address(host="127.0.0.1", port=0)
+            address = await nursery.start(
+                partial(serve, answer_metrics, address=listen)
+            )
+            argv = ["ctl", "explain-route", f"{HOST}/read/x", *flags]
+            argv += ["--routers", str(address)]
+            assert await trio.to_thread.run_sync(main, argv) == 1
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario)
+    printed = capsys.readouterr()
+    assert printed.out == ""
+    assert "expected the router's metrics address" in printed.err
+
+
 def test_question_changes_nothing_that_decides():
     """A question must not count as a send or as a use of a part."""
 
