--- a/tests/test_explain_route.py
+++ b/tests/test_explain_route.py
@@ -1,6 +1,8 @@
 """``lavenderfoldctl explain-route`` against a live direct router."""
 
 import json
+import random
+from functools import partial
 
 import pytest
 import trio
@@ -8,8 +10,16 @@
 from lavenderfold.ctl.__main__ import main
 from lavenderfold.direct._balancing import TargetBalancing
 from lavenderfold.direct._explain_route import _exclusions
+from lavenderfold.direct._load import target_key
 from lavenderfold.fleet import Service
-from tests.direct_support import answer_successfully, direct_fleet, run_scenario
+from lavenderfold.http import HttpResponse, serve
+from lavenderfold.settings import Address
+from tests.direct_support import (
+    answer_successfully,
+    direct_fleet,
+    make_config,
+    run_scenario,
+)
 from tests.placement_support import Selector, make_target
 
 HOST = "host"
@@ -63,6 +73,44 @@
     assert all(each["unread_tokens"] < 4100 for each in answer["targets"])
 
 
+def test_only_targets_that_cannot_be_chosen_are_excluded(capsys):
+    """A cold target with a permit was shown as excluded, and a full one as free."""
+    service = Service(
+        name="service",
+        connection_limit=9,
+        warm_up_s=30.0,
+        warm_up_rate=100.0,
+        cache_capacity_tokens=1000,
+    )
+
+    async def excluded(fleet):
+        argv = ["ctl", "explain-route", f"{HOST}/read/x", "--parts", "p:400", "--json"]
+        argv += ["--routers", str(fleet.router.metrics_address)]
+        assert await trio.to_thread.run_sync(main, argv) == 0
+        targets = json.loads(capsys.readouterr().out)["targets"]
+        return {each["target"]: each.get("excluded", []) for each in targets}
+
+    async def scenario(fleet):
+        await fleet.wait_until(lambda: fleet.router.is_ready)
+        services = fleet.router._services
+        await fleet.add_target("late", answer_successfully)
+        await fleet.wait_until(lambda: len(services.directory.targets()) == 2)
+        by_id = {each.id: each for each in services.directory.targets()}
+        services.target_tokens.add(target_key(by_id["t0"]), 300)
+        cold, late = services.placement.cold, by_id["late"]
+
+        def has_permit():
+            now = services.timers.now()
+            return bool(cold.permitted([late], now=now, rng=random.Random(1)))
+
+        await fleet.wait_until(has_permit)
+        assert cold.is_cold(late, now=services.timers.now())
+        assert await excluded(fleet) == {"late": [], "t0": ["full"]}
+
+    config = make_config(services=(service,))
+    run_scenario(scenario, answer_successfully, config=config)
+
+
 @pytest.mark.parametrize(
     ("arguments", "text"),
     [
@@ -86,6 +134,33 @@
     assert "router 127.0.0.1:9" in capsys.readouterr().err
 
 
+@pytest.mark.parametrize("flags", [(), ("--json",)])
+def test_answer_that_explains_nothing_is_a_failure(capsys, flags):
+    """A router of an earlier version answers any path with its metrics.
+
+    With --json they were printed as the answer, with exit status 0.
+    """
+
+    async def answer_metrics(request, writer):
+        await writer.send(HttpResponse(status=200, body=b"# HELP lavenderfold"))
+
+    async def scenario():
+        async with trio.open_nursery() as nursery:
+            listen = Address(host="127.0.0.1", port=0)
+            address = await nursery.start(
+                partial(serve, answer_metrics, address=listen)
+            )
+            argv = ["ctl", "explain-route", f"{HOST}/read/x", *flags]
+            argv += ["--routers", str(address)]
+            assert await trio.to_thread.run_sync(main, argv) == 1
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario)
+    printed = capsys.readouterr()
+    assert printed.out == ""
+    assert "expected the router's metrics address" in printed.err
+
+
 def test_question_changes_nothing_that_decides():
     """A question must not count as a send or as a use of a part."""
 
@@ -114,5 +189,5 @@
     cold.set_services([Service(name="service", connection_limit=1, warm_up_rate=17.0)])
     now = selector.timers.now()
     cold.record_entry(TARGET, revision=1, is_first_listing=False, now=now)
-    assert _exclusions(selector.services, TARGET, None, now) == ["cold"]
-    assert _exclusions(selector.services, TARGET, None, now + 30) == []
+    assert _exclusions(selector.services, TARGET, None, set(), now) == ["cold"]
+    assert _exclusions(selector.services, TARGET, None, set(), now + 30) == []
--- a/tests/test_link_monitor.py
+++ b/tests/test_link_monitor.py
@@ -1,6 +1,11 @@
 """Routers whose network link is full while others of their failure domain idle."""
 
+import random
+from itertools import pairwise
+
+import pytest
 import trio
+import trio.testing
 
 from lavenderfold.direct._link_monitor import SAMPLE_PERIOD_S, LinkMonitor
 from lavenderfold.link_traffic import CountedStream, link_traffic
@@ -39,6 +44,30 @@
     assert not monitor.is_saturated
 
 
+@pytest.mark.parametrize("own_share", [0.0, 0.55])
+def test_links_of_all_routers_of_a_failure_domain_are_full(own_share):
+    """Guards against routers that all leave the rotation together, again and again.
+
+    The load: callers use 80% of the links and go to the routers that are ready at a
+    check each 0.5 s. ``own_share`` of each link is used by other traffic, with which
+    the routers never returned.
+    """
+    monitors = [
+        LinkMonitor(capacity_bytes_per_s=CAPACITY, rng=random.Random(number))
+        for number in range(4)
+    ]
+    ready_by_check = []
+    for _ in range(240):
+        ready = [each for each in monitors if not each.is_out_of_rotation]
+        ready_by_check.append(len(ready))
+        for monitor in monitors:
+            callers_share = 0.8 * len(monitors) / len(ready) if monitor in ready else 0
+            share = min(1.0, own_share + callers_share)
+            play(monitor, share=share, duration_s=0.5)
+    assert ready_by_check.count(0) <= 0.05 * len(ready_by_check)
+    assert any(each < len(monitors) for each in ready_by_check)
+
+
 def test_unknown_capacity_is_never_used_up():
     monitor = LinkMonitor(capacity_bytes_per_s=None)
     play(monitor, share=5.0, duration_s=5)
@@ -57,6 +86,33 @@
     trio.run(main)
 
 
+def test_long_write_to_a_slow_reader_is_counted_as_it_is_sent():
+    """Guards against a router that leaves the rotation at the end of one answer.
+
+    An answer of 4 MB that took 10 s counted as sent in 0.1 s, many times the capacity.
+    """
+
+    async def main():
+        left, right = trio.socket.socketpair()
+        counts, size_bytes = [0], 4_000_000
+        async with (
+            CountedStream(left) as sender,
+            CountedStream(right) as reader,
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(sender.send_all, bytes(size_bytes))
+            read_bytes = 0
+            while read_bytes < size_bytes:
+                await trio.testing.wait_all_tasks_blocked()
+                counts.append(link_traffic().sent_bytes)
+                read_bytes += len(await reader.receive_some(65536))
+        assert link_traffic().sent_bytes >= size_bytes
+        steps = [after - before for before, after in pairwise(counts)]
+        assert max(steps) < size_bytes / 4
+
+    trio.run(main)
+
+
 def test_router_with_a_full_link_is_not_ready_and_closes_connections():
     """Guards against callers that stay with the one router that can't answer."""
 
