Restate lost ledger entries before granting after a rollback

Cause: when the store returns from an older copy, grants and spending since the copy are gone. Other routers could be granted the same tokens, a reclaim could return spent ones by the witness that the copy names, and a page that the copy lacks could never be written again.

Change: pages record the era for which they are settled, grants the era in which their holder stated them. A page of an earlier era grants nothing for 6 s, or up to 20 s while a holder in the copy is missing. Holders state their total with their next transfer, relays what holders stated in the last 60 s. Nothing is returned from a grant that isn't stated in the era. Without eras, records are as before.

test_held_tokens.py cut the last two fields off a view to get that of an older relay; views have two more fields, so it now cuts from "limit" on.

--- a/src/lavenderfold/escrow/__init__.py
+++ b/src/lavenderfold/escrow/__init__.py
@@ -17,9 +17,11 @@
     Grant,
     LedgerPage,
     Transfer,
+    WitnessedSpending,
     page_key,
     reclaim,
     transfer,
+    with_witnessed,
 )
 from lavenderfold.escrow._local_balances import LocalBalance, LocalBalances
 from lavenderfold.escrow._order_sender import OrderSender
@@ -70,10 +72,12 @@
     "WITNESS_PREFIX",
     "LocalBalances",
     "WitnessRecords",
+    "WitnessedSpending",
     "answer_call",
     "decode_page",
     "encode_page",
     "page_key",
     "reclaim",
     "transfer",
+    "with_witnessed",
 ]
--- a/src/lavenderfold/escrow/_balance_manager.py
+++ b/src/lavenderfold/escrow/_balance_manager.py
@@ -292,7 +292,7 @@
 
     def _has_tokens_to_return(self) -> bool:
         return any(
-            balance.pending is not None or balance.free > 0
+            balance.pending is not None or balance.free > 0 or not balance.is_stated
             for organisation, balance in self.balances.by_organisation.items()
             if organisation in self._limit_by_organisation
         )
@@ -305,6 +305,7 @@
         while not await self._pages.load(wait=waits.begin_attempt()):
             waits.record_failure()
             await trio.sleep(FAILURE_DELAY_S)
+        self.balances.begin_era(self._pages.era)
         self.loaded.set()
 
     async def _sync(self) -> bool:
@@ -390,12 +391,15 @@
         for organisation, view in view_by_organisation.items():
             balance = self.balances.get_or_create(organisation, now=now)
             balance.update(view, now=now)
+            self.balances.begin_era(view.era)
             sent_limit = order.limit_by_organisation[organisation]
             if sent_limit == self._limit_by_organisation[organisation]:
                 if balance.is_limit_raised:
                     # The balance may now have what was refused before.
                     self._request_sync()
                 balance.is_limit_raised = False
+        if not all(each.is_stated for each in self.balances.by_organisation.values()):
+            self._request_sync()
         self._confirmer.balances_updated()
         self._notify_waiting()
 
--- a/src/lavenderfold/escrow/_local_balances.py
+++ b/src/lavenderfold/escrow/_local_balances.py
@@ -3,6 +3,8 @@
 import itertools
 import math
 
+import msgspec
+
 from lavenderfold.escrow._ledger import Transfer
 from lavenderfold.escrow._orders import BalanceView
 
@@ -59,6 +61,10 @@
     of what is left are more loses that instead (up to SURPLUS_FACTOR times, since only
     a larger excess is handed back). The reservations of running requests aren't held
     tokens; they are lost in addition.
+
+    ``era`` is the store's era. In a new one the grant isn't stated until a transfer is
+    confirmed: the ledger may lack what was granted lately. While it ``is_settling``
+    the ledger grants nothing, and what is held is kept.
     """
 
     __slots__ = (
@@ -79,6 +85,9 @@
         "refresh_interval_s",
         "waiting_tokens_by_id",
         "witness",
+        "era",
+        "is_stated",
+        "is_settling",
         "_reported_spent",
         "_typical_size",
         "_consumed",
@@ -86,7 +95,10 @@
         "_rate_updated_at",
     )
 
-    def __init__(self, *, now: float):
+    def __init__(self, *, now: float, era: int = 0):
+        self.era = era
+        self.is_stated = True
+        self.is_settling = False
         self.granted = 0
         self.spent = 0
         self.reserved = 0
@@ -227,12 +239,13 @@
         returned = 0
         if shortfall or self.free < desired * REFILL_THRESHOLD:
             wanted = max(0, desired - self.free)
-        elif self._is_surplus(desired):
+        elif self._is_surplus(desired) and not self.is_settling:
             returned = self.free - desired
         if self._is_known_insufficient(now):
             wanted = 0
         is_recorded = self.witness == witness or not self.granted
         is_reported = not (self._is_report_due(now) or self._is_release_unreported(now))
+        is_reported = is_reported and self.is_stated
         if not wanted and not returned and is_recorded and is_reported:
             return None
         self.number += 1
@@ -245,20 +258,25 @@
             spent=self.spent + self.reserved,
             witness=witness,
             witness_address=witness_address,
+            era=self.era,
+            total=self.granted,
+            is_restatement=not self.is_stated,
         )
         return self.pending
 
     def plan_refresh(self, now: float) -> Transfer | None:
         """Return a read-only transfer if the known state of the balance is too old.
 
-        It isn't needed while no other router can count on tokens of this one.
+        It isn't needed while no other router can count on tokens of this one, unless
+        the store has eras: a new one must be noticed.
         """
         if self.is_limit_raised:
-            return Transfer(number=self.number, is_read_only=True)
+            return Transfer(number=self.number, is_read_only=True, era=self.era)
         is_counted_as_held = self.free > 0 or not self._is_spending_reported
-        if not is_counted_as_held or now - self.updated_at < self.refresh_interval_s:
+        is_watched = is_counted_as_held or (self.era > 0 and self.granted > 0)
+        if not is_watched or now - self.updated_at < self.refresh_interval_s:
             return None
-        return Transfer(number=self.number, is_read_only=True)
+        return Transfer(number=self.number, is_read_only=True, era=self.era)
 
     def limit_raised(self) -> None:
         """Record that a configuration has raised the limit."""
@@ -269,20 +287,42 @@
     def plan_return(self) -> Transfer | None:
         """Return the pending transfer, or one that hands back all free tokens.
 
-        Returns None if there is neither.
+        Returns None if there is neither, and the grant is stated.
         """
-        if self.pending is not None or self.free <= 0:
+        if self.pending is not None or (self.free <= 0 and self.is_stated):
             return self.pending
         self.number += 1
         self.pending = Transfer(
             number=self.number,
-            returned=self.free,
+            returned=max(0, self.free),
             spent=self.spent + self.reserved,
+            era=self.era,
+            total=self.granted,
+            is_restatement=not self.is_stated,
         )
         return self.pending
 
+    def begin_era(self, era: int) -> None:
+        """Note a new era of the store; the grant must be stated again."""
+        if era <= self.era:
+            return
+        self.era = era
+        if self.number:
+            self._restate()
+
+    def _restate(self) -> None:
+        self.is_stated = False
+        if self.pending is not None:
+            self.pending = msgspec.structs.replace(
+                self.pending, era=self.era, total=self.granted, is_restatement=True
+            )
+
     def update(self, view: BalanceView, *, now: float) -> None:
         """Store the ledger's state of the balance; end a confirmed transfer."""
+        if view.era < self.era:
+            # Its sender doesn't know yet that the store has lost what it tells.
+            return
+        self.begin_era(view.era)
         self.refresh_interval_s = self._refresh_interval(view.available, now)
         is_first = self.rest is None
         self.part = (
@@ -292,15 +332,22 @@
         )
         # Routers that start together don't know their parts yet.
         self.limit_allowance = 0 if is_first else _limit_allowance(view)
-        self.rest = view.available
-        self.rest_of_others = view.unspent_by_others
+        self.is_settling = view.is_settling
+        # Nothing can be had until the balance is settled, but it isn't used up.
+        self.rest = 0 if view.is_settling else view.available
+        self.rest_of_others = view.limit if view.is_settling else view.unspent_by_others
         self.routers = view.routers
         self.is_short = view.is_short
         self.written_off = view.written_off
         self.updated_at = now
         grant = view.grant
-        if grant is None or self.pending is None or grant.number < self.number:
+        is_stated = grant is not None and grant.era >= self.era
+        if self.era and self.granted and not is_stated:
+            # A late write of an earlier era can undo what was stated in this one.
+            self._restate()
+        if not is_stated or self.pending is None or grant.number < self.number:
             return
+        self.is_stated = True
         self.granted = grant.total
         self._reported_spent = grant.spent
         self.witness = grant.witness
@@ -365,9 +412,17 @@
 
     def __init__(self):
         self.by_organisation: dict[str, LocalBalance] = {}
+        self._era = 0
+
+    def begin_era(self, era: int) -> None:
+        """Note the era of the store; see ``LocalBalance.begin_era``."""
+        self._era = max(era, self._era)
+        for balance in self.by_organisation.values():
+            balance.begin_era(era)
 
     def get_or_create(self, organisation: str, *, now: float) -> LocalBalance:
         balance = self.by_organisation.get(organisation)
         if balance is None:
-            balance = self.by_organisation[organisation] = LocalBalance(now=now)
+            balance = LocalBalance(now=now, era=self._era)
+            self.by_organisation[organisation] = balance
         return balance
--- a/src/lavenderfold/escrow/_orders.py
+++ b/src/lavenderfold/escrow/_orders.py
@@ -2,7 +2,13 @@
 
 import msgspec
 
-from lavenderfold.escrow._ledger import Balance, Grant, Transfer, router_name
+from lavenderfold.escrow._ledger import (
+    Balance,
+    Grant,
+    Transfer,
+    WitnessedSpending,
+    router_name,
+)
 
 
 class LedgerUnavailableError(Exception):
@@ -36,13 +42,16 @@
     """The transfers and reclaims of one holder, applied together.
 
     Each organisation with a transfer has a limit; ValueError is raised otherwise.
-    Orders are idempotent.
+    Orders are idempotent. A relay sends ``witnessed`` with the new ``era`` of the store
+    after a rollback.
     """
 
     holder: str
     limit_by_organisation: dict[str, Limit] = msgspec.field(default_factory=dict)
     transfer_by_organisation: dict[str, Transfer] = msgspec.field(default_factory=dict)
     reclaims: list[Reclaim] = msgspec.field(default_factory=list)
+    witnessed: list[WitnessedSpending] = msgspec.field(default_factory=list)
+    era: int = 0
 
     def __post_init__(self):
         without_limit = (
@@ -54,10 +63,16 @@
     @property
     def is_read_only(self) -> bool:
         """Return whether it only asks for the state of balances."""
-        return not self.reclaims and all(
+        return not (self.reclaims or self.witnessed) and all(
             each.is_read_only for each in self.transfer_by_organisation.values()
         )
 
+    @property
+    def newest_era(self) -> int:
+        """Return the newest era of the store that its sender knows."""
+        eras = (each.era for each in self.transfer_by_organisation.values())
+        return max(eras, default=self.era)
+
     @property
     def is_urgent(self) -> bool:
         """Return whether requests are waiting for one of its transfers."""
@@ -87,7 +102,8 @@
     router lately waited for more than was available. ``written_off`` is that of the
     balance, and ``granted_to_all`` the sum of the totals of its grants. ``limit`` is
     0 if the sender doesn't tell it. ``unresolved`` are the most tokens that may still
-    be written off: the unspent ones of routers' earlier incarnations.
+    be written off: the unspent ones of routers' earlier incarnations. ``era`` is the
+    store's era; while ``is_settling``, nothing is granted after a rollback.
     """
 
     available: int
@@ -99,10 +115,15 @@
     granted_to_all: int = 0
     limit: int = 0
     unresolved: int = 0
+    era: int = 0
+    is_settling: bool = False
 
     @classmethod
-    def of(cls, balance: Balance, holder: str) -> "BalanceView":
-        return BalanceSummary(balance=balance).view(holder)
+    def of(
+        cls, balance: Balance, holder: str, *, era: int = 0, is_settling: bool = False
+    ) -> "BalanceView":
+        summary = BalanceSummary(balance=balance, era=era, is_settling=is_settling)
+        return summary.view(holder)
 
 
 class BalanceSummary:
@@ -118,10 +139,21 @@
         "_granted",
         "_routers",
         "_is_short",
+        "_era",
+        "_is_settling",
         "_unresolved",
     )
 
-    def __init__(self, *, balance: Balance, is_short: bool = False):
+    def __init__(
+        self,
+        *,
+        balance: Balance,
+        is_short: bool = False,
+        era: int = 0,
+        is_settling: bool = False,
+    ):
+        self._era = era
+        self._is_settling = is_settling
         grants = balance.grant_by_holder
         self._balance = balance
         self._is_short = is_short
@@ -146,6 +178,8 @@
             granted_to_all=self._granted,
             limit=self._balance.limit,
             unresolved=self._unresolved,
+            era=self._era,
+            is_settling=self._is_settling,
         )
 
 
--- a/src/lavenderfold/escrow/_page_codec.py
+++ b/src/lavenderfold/escrow/_page_codec.py
@@ -43,10 +43,25 @@
     written_off: int = 0
 
 
+class _StoredEras(msgspec.Struct, frozen=True, array_like=True):
+    """The eras of a page and its grants.
+
+    ``grant_era`` is that of all grants but those listed, by organisation and holder.
+    """
+
+    era: int
+    first_era: int
+    grant_era: int
+    other_eras: dict[str, dict[int, int]]
+
+
 class _StoredPage(msgspec.Struct, frozen=True, array_like=True):
+    """A page; those of earlier versions, and of a store without eras, have none."""
+
     format_version: int
     holders: list[_StoredHolder]
     balance_by_organisation: dict[str, _StoredBalance]
+    eras: _StoredEras | None = None
 
 
 # Holder, witness and address of the witness, the fields of a _StoredHolder.
@@ -66,7 +81,34 @@
         for organisation, balance in page.balance_by_organisation.items()
     }
     holders = [_StoredHolder(*fields) for fields in index_by_holder]
-    return _encoder.encode(_StoredPage(FORMAT_VERSION, holders, stored_balances))
+    stored = [FORMAT_VERSION, holders, stored_balances]
+    eras = _stored_eras(page, index_by_holder)
+    if eras is not None:
+        stored.append(eras)
+    return _encoder.encode(stored)
+
+
+def _stored_eras(
+    page: LedgerPage, index_by_holder: dict[_HolderFields, int]
+) -> _StoredEras | None:
+    """Return the eras to store, or None if all of them are 0."""
+    grants = [
+        (organisation, index_by_holder[_holder_fields(name, grant)], grant.era)
+        for organisation, balance in page.balance_by_organisation.items()
+        for name, grant in balance.grant_by_holder.items()
+    ]
+    newest = max((era for _, _, era in grants), default=0)
+    if not (page.era or page.first_era or newest):
+        return None
+    other_eras: dict[str, dict[int, int]] = {}
+    for organisation, index, era in grants:
+        if era != newest:
+            other_eras.setdefault(organisation, {})[index] = era
+    return _StoredEras(page.era, page.first_era, newest, other_eras)
+
+
+def _holder_fields(name: str, grant: Grant) -> _HolderFields:
+    return name, grant.witness, grant.witness_address
 
 
 def decode_page(value: bytes) -> LedgerPage:
@@ -79,14 +121,15 @@
         raise LedgerDecodeError(str(error)) from error
     if stored.format_version != FORMAT_VERSION:
         raise LedgerDecodeError(f"unknown format version {stored.format_version}")
+    eras = stored.eras or _StoredEras(0, 0, 0, {})
     try:
         balances = {
-            organisation: _balance(balance, stored.holders)
+            organisation: _balance(balance, stored.holders, organisation, eras)
             for organisation, balance in stored.balance_by_organisation.items()
         }
     except IndexError as error:
         raise LedgerDecodeError("a grant refers to a missing holder") from error
-    return LedgerPage(balances)
+    return LedgerPage(balances, eras.era, eras.first_era)
 
 
 def _is_array(value: bytes) -> bool:
@@ -99,7 +142,7 @@
 ) -> _StoredBalance:
     grants = []
     for name, grant in balance.grant_by_holder.items():
-        holder = (name, grant.witness, grant.witness_address)
+        holder = _holder_fields(name, grant)
         index = index_by_holder.setdefault(holder, len(index_by_holder))
         grants.append(_StoredGrant(index, grant.total, grant.spent, grant.number))
     return _StoredBalance(
@@ -111,7 +154,13 @@
     )
 
 
-def _balance(stored: _StoredBalance, holders: list[_StoredHolder]) -> Balance:
+def _balance(
+    stored: _StoredBalance,
+    holders: list[_StoredHolder],
+    organisation: str,
+    eras: _StoredEras,
+) -> Balance:
+    other_eras = eras.other_eras.get(organisation, {})
     grant_by_holder = {}
     for grant in stored.grants:
         if grant.holder < 0:
@@ -123,6 +172,7 @@
             number=grant.number,
             witness=holder.witness,
             witness_address=holder.witness_address,
+            era=other_eras.get(grant.holder, eras.grant_era),
         )
     return Balance(
         limit=stored.limit,
--- a/src/lavenderfold/escrow/_pages.py
+++ b/src/lavenderfold/escrow/_pages.py
@@ -18,6 +18,8 @@
     SharedStore,
     SharedStoreError,
     WriteConflictError,
+    WriteUncertainError,
+    era_of,
 )
 
 # A write without an answer is read back after this time, or after this many times the
@@ -42,11 +44,17 @@
 
 
 class LedgerPages:
-    """The ledger pages as last read or written, by key."""
+    """The ledger pages as last read or written, by key.
+
+    ``era`` is the newest era of the store that was seen in their revisions.
+    """
 
     def __init__(self, *, store: SharedStore, prefix: str):
         self.prefix = prefix
+        self.era = 0
         self._store = store
+        self._has_read = False
+        self._has_era_changed = False
         self._page_by_key: dict[str, _CachedPage] = {}
         self._usual_write_s = 0.0
 
@@ -69,12 +77,28 @@
         except SharedStoreError as error:
             logger.info("ledger_unreachable", extra={"cause": str(error)})
             return False
+        era = era_of(listing.revision)
+        self._record_era(era)
         self.install(listing.items)
+        # Pages that aren't in a listing of a new era are lost.
+        self._page_by_key = {
+            key: page
+            for key, page in self._page_by_key.items()
+            if era_of(page.revision) >= era
+        }
         return True
 
+    def _record_era(self, era: int) -> None:
+        if era > self.era:
+            self._has_era_changed = self._has_read
+            self.era = era
+            logger.info("ledger_era", extra={"era": era, "is_new": self._has_read})
+        self._has_read = True
+
     def install(self, items: list[Item]) -> None:
         """Cache the pages that are newer than the cached ones."""
         for item in items:
+            self._record_era(era_of(item.revision))
             known = self._page_by_key.get(item.key)
             if known is not None and item.revision <= known.revision:
                 if item.revision == known.revision:
@@ -97,16 +121,29 @@
         draft = draft_by_key.get(key)
         if draft is None:
             known = self.content(key)
-            balances = known.balance_by_organisation if known else {}
-            draft = draft_by_key[key] = LedgerPage(dict(balances))
+            if known is None:
+                era = self.era if self._is_new_ledger() else 0
+                draft = LedgerPage(era=era, first_era=era)
+            else:
+                balances = dict(known.balance_by_organisation)
+                draft = LedgerPage(balances, known.era, known.first_era)
+            draft_by_key[key] = draft
         return draft
 
+    def _is_new_ledger(self) -> bool:
+        """Return whether a missing page was never written, rather than lost."""
+        return not self._has_era_changed and all(
+            page.content.first_era == self.era for page in self._page_by_key.values()
+        )
+
     async def commit(self, draft_by_key: dict[str, LedgerPage]) -> None:
         """Write drafts if the cached pages are current.
 
         If the answer takes unusually long, the pages are read meanwhile: a write that
-        is seen in them needs no answer. Raises the errors of the store's ``write``.
+        is seen in them needs no answer. Raises the errors of the store's ``write``,
+        and WriteUncertainError if a new era began before the write.
         """
+        era = self.era
         writes = [
             ConditionalWrite(key, encode_page(draft), self._revision(key))
             for key, draft in draft_by_key.items()
@@ -127,6 +164,9 @@
             # The pages were read back and are cached.
             return
         self._record_write_time(trio.current_time() - started_at)
+        if era_of(revision) != era:
+            # A draft without a page before it meets no conflict in a new era.
+            raise WriteUncertainError("a new era began before the write")
         for key, draft in draft_by_key.items():
             # A page that was read meanwhile may be newer than the write.
             if self._revision(key) < revision:
--- a/src/lavenderfold/escrow/_witness.py
+++ b/src/lavenderfold/escrow/_witness.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from lavenderfold.escrow._ledger import WitnessedSpending
 from lavenderfold.http import CallFailedError, PeerClient
 from lavenderfold.settings import Address
 
@@ -21,6 +22,9 @@
 # a second, and other relays are reached over the same link.
 CALL_TIMEOUT_S = 0.7
 CONNECT_TIMEOUT_S = 0.6
+# A copy to which the store goes back is some seconds old, and a living router sends a
+# statement each 0.5 s. Of a holder that was silent for this time nothing is lost.
+RECENT_STATEMENT_S = 60.0
 
 logger = logging.getLogger(__name__)
 
@@ -54,9 +58,10 @@
     def __init__(self, *, incarnation: str):
         self._incarnation = incarnation
         self._statement_by_holder: dict[str, Statement] = {}
+        self._recorded_at_by_holder: dict[str, float] = {}
         self._sealed_holders: set[str] = set()
 
-    def record(self, statement: Statement) -> bool:
+    def record(self, statement: Statement, *, now: float = 0.0) -> bool:
         """Store a statement; return False if it must not be acknowledged."""
         if (
             statement.witness != self._incarnation
@@ -67,8 +72,19 @@
         if known is not None and statement.sequence <= known.sequence:
             return False
         self._statement_by_holder[statement.holder] = statement
+        self._recorded_at_by_holder[statement.holder] = now
         return True
 
+    def recent_spending(self, *, now: float) -> list[WitnessedSpending]:
+        """Return what holders stated lately, to be restated after a rollback."""
+        return [
+            WitnessedSpending(organisation, holder, tokens)
+            for holder, statement in self._statement_by_holder.items()
+            if now - self._recorded_at_by_holder[holder] <= RECENT_STATEMENT_S
+            for organisation, tokens in statement.tokens_by_organisation.items()
+            if tokens > 0
+        ]
+
     def seal(self, seal: Seal) -> dict[str, int] | None:
         """Accept no more statements of a holder and return the tokens of its last one.
 
@@ -82,12 +98,14 @@
         return statement.tokens_by_organisation if statement else {}
 
 
-def answer_call(records: WitnessRecords, path: str, body: bytes) -> tuple[int, bytes]:
+def answer_call(
+    records: WitnessRecords, path: str, body: bytes, *, now: float = 0.0
+) -> tuple[int, bytes]:
     """Handle an HTTP call to a witness; return the status and body of the response."""
     try:
         if path == STATEMENT_PATH:
             statement = msgspec.json.decode(body, type=Statement)
-            return (200 if records.record(statement) else 409), b""
+            return (200 if records.record(statement, now=now) else 409), b""
         if path == SEAL_PATH:
             tokens = records.seal(msgspec.json.decode(body, type=Seal))
             return 200, msgspec.json.encode(tokens)
--- a/src/lavenderfold/escrow/_writer.py
+++ b/src/lavenderfold/escrow/_writer.py
@@ -11,11 +11,13 @@
     Balance,
     LedgerPage,
     Transfer,
+    WitnessedSpending,
     page_key,
     reclaim_all,
     router_name,
     transfer_all,
     with_limit,
+    with_witnessed,
 )
 from lavenderfold.escrow._orders import (
     BalanceSummary,
@@ -43,6 +45,14 @@
 # For this time after requests waited for more than was available, all routers are told
 # to hand back what they don't use.
 SHORTAGE_S = 2.0
+# After the store went back to an older copy nothing is granted for this time, in which
+# holders state their grants again. A router asks for the state of its balances each 2 s
+# and a combiner may answer from pages that are 2 s old; an order and its repetition add
+# up to 1.5 s. Routers hold tokens for 8 s.
+SETTLING_S = 6.0
+# Holders that are in the copy and haven't stated their grants are waited for this long:
+# routers are cut off for up to 9 s. Those of routers that never return end it.
+MAX_SETTLING_S = 20.0
 # Read-only orders are answered from pages that were read or written this recently.
 MAX_READ_AGE_S = 2.0
 
@@ -70,6 +80,8 @@
         self._conflict_limit_s = conflict_limit_s
         self._competitors = competitors
         self._short_at_by_organisation: dict[str, float] = {}
+        self._newest_limit_by_organisation: dict[str, Limit] = {}
+        self._unsettled_since_by_key: dict[str, tuple[int, float]] = {}
 
     async def apply(self, orders: list[LedgerOrder]) -> list[dict[str, BalanceView]]:
         """Apply orders; return the resulting views of each, by organisation.
@@ -78,6 +90,9 @@
         LedgerContendedError if that is because of other writers.
         """
         gives_up_at = trio.current_time() + self._conflict_limit_s
+        newest_era = max((each.newest_era for each in orders), default=0)
+        if newest_era > self._pages.era and not await self._pages.load():
+            raise LedgerUnavailableError("the ledger can't be read in its new era")
         if all(each.is_read_only for each in orders):
             await self._refresh_pages(orders)
         for attempt in range(MAX_WRITE_ATTEMPTS):
@@ -122,15 +137,63 @@
     def _draft(self, orders: list[LedgerOrder]) -> dict[str, LedgerPage]:
         draft_by_key: dict[str, LedgerPage] = {}
         for organisation, transfers in _transfers_by_organisation(orders).items():
-            limit = _newest_limit(orders, organisation)
+            limit = self._newest_limit(orders, organisation)
             self._draft_transfers(draft_by_key, organisation, limit, transfers)
+        for organisation, witnessed in _witnessed_by_organisation(orders).items():
+            self._draft_witnessed(draft_by_key, organisation, witnessed)
         for organisation, reclaims in _reclaims_by_organisation(orders).items():
             balances = self._page(draft_by_key, organisation).balance_by_organisation
             if organisation in balances:
-                changed = reclaim_all(balances[organisation], reclaims)
+                changed = reclaim_all(
+                    balances[organisation], reclaims, era=self._pages.era
+                )
                 balances[organisation] = changed
+        # What is restated in this batch counts before anything is granted.
+        for key, draft in draft_by_key.items():
+            self._settle(key, draft)
         return draft_by_key
 
+    def _draft_witnessed(
+        self,
+        draft_by_key: dict[str, LedgerPage],
+        organisation: str,
+        witnessed: list[WitnessedSpending],
+    ) -> None:
+        balances = self._page(draft_by_key, organisation).balance_by_organisation
+        # A lost balance gets its limit with the first transfer.
+        balance = balances.get(organisation, Balance(limit=0, limit_version=-1))
+        changed = with_witnessed(balance, witnessed, era=self._pages.era)
+        if changed != balance:
+            balances[organisation] = changed
+
+    def _settle(self, key: str, draft: LedgerPage) -> None:
+        """Allow grants from a page once its holders had the time to state theirs."""
+        era, now = self._pages.era, trio.current_time()
+        if draft.era >= era:
+            self._unsettled_since_by_key.pop(key, None)
+            return
+        since_era, since = self._unsettled_since_by_key.get(key, (0, now))
+        if since_era != era:
+            since = now
+            self._unsettled_since_by_key[key] = era, now
+        is_restated = draft.is_restated(era)
+        if now - since < (SETTLING_S if is_restated else MAX_SETTLING_S):
+            return
+        draft.era = era
+        fields = {"key": key, "era": era, "is_restated": is_restated}
+        logger.warning("ledger_page_settled", extra=fields)
+
+    def _newest_limit(self, orders: list[LedgerOrder], organisation: str) -> Limit:
+        """Return the limit of the newest configuration that this process was told.
+
+        A page of an older copy, and a router that starts from one, may lag behind.
+        """
+        limit = _newest_limit(orders, organisation)
+        known = self._newest_limit_by_organisation.get(organisation, limit)
+        newest = max(known, limit, key=lambda each: each.version)
+        self._newest_limit_by_organisation[organisation] = newest
+        return newest
+
     def _draft_transfers(
         self,
         draft_by_key: dict[str, LedgerPage],
@@ -144,7 +207,12 @@
             limit=limit.tokens,
             version=limit.version,
         )
-        page.balance_by_organisation[organisation] = transfer_all(balance, transfers)
+        page.balance_by_organisation[organisation] = transfer_all(
+            balance,
+            transfers,
+            era=self._pages.era,
+            can_grant=page.era >= self._pages.era,
+        )
 
     def _page(
         self, draft_by_key: dict[str, LedgerPage], organisation: str
@@ -187,14 +255,19 @@
 
     def _summary(self, organisation: str) -> BalanceSummary:
         short_at = self._short_at_by_organisation.get(organisation, -math.inf)
+        page = self._content(organisation)
         return BalanceSummary(
-            balance=self._balance(organisation),
+            balance=page.balance_by_organisation[organisation],
             is_short=trio.current_time() - short_at < SHORTAGE_S,
+            era=self._pages.era,
+            is_settling=page.era < self._pages.era,
         )
 
+    def _content(self, organisation: str) -> LedgerPage:
+        return self._pages.content(page_key(self._pages.prefix, organisation))
+
     def _balance(self, organisation: str) -> Balance:
-        page = self._pages.content(page_key(self._pages.prefix, organisation))
-        return page.balance_by_organisation[organisation]
+        return self._content(organisation).balance_by_organisation[organisation]
 
     def _record_shortages(self, orders: list[LedgerOrder]) -> None:
         """Note which balances could not cover the requests that wait."""
@@ -238,6 +311,16 @@
     return reclaims
 
 
+def _witnessed_by_organisation(
+    orders: list[LedgerOrder],
+) -> dict[str, list[WitnessedSpending]]:
+    """Return what the witnesses of a batch know, by organisation."""
+    witnessed: dict[str, list[WitnessedSpending]] = {}
+    for each in (each for order in orders for each in order.witnessed):
+        witnessed.setdefault(each.organisation, []).append(each)
+    return witnessed
+
+
 def _newest_limit(orders: list[LedgerOrder], organisation: str) -> Limit:
     """Return an organisation's limit of the newest configuration in a batch."""
     limits = [
--- a/src/lavenderfold/relay/_relay.py
+++ b/src/lavenderfold/relay/_relay.py
@@ -10,7 +10,9 @@
 from lavenderfold.escrow import (
     ORDER_PATH,
     WITNESS_PREFIX,
+    LedgerOrder,
     LedgerPages,
+    LedgerUnavailableError,
     LedgerWriter,
     OrderCombiner,
     WitnessRecords,
@@ -116,6 +118,7 @@
             nursery.start_soon(self._combiner.run)
             nursery.start_soon(self._hub.run)
             nursery.start_soon(self._stay_registered, address)
+            nursery.start_soon(self._restate_spending)
             task_status.started(address)
 
     async def _stay_registered(self, address: Address) -> None:
@@ -125,6 +128,25 @@
             # Before the first call the era isn't known.
             await self._era.wait_for_later(era or self._era.current)
 
+    async def _restate_spending(self) -> None:
+        """Tell the ledger what routers have spent each time the store goes back."""
+        era = 0
+        while True:
+            era = await self._era.wait_for_later(era)
+            order = LedgerOrder(
+                holder=self._incarnation,
+                witnessed=self._witness.recent_spending(now=self._timers.now()),
+                era=era,
+            )
+            while order.witnessed:
+                try:
+                    await self._combiner.submit(order)
+                    break
+                except LedgerUnavailableError as error:
+                    fields = {"era": era, "cause": str(error)}
+                    logger.info("spending_not_restated", extra=fields)
+                    await trio.sleep(REGISTER_RETRY_S)
+
     async def _register(self, address: Address) -> None:
         key = f"{self._options.prefix}{self._options.name}"
         while True:
@@ -156,7 +178,9 @@
 
     async def _answer(self, request: HttpRequest, writer: ResponseWriter) -> None:
         if request.path.startswith(WITNESS_PREFIX):
-            status, body = answer_call(self._witness, request.path, request.body)
+            status, body = answer_call(
+                self._witness, request.path, request.body, now=self._timers.now()
+            )
             await writer.send(HttpResponse(status=status, body=body))
             return
         if request.path == ORDER_PATH:
--- a/src/lavenderfold/shared/__init__.py
+++ b/src/lavenderfold/shared/__init__.py
@@ -15,6 +15,7 @@
 from lavenderfold.shared._relay_refusals import RelayRefusals
 from lavenderfold.shared._relay_selector import RelaySelector, in_region, near_store
 from lavenderfold.shared._relays import Relay, RelayDirectory, RelayRecord
+from lavenderfold.shared._revisions import REVISION_BITS, era_of
 from lavenderfold.shared._store import (
     Change,
     Changes,
@@ -52,7 +53,9 @@
     "SharedStoreError",
     "StoreCall",
     "StoreCallCounter",
+    "REVISION_BITS",
     "StoreEra",
+    "era_of",
     "WriteConflictError",
     "WriteRefusedError",
     "WriteUncertainError",
--- a/tests/test_held_tokens.py
+++ b/tests/test_held_tokens.py
@@ -87,7 +87,7 @@
 def test_view_of_an_older_relay_gives_the_share_of_the_rest():
     """It doesn't tell the limit; routers must not hold more than they may then."""
     view = BalanceView.of(balance_with(left=0.5), "router-0/1")
-    fields = msgspec.to_builtins(view)[:-2]
+    fields = msgspec.to_builtins(view)[: BalanceView.__struct_fields__.index("limit")]
     local_balance = LocalBalance(now=0.0)
     for now in (0.0, 1.0):
         local_balance.update(msgspec.convert(fields, BalanceView), now=now)
