Word the new modules' comments for a newcomer

Change: they now state what a value or function does and why. Public functions of two benches and some public methods get docstrings. Comments and docstrings only.

--- a/bench/caller_memory.py
+++ b/bench/caller_memory.py
@@ -51,6 +51,7 @@
 
 
 def processor_s(process) -> float:
+    """Return the processor time that a process has used."""
     fields = Path(f"/proc/{process.child.pid}/stat").read_text().split()
     return (int(fields[13]) + int(fields[14])) / os.sysconf("SC_CLK_TCK")
 
--- a/bench/stale_choices.py
+++ b/bench/stale_choices.py
@@ -1,4 +1,4 @@
-"""Evenness of load by the way targets are chosen, with knowledge that is old.
+"""Evenness of load under several balancing policies, with stale observations.
 
 One function drives targets with slots, queues and prompt caches by the choices of many
 choosers. Run: python -m bench.stale_choices [seconds]
@@ -26,6 +26,7 @@
 
 
 def make_targets(number: int) -> list[Target]:
+    """Return targets of one service."""
     return [
         Target(id=f"t{n}", service="s", host="h", port=1, domain="d", slots=SLOTS)
         for n in range(number)
@@ -33,19 +34,21 @@
 
 
 def make_demand(prefix: str | None) -> Demand:
+    """Return the demand of a request with this prompt prefix."""
     parts = () if prefix is None else ((prefix, PREFIX_TOKENS),)
     tokens = OWN_TOKENS + PREFIX_TOKENS * len(parts)
     return Demand("s", parts, tokens, tokens + OUTPUT_TOKENS)
 
 
 def draw_prefix(rng: random.Random) -> str | None:
+    """Return the prompt prefix of a random request, None if it shares none."""
     if rng.random() >= PREFIX_SHARE:
         return None
     return "p0" if rng.random() < HOT_SHARE else f"p{rng.randrange(1, PREFIXES)}"
 
 
 class SimulatedTarget:
-    """Slots with a queue, and the prompt prefixes that were read lately."""
+    """Slots with a queue, and the prompt prefixes that were read recently."""
 
     def __init__(self, speed: float):
         self.speed = speed
@@ -66,9 +69,11 @@
         return begins_at + FIRST_S / self.speed, ends_at, is_read
 
 
-# Policies return a function that returns the index of a target, and what learns of the
-# first event and of the end.
+# A policy returns a function that chooses a target. This function returns the index of
+# the target and two callbacks, for the first event and for the end.
 def by_reports(rule: Callable[[list[int], random.Random], int]) -> Callable:
+    """Return a policy that applies a rule to the reported loads."""
+
     def make(choosers: int, age_s: float) -> Callable:
         return lambda chooser, prefix, loads, rng, now: (rule(loads, rng), abs, abs)
 
@@ -76,14 +81,17 @@
 
 
 def least(loads: list[int], rng: random.Random) -> int:
+    """Return a target with the least load."""
     return min(range(TARGETS), key=lambda each: (loads[each], rng.random()))
 
 
 def two_choices(loads: list[int], rng: random.Random) -> int:
+    """Return the less loaded of two random targets."""
     return min(rng.sample(range(TARGETS), 2), key=lambda each: loads[each])
 
 
 def randomised_rank(loads: list[int], rng: random.Random) -> int:
+    """Return a random target of the least loaded third."""
     ranked = sorted(range(TARGETS), key=lambda each: (loads[each], rng.random()))
     return rng.choice(ranked[: TARGETS // 3])
 
--- a/src/lavenderfold/admission/__init__.py
+++ b/src/lavenderfold/admission/__init__.py
@@ -1,4 +1,4 @@
-"""Admission of requests while capacity is scarce, and when refused ones come back."""
+"""Admission control of overloaded services, and Retry-After of refused requests."""
 
 from lavenderfold.admission._gate import AdmissionGate
 from lavenderfold.admission._retry_after import CALLER_WAIT_SHARE, retry_after_s
--- a/src/lavenderfold/admission/_gate.py
+++ b/src/lavenderfold/admission/_gate.py
@@ -1,4 +1,4 @@
-"""Has requests wait for their admission to a service."""
+"""Suspends the tasks of requests until they are admitted to a service."""
 
 import trio
 
--- a/src/lavenderfold/admission/_limit.py
+++ b/src/lavenderfold/admission/_limit.py
@@ -8,10 +8,10 @@
 # More than a router ever has in progress, so that nothing is limited until targets show
 # that they have no room.
 START_LIMIT = 1000.0
-# With less in progress a router would no longer learn how the targets are.
+# With less in progress a router gets too few answers to know the state of the targets.
 MIN_LIMIT = 4.0
-# The limit is lowered to this part of what is in progress, once per period, because
-# the targets answer to a lower limit only after a while.
+# The limit is lowered to this part of what is in progress, at most once per period,
+# because a lower limit takes some time to relieve the targets.
 LOWER_FACTOR = 0.85
 LOWER_PERIOD_S = 0.5
 # The limit rises by this with each request that is served in time, so that it grows by
@@ -20,12 +20,13 @@
 HOLD_S = 1.0
 # After this time without congestion, a limit of which less than half is used is lifted.
 RECOVERY_S = 3.0
-# Congestion is this many signals, and this part of all signals, within the window. Of
-# several targets in a service, one that is slow or rejects is less than that.
+# A service is congested if at least this many signals within the window, and at least
+# this part of all of them, say so. One slow target of several gives fewer.
 WINDOW_S = 2.0
 MIN_SIGNALS = 3
 MIN_SHARE = 0.25
-# One target alone is avoided by the choice of targets, and is no lack of room.
+# A single congested target is avoided by the choice of targets, and doesn't show that
+# the service lacks capacity.
 MIN_TARGETS = 2
 
 
@@ -47,6 +48,7 @@
 
     @property
     def is_lowered(self) -> bool:
+        """Whether the limit is below its initial value."""
         return self.value < START_LIMIT
 
     def record_served(self, target_id: str, *, now: float) -> None:
--- a/src/lavenderfold/admission/_service_admission.py
+++ b/src/lavenderfold/admission/_service_admission.py
@@ -14,14 +14,14 @@
 # Weights of the newest request in the moving averages.
 TOKENS_WEIGHT = 0.05
 HOLD_WEIGHT = 0.1
-# A request counts as this many mean requests at least and at most, so that many short
-# ones don't pass as nothing and a long one isn't the whole limit.
+# A request counts as this many mean requests at least and at most, so that short ones
+# aren't free and a long one doesn't use up the whole limit.
 MIN_SIZE = 0.25
 MAX_SIZE = 4.0
 
 
 class EntryState(enum.Enum):
-    """Where a request is: before, in or after its service. REFUSED ends as well."""
+    """The state of a request. A refused one becomes ENDED as well."""
 
     NEW = "new"
     QUEUED = "queued"
@@ -35,8 +35,9 @@
 
     ``priority`` 0 is the most urgent, ``organisation`` is empty if there is none and
     ``tokens`` None if it isn't stated. ``deadline`` orders requests that are equal
-    otherwise. A request that ``has_begun`` elsewhere isn't queued. ``size`` is that as
-    a multiple of the mean request, and ``admitted_at`` when it was admitted.
+    otherwise. A request that ``has_begun`` elsewhere isn't queued. ``size`` is the
+    number of tokens as a multiple of the mean, within bounds, and ``admitted_at`` the
+    time of the admission.
     """
 
     __slots__ = (
@@ -114,7 +115,7 @@
 
     @property
     def queued(self) -> int:
-        """How many requests wait."""
+        """How many requests are queued."""
         return len(self._queue)
 
     @property
@@ -181,7 +182,7 @@
         if not tokens:
             return
         mean = tokens if self._mean_tokens is None else self._mean_tokens
-        # Callers state any number; one absurd number must not make all others small.
+        # Callers may state any number; an outlier must not make all others small.
         counted = min(tokens, MAX_SIZE * mean)
         self._mean_tokens = mean + TOKENS_WEIGHT * (counted - mean)
         entry.size = min(MAX_SIZE, max(MIN_SIZE, tokens / self._mean_tokens))
@@ -216,11 +217,11 @@
 
     def _release(self, entry: Entry) -> None:
         self._admitted -= 1
-        # Rounding errors don't add up beyond the moments without requests.
+        # Reset when no request is left, so that rounding errors don't accumulate.
         self.used = self.used - entry.size if self._admitted else 0.0
 
     def _update(self, now: float) -> None:
-        """Lift a limit that isn't needed, and admit those that have room."""
+        """Lift a limit that isn't needed, and admit queued requests up to it."""
         if not self._queue:
             self.limit.lift_if_unused(used=self.used, now=now)
         while self._queue and self._has_room:
--- a/src/lavenderfold/admission/_shares.py
+++ b/src/lavenderfold/admission/_shares.py
@@ -1,16 +1,16 @@
-"""Shares of organisations in what a service has served lately."""
+"""Recent usage of a service by organisation."""
 
 import math
 
-# What an organisation got counts less and less with this time constant, so that one
-# that used the service alone isn't held back for long after others return.
+# Usage decays with this time constant, so that an organisation that was the only user
+# of the service isn't held back for long after others return.
 DECAY_S = 5.0
 # The organisations that were served longest ago are forgotten.
 ORGANISATIONS_LIMIT = 1024
 
 
 class OrganisationShares:
-    """Tokens that organisations got lately. Times are in seconds of one clock."""
+    """Decaying counts of admitted tokens. Times are in seconds of one clock."""
 
     __slots__ = ("_tokens_by_name", "_charged_at_by_name")
 
@@ -19,7 +19,7 @@
         self._charged_at_by_name: dict[str, float] = {}
 
     def tokens(self, name: str, *, now: float) -> float:
-        """Return what an organisation got lately."""
+        """Return the decayed count of an organisation."""
         charged_at = self._charged_at_by_name.get(name)
         if charged_at is None:
             return 0.0
--- a/src/lavenderfold/admission/_target_tokens.py
+++ b/src/lavenderfold/admission/_target_tokens.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Hashable
 
-# A target crashes if its requests exceed its memory. A router with few requests never
-# has half of a target's tokens in progress there; one that sends it many may.
+# A target crashes if its requests exceed its memory. Only a router that sends many of
+# them to one target reaches this part of its capacity.
 CAPACITY_SHARE = 0.5
 
 
--- a/src/lavenderfold/balancing/__init__.py
+++ b/src/lavenderfold/balancing/__init__.py
@@ -1,4 +1,4 @@
-"""Choice of targets by expected cost, with knowledge that may be stale."""
+"""Load balancing by expected cost, from observations that may be stale."""
 
 from lavenderfold.balancing._balancer import (
     Balancer,
--- a/src/lavenderfold/balancing/_balancer.py
+++ b/src/lavenderfold/balancing/_balancer.py
@@ -16,34 +16,36 @@
 from lavenderfold.fleet import Target
 
 # The cheapest of so many random targets is taken. The cheapest of all would be the same
-# one for many routers.
+# one for many routers, which would overload it.
 RANDOM_CANDIDATES = 3
-# Among fewer targets than this, two: drawn with replacement, the fastest of three
-# targets is then among them 5 times of 9.
+# Services with fewer targets than this draw FEW_CANDIDATES, with replacement: of three
+# targets the fastest is then drawn 5 times of 9.
 FEW_TARGETS = 8
 FEW_CANDIDATES = 2
 # Of two targets, one with 1.1 times the cost is taken with a probability of 0.36, with
-# twice the cost 0.015. Without that a target which was found a little slower would get
-# nothing, and no evidence of its recovery. Requests with a home are bound closer.
+# twice the cost 0.015. Without this randomness a slightly slower target would get no
+# requests, and its recovery would go unnoticed. The second, stricter exponent holds if
+# any candidate is a home of the prompt.
 COST_EXPONENT = 6.0
 BOUND_COST_EXPONENT = 20.0
 # Homes of one part that are looked at, chosen at random if it has more.
 HOME_CANDIDATES = 3
-# Targets read 40 to 90 prompt tokens a millisecond.
+# Targets prefill 40 to 90 prompt tokens per millisecond.
 READ_TOKENS_PER_S = 60_000.0
-# A part that is read in less than 10 ms doesn't bind a request to a home.
+# Prefill of a smaller part takes less than 10 ms, which isn't worth a preference for
+# the part's homes.
 BINDING_TOKENS = 600
 # The homes of at most so many parts of a prompt, the largest ones, are looked at.
 BINDING_PARTS_LIMIT = 2
-# Reading again delays the caller, and takes as much time from the target's others.
+# Prefill delays the caller, and as much the other requests of the target.
 READ_WEIGHT = 2.0
 # A router's own load tells little of what others have at a target, unless they choose
 # by the same evidence. So each other router counts as this fraction.
 OTHER_ROUTER_WEIGHT = 0.1
 # The mean pause of fewer events says little of a target.
 PAUSE_EVENTS_MIN = 4
-# A target with full slots costs so many usual times more. With less, targets that are
-# a little faster are filled before others get anything.
+# A target with full slots costs so many usual times more. With a smaller weight,
+# slightly faster targets are filled before others get any request.
 LOAD_WEIGHT = 4.0
 # What a run of errors costs, by its square, as a part of the usual time and of the time
 # to read the whole prompt. Parts that a target holds don't outweigh several errors.
@@ -67,8 +69,11 @@
 class CostedTarget(msgspec.Struct, frozen=True):
     """A target with its expected cost in seconds.
 
-    ``evidence`` is what decided: "home", "held" or "cost". ``age_s`` is how long ago
-    the target's delay was last observed, None if never.
+    ``unread_tokens`` are the prompt tokens that the target is expected not to have in
+    its prefix cache. ``evidence`` tells what the expectation is based on: "home" if the
+    target is a home of a part, "held" if this router sent a large part there, else
+    "cost".
+    ``age_s`` is how long ago the target's delay was last observed, None if never.
     """
 
     target: Target
@@ -79,7 +84,12 @@
 
 
 class TargetUse(msgspec.Struct, eq=False):
-    """One request of this router in progress at a target."""
+    """One request of this router in progress at a target.
+
+    ``weight`` is its load relative to the usual request of the service.
+    ``unread_tokens`` are as in CostedTarget, and ``first_at`` is when the first event
+    came.
+    """
 
     record: TargetRecord
     times: ServiceTimes
@@ -143,7 +153,7 @@
     ) -> CostedTarget:
         """Return the cheapest of a few targets: random ones and homes of the prompt."""
         held = _Held(memory=self._memory, demand=demand, now=now)
-        # With replacement: in a service of three, the fastest is drawn 5 times of 9.
+        # With replacement, so that a small service's fastest target isn't always drawn.
         are_few = len(targets) < FEW_TARGETS
         number = FEW_CANDIDATES if are_few else RANDOM_CANDIDATES
         drawn = rng.choices(targets, k=number)
@@ -161,7 +171,7 @@
             return costed[0]
         is_bound = any(each.evidence == "home" for each in costed)
         power = 1 / (BOUND_COST_EXPONENT if is_bound else COST_EXPONENT)
-        # A cost wins with a probability in proportion to its power of the exponent.
+        # Each target wins with a probability in proportion to cost_s ** -exponent.
         return min(costed, key=lambda each: each.cost_s * rng.expovariate(1.0) ** power)
 
     def explain(
--- a/src/lavenderfold/balancing/_delays.py
+++ b/src/lavenderfold/balancing/_delays.py
@@ -87,6 +87,7 @@
         return min(4.0, 0.5 + 0.5 * tokens / max(1.0, self._tokens.value))
 
     def record_tokens(self, tokens: int) -> None:
+        """Add a request's tokens to the average."""
         self._tokens.add(tokens)
 
 
@@ -139,7 +140,7 @@
         return min(FACTOR_LIMIT, waited_s / (OVERDUE_WAITS * usual_s))
 
     def record_factor(self, factor: float, *, now: float) -> None:
-        """Learn from a successful answer that took ``factor`` of the usual time."""
+        """Record an observed time, as a multiple of the usual one."""
         age_s = now - self._aged_at
         self._lasting *= math.exp(-age_s / LASTING_S)
         self._passing *= math.exp(-age_s / PASSING_S)
--- a/src/lavenderfold/balancing/_parts.py
+++ b/src/lavenderfold/balancing/_parts.py
@@ -1,7 +1,8 @@
 """Which targets are expected to hold the shared parts of a prompt.
 
-Routers exchange no messages about that. Each remembers where it sent a part lately,
-and all take the first targets in rendezvous order for the homes of a part.
+Routers exchange no messages about that. Each remembers where it recently sent a part.
+The first targets in a part's rendezvous order, which is the same for all routers, are
+its homes: they should get the requests with this part.
 """
 
 import math
@@ -21,7 +22,7 @@
 PAIRS_LIMIT = 2048
 # Orders kept, one per part, each as long as the list of targets.
 ORDERS_LIMIT = 128
-# A part's share of a router's requests is measured over this time.
+# Time constant of the decaying counts from which a part's share is computed.
 SHARE_S = 10.0
 SHARES_LIMIT = 1024
 # A part has as many homes as targets are needed if it takes up to this fraction of
--- a/src/lavenderfold/direct/_attempt_starter.py
+++ b/src/lavenderfold/direct/_attempt_starter.py
@@ -47,7 +47,7 @@
     """Begins attempts that relay to the same writer, until ``deadline``.
 
     ``deadline`` is a time of the trio clock, ``patience`` that of the caller.
-    ``priority`` is the one that targets are told, if it isn't None.
+    ``priority`` is sent to targets, if it isn't None.
     ``on_relaying`` is called before a part of the answer to any of these attempts is
     relayed.
     """
--- a/src/lavenderfold/direct/_balancing.py
+++ b/src/lavenderfold/direct/_balancing.py
@@ -1,4 +1,4 @@
-"""What the router's requests tell the choice of targets by cost, and ask of it."""
+"""Connects a router's requests with the choice of targets by expected cost."""
 
 import random
 from collections.abc import Iterable
@@ -22,7 +22,7 @@
     AttemptOutcome.FAILED,
 )
 
-# Prompts of targets are far smaller than this.
+# Callers state any number; the prompts that targets accept are far smaller than this.
 TOKENS_LIMIT = 10**7
 # A prompt has a few parts; those after this number don't decide where it goes.
 PARTS_LIMIT = 16
@@ -99,6 +99,7 @@
         self._use_by_id: dict[str, TargetUse] = {}
 
     def record_start(self, target: Target) -> None:
+        """Record that an attempt at a target begins."""
         self._use_by_id[target.id] = self._balancing.balancer.record_send(
             target, self._demand, now=self._balancing.timers.now()
         )
--- a/src/lavenderfold/direct/_caller_api.py
+++ b/src/lavenderfold/direct/_caller_api.py
@@ -140,7 +140,7 @@
         }
         logger.info("request_refused", extra=fields)
         headers = self._services.codec.answer_headers(request.attempt_id)
-        # Without a time the caller may wait for ever.
+        # A caller that states no timeout may wait indefinitely.
         caller_deadline = waits_since + (request.caller_timeout_s or math.inf)
         response = refusal_response(
             refusal,
--- a/src/lavenderfold/direct/_explain_route.py
+++ b/src/lavenderfold/direct/_explain_route.py
@@ -220,7 +220,7 @@
 
 
 def _read_question(query: str) -> _Question:
-    """Raises ValueError if a parameter is missing or invalid."""
+    """Read the query. Raises ValueError if a parameter is missing or invalid."""
     values = {name: texts[-1] for name, texts in parse_qs(query).items()}
     if not values.get("host") or not values.get("path"):
         raise ValueError("host and path are required")
--- a/src/lavenderfold/direct/_request_admission.py
+++ b/src/lavenderfold/direct/_request_admission.py
@@ -1,4 +1,4 @@
-"""Admission of one request to its service, and what its attempts tell of the service.
+"""Admission of one request to its service, and the load signals of its attempts.
 
 It does nothing where all routes of the service have the same priority.
 """
@@ -63,7 +63,7 @@
                 organisation=organisation.name if organisation else "",
                 tokens=request.tokens.worst_case if request.tokens else None,
                 deadline=deadline,
-                # Any caller can send an id, which means nothing on other routes.
+                # Any caller can send a Last-Event-ID; other routes have no use for it.
                 has_begun=route.is_resumable and request.last_event_id is not None,
             )
 
@@ -124,7 +124,7 @@
         is_late = outcome in (AttemptOutcome.SILENT, AttemptOutcome.TIMED_OUT)
         if not is_late or attempt.has_begun_answer or attempt.sent_at is None:
             return
-        # Callers choose their time, so the end of it alone isn't the target's fault.
+        # Callers set their own timeout, so its end alone doesn't show a slow target.
         if self._is_slow(trio.current_time() - attempt.sent_at):
             self._record_congestion(target, "slow")
 
--- a/src/lavenderfold/direct/_request_refusals.py
+++ b/src/lavenderfold/direct/_request_refusals.py
@@ -1,4 +1,4 @@
-"""Refusals of one request, by what is known of its attempts."""
+"""Refusals of one request, depending on the outcomes of its attempts."""
 
 from lavenderfold.direct._outcome import AttemptOutcome
 from lavenderfold.direct._patience import CallerPatience
--- a/src/lavenderfold/escrow/_ledger_outage.py
+++ b/src/lavenderfold/escrow/_ledger_outage.py
@@ -7,8 +7,8 @@
 FAILED_ORDERS = 2
 # An outage is expected to last for at least this time more.
 MIN_EXPECTED_S = 1.0
-# An outage is expected to last for this time in all. A refused caller comes back once,
-# so it's better to come back late than within the outage.
+# An outage is expected to last for this time in all. A refused caller retries only
+# once, so a late retry is better than one within the outage.
 USUAL_OUTAGE_S = 6.0
 
 
--- a/src/lavenderfold/escrow/_local_balances.py
+++ b/src/lavenderfold/escrow/_local_balances.py
@@ -24,9 +24,9 @@
 SURPLUS_FACTOR = 1.6
 # Time constant of the moving average of the spend rate.
 SPEND_RATE_TIME_CONSTANT_S = 3.0
-# All routers together hold at most this fraction of the remaining tokens, or if that is
-# more this fraction of the limit less what was written off, because held tokens are
-# lost if the routers die together with their witnesses.
+# All routers together hold at most the first fraction of the remaining tokens, or the
+# second fraction of the limit less what was written off, whichever is more. Held tokens
+# are lost if the routers die together with their witnesses.
 HELD_SHARE_OF_REMAINING = 0.02
 HELD_SHARE_OF_LIMIT = 0.02
 # The share of the limit shrinks to this fraction of the remaining tokens: near the end
@@ -74,12 +74,12 @@
     ``is_short``, no tokens are held for later requests. ``refresh_interval_s`` is the
     age at which these figures are too old to decide how many tokens to keep.
 
-    ``limit_allowance`` is what all routers may hold by the limit: 2% of it, less what
-    was written off or still may be. What kills of all processes lose is charged to it,
-    so all kills together lose at most 2% of the limit by that rule. A kill at which 2%
-    of what is left are more loses that instead (up to SURPLUS_FACTOR times, since only
-    a larger excess is handed back). The reservations of running requests aren't held
-    tokens; they are lost in addition.
+    ``limit_allowance`` is the part of the limit that all routers may hold: 2% of it,
+    less what was written off or still may be. Tokens that are lost when all processes
+    are killed are written off, so all such losses together stay within these 2%. If 2%
+    of the remaining tokens are more than the allowance, they are the bound of one loss
+    instead (times SURPLUS_FACTOR, since only a larger excess is handed back). The
+    reservations of running requests aren't held tokens; they are lost in addition.
 
     ``era`` is the store's era. In a new one the grant isn't stated until a transfer is
     confirmed: the ledger may lack what was granted lately. While it ``is_settling``
--- a/src/lavenderfold/escrow/_order_sender.py
+++ b/src/lavenderfold/escrow/_order_sender.py
@@ -31,8 +31,8 @@
 
 # Another combiner is asked after this many times the usual time of an order.
 HEDGE_FACTOR = 3.0
-# The usual time before orders have shown it, so that routers that start together don't
-# ask two combiners at once, and its least value.
+# The usual time that is assumed before the first answer, long enough that routers that
+# start together don't ask two combiners at once, and its lower bound.
 FIRST_USUAL_ORDER_S = 0.4
 MIN_USUAL_ORDER_S = 0.1
 # Weight of the newest order in the moving average of their times.
--- a/src/lavenderfold/escrow/_pages.py
+++ b/src/lavenderfold/escrow/_pages.py
@@ -165,7 +165,7 @@
             return
         self._record_write_time(trio.current_time() - started_at)
         if era_of(revision) != era:
-            # A draft without a page before it meets no conflict in a new era.
+            # The write of a new page has no revision to conflict with in a new era.
             raise WriteUncertainError("a new era began before the write")
         for key, draft in draft_by_key.items():
             # A page that was read meanwhile may be newer than the write.
--- a/src/lavenderfold/escrow/_witness.py
+++ b/src/lavenderfold/escrow/_witness.py
@@ -76,7 +76,7 @@
         return True
 
     def recent_spending(self, *, now: float) -> list[WitnessedSpending]:
-        """Return what holders stated lately, to be restated after a rollback."""
+        """Return what holders stated recently, to be restated after a rollback."""
         return [
             WitnessedSpending(organisation, holder, tokens)
             for holder, statement in self._statement_by_holder.items()
--- a/src/lavenderfold/escrow/_writer.py
+++ b/src/lavenderfold/escrow/_writer.py
@@ -184,7 +184,7 @@
         logger.warning("ledger_page_settled", extra=fields)
 
     def _newest_limit(self, orders: list[LedgerOrder], organisation: str) -> Limit:
-        """Return the limit of the newest configuration that this process was told.
+        """Return the limit of the newest configuration that has reached this process.
 
         A page of an older copy, and a router that starts from one, may lag behind.
         """
--- a/src/lavenderfold/fleet/_directory.py
+++ b/src/lavenderfold/fleet/_directory.py
@@ -45,7 +45,7 @@
     """Return whether an incarnation that is known to drain seems to be usable."""
     if known is None or target is None or not known.is_draining:
         return False
-    # Without ``born`` a restarted target can't be told from the one that drained.
+    # Without ``born`` a restarted target looks like the one that drained.
     return target.born == known.born != 0 and not target.is_draining
 
 
--- a/src/lavenderfold/http/_open_connections.py
+++ b/src/lavenderfold/http/_open_connections.py
@@ -8,7 +8,7 @@
 
 from lavenderfold.process_memory import MemoryShare, OutOfMemoryError, ProcessMemory
 
-# What the objects of one connection take, measured on 500 idle ones as 6 KB.
+# Memory of the objects of one connection; those of an idle one take 6 KB.
 CONNECTION_BYTES = 8 * 1024
 LOG_PERIOD_S = 1.0
 
--- a/src/lavenderfold/http/_response_head.py
+++ b/src/lavenderfold/http/_response_head.py
@@ -13,8 +13,8 @@
 def contains_status_line(head: h11.Response | h11.InformationalResponse) -> bool:
     """Return whether the reason phrase or a header's value contains a status line.
 
-    If a torn response stops there, h11 takes the next response's status line for the
-    rest of that text.
+    If a truncated response ends there, h11 takes the next response's status line for
+    the rest of that text.
     """
     values = (bytes(value) for _, value in head.headers)
     return STATUS_LINE.search(b"\n".join((bytes(head.reason), *values))) is not None
--- a/src/lavenderfold/link_traffic.py
+++ b/src/lavenderfold/link_traffic.py
@@ -24,7 +24,7 @@
 class CountedStream(trio.abc.HalfCloseableStream):
     """A TCP connection whose bytes are counted in the traffic of its event loop.
 
-    It has the socket options of ``trio.SocketStream``, which can't be subclassed.
+    Its methods are those of ``trio.SocketStream``, which can't be subclassed.
     """
 
     __slots__ = ("socket", "setsockopt", "getsockopt", "_stream", "_traffic")
--- a/src/lavenderfold/placement/_evacuations.py
+++ b/src/lavenderfold/placement/_evacuations.py
@@ -82,7 +82,7 @@
 
     @property
     def has_returning(self) -> bool:
-        """Whether a domain has returned lately."""
+        """Whether a domain has ended its evacuation within RETURN_S."""
         return bool(self._returned_at_by_domain)
 
     def _end(self, domain: str, now: float) -> None:
--- a/src/lavenderfold/placement/_placement.py
+++ b/src/lavenderfold/placement/_placement.py
@@ -13,7 +13,8 @@
     """Restricts the targets of a service to those that a request may be sent to.
 
     ``region_by_domain`` gives the regions of failure domains. ``is_uncertain`` tells
-    whether targets may have turned cold unnoticed, because nothing was read lately.
+    whether targets may be cold without this router knowing, because their entries
+    haven't been read recently.
     """
 
     __slots__ = ("region_by_domain", "evacuations", "cold", "_is_uncertain")
@@ -50,7 +51,7 @@
 
         Domains that return from an evacuation get a growing share of the attempts, as
         long as other targets are left. While nothing is read from the store, any target
-        may be cold, so those that got no request lately are preferred.
+        may be cold, so those that would have a permit if cold are preferred.
         """
         if self.evacuations.has_returning:
             shares = self.evacuations.share_by_returning_domain(now=now)
--- a/src/lavenderfold/placement/_warm_up.py
+++ b/src/lavenderfold/placement/_warm_up.py
@@ -11,23 +11,25 @@
 
 # Two requests that are sent this far apart reach the target more than a second apart.
 MIN_INTERVAL_S = 1.1
-# With as many routers as the bound allows requests a second, a second without any
-# request of one router must not be rare: at random phases, all of 31 routers send
-# within the same second with a probability of 2**-31.
+# Used if the routers are so many that a request of each within the same second could
+# exceed the bound. At random phases each of them then sends in half of the seconds, so
+# all of 31 routers send within the same second with a probability of 2**-31.
 CROWDED_INTERVAL_S = 2.0
 # The largest fleet of routers, assumed while their number is unknown.
 DEFAULT_ROUTERS = 31
 # Routers that may have joined since the number was learnt.
 JOINING_ROUTERS = 4
-# The number is learnt from the ledger, where some routers may not have appeared yet.
+# Factor by which there may be more routers than are known: the number is read from the
+# ledger, where some routers may not have appeared yet.
 COUNT_RESERVE = 2
 # A rate near 0 would give an infinite interval, which no Retry-After can hold. No
 # target is cold for longer than this.
 MAX_INTERVAL_S = 600.0
-# Another attempt, which has its permit but hasn't been sent, is looked at again after
-# this time.
+# A target is checked again after this time while another attempt holds its permit and
+# hasn't been sent.
 PENDING_RECHECK_S = 0.05
-# An incarnation that lost its entry in an outage is known for this time.
+# How long an incarnation without an entry is remembered, because an outage of the
+# store may have lost the entry.
 RETENTION_S = 600.0
 
 Key = tuple[str, int]
@@ -58,7 +60,9 @@
     ``started_at`` is when it began to be cold for its service's time, and
     ``stated_until`` until when its last entry says that it is cold. The next request
     may be sent at ``next_at``, unless one ``is_pending``: it has a permit, and its
-    first byte hasn't been sent.
+    first byte hasn't been sent. If ``phase_from`` is set, ``next_at`` gets a random
+    delay from then on before its next use. ``unlisted_since`` is when the target was
+    first missing from the listed ones.
     """
 
     __slots__ = (
@@ -97,10 +101,12 @@
         state.is_pending = True
 
     def record_sending(self, now: float) -> None:
+        """Start the interval until the next request, and release the permit."""
         self._state.next_at = now + self._interval_s
         self.release()
 
     def release(self) -> None:
+        """Let others take a permit; a second call does nothing."""
         if self._is_held:
             self._is_held = False
             self._state.is_pending = False
@@ -142,7 +148,7 @@
         return bool(self._service_by_name)
 
     def set_services(self, services: Iterable[Service]) -> None:
-        """Apply the figures of the configuration in force."""
+        """Use the warm-up rates and times of these services."""
         self._service_by_name = {
             each.name: each
             for each in services
@@ -180,7 +186,7 @@
             self._maybe_cold.pop(key, None)
 
     def record_return(self, targets: Iterable[Target], *, now: float) -> None:
-        """Take targets that got no requests for cold, until a new entry says more."""
+        """Treat targets that had no requests as cold, until an entry says otherwise."""
         for target in targets:
             key = (target.id, target.born)
             state = self._state_by_key.get(key)
@@ -189,6 +195,7 @@
                 self._record_cold(key, state, now)
 
     def is_cold(self, target: Target, *, now: float) -> bool:
+        """Return whether requests to a target are limited now."""
         return self._cold_state(target, now) is not None
 
     def permitted(
@@ -232,12 +239,13 @@
         return Permit(state, interval_s=self._interval_s(target))
 
     def count_cold(self, targets: list[Target], *, now: float) -> int:
+        """Return how many of the targets are cold."""
         return sum(self.is_cold(each, now=now) for each in targets)
 
     def keep_only(self, targets: list[Target], *, now: float) -> None:
         """Forget targets that aren't listed any more.
 
-        An incarnation that can be recognised is remembered for RETENTION_S.
+        An incarnation whose ``born`` is known is remembered for RETENTION_S.
         """
         keys = {(each.id, each.born) for each in targets}
         for key, state in list(self._state_by_key.items()):
--- a/src/lavenderfold/process_memory.py
+++ b/src/lavenderfold/process_memory.py
@@ -1,7 +1,7 @@
 """The bytes that a process holds for its callers and targets together.
 
-They are counted before they are kept. Beyond the bound, what makes no progress is given
-up first, so that a crowd of unfinished requests leaves room for ordinary ones.
+They are counted before they are kept. Beyond the bound, shares that make no progress
+are evicted first, so that many unfinished requests leave memory for ordinary ones.
 """
 
 import ctypes
@@ -11,11 +11,11 @@
 import msgspec
 
 MIB = 1024 * 1024
-# What a process takes without callers, measured as 36 to 39 MB, and its larger tables.
+# Reserved for the rest of the process: 36 to 39 MB without callers, and large tables.
 REST_BYTES = 48 * MIB
 # The part of the remaining memory that may be held. The allocator keeps some of what
-# is freed, bytes are copied in parts, and the system queues some. With 0.6, a crowd of
-# 1,000 took a router with a limit of 300 MB to 267 MB.
+# is freed, bytes are copied in parts, and the system queues some. With 0.6, a router
+# with a limit of 300 MB reaches 267 MB with 1,000 unfinished requests.
 HELD_FRACTION = 0.5
 SMALLEST_LIMIT_BYTES = 4 * MIB
 # Requests and answers up to this size may use the whole bound, longer ones only a part.
@@ -25,8 +25,9 @@
 STALLED_S = 0.25
 STALLED_BYTES = 16 * 1024
 ALL_ANSWERS_BYTES_LIMIT = 48 * MIB
-# The allocator's parameter and its initial value. It raises the value up to 32 MB when
-# long buffers are freed, and then keeps freed ones between others in its heap.
+# glibc's parameter for the mmap threshold, and its initial value. glibc raises it up to
+# 32 MB when long buffers are freed. It then allocates such buffers in its heap, where
+# the memory of freed ones can't always be returned to the system.
 M_MMAP_THRESHOLD = -3
 MMAP_THRESHOLD_BYTES = 128 * 1024
 
@@ -99,8 +100,8 @@
 class ProcessMemory:
     """The sum of all shares, kept within ``limit_bytes``; None bounds only answers.
 
-    Answers have ALL_ANSWERS_BYTES_LIMIT besides. Times are arguments, in seconds of a
-    monotonic clock.
+    Answers together are also bounded by ``answers_limit_bytes``. Times are
+    arguments, in seconds of a monotonic clock.
     """
 
     def __init__(
