Explain constants of the HTTP server and the ledger's orders

Cause: several comments of the server's and the ledger's constants could only be understood by who knew the fault behind them.

Change: they name the bounded quantity and the fault. Comments and docstrings only.

Result: the syntax trees of the 5 files without docstrings equal those before.

--- a/src/lavenderfold/escrow/_balance_manager.py
+++ b/src/lavenderfold/escrow/_balance_manager.py
@@ -32,8 +32,8 @@
 from lavenderfold.timers import TimerService
 
 SYNC_PERIOD_S = 0.5
-# After an outage all routers may write at once, and their conflicts would last for as
-# long as it takes all of them. After this time they turn to a combiner again.
+# After an outage all routers may write the ledger at once, and conflict until all
+# have written. A router whose writes conflict for this time tries a combiner again.
 CONFLICT_LIMIT_S = 1.0
 # Delay after a failed call, so that a recovering store doesn't get the calls of all
 # routers at once.
@@ -294,7 +294,7 @@
         """Make the planned transfers; return False if they weren't confirmed."""
         transfer_by_organisation = self._plan_transfers()
         if not transfer_by_organisation:
-            # Nothing shows any more that the ledger is unavailable, nor that it isn't.
+            # Without an order nothing shows whether the ledger is available.
             self._end_outage()
             return True
         self._outage.record_start(self._timers.now())
--- a/src/lavenderfold/escrow/_order_sender.py
+++ b/src/lavenderfold/escrow/_order_sender.py
@@ -38,9 +38,9 @@
 # Weight of the newest order in the moving average of their times.
 ORDER_TIME_WEIGHT = 0.2
 
-# A combiner that another one overtook so often, and that hasn't answered since, counts
-# as failed: its calls are cancelled before they time out. One that was overtaken once
-# may have had a large batch.
+# A combiner is overtaken if another one that was asked too answers an order first. One
+# that was overtaken so often without an answer in between counts as failed, because its
+# calls are cancelled before they time out. A single time may be due to a large batch.
 OVERTAKEN_LIMIT = 2
 
 # What combiners refuse to write.
--- a/src/lavenderfold/escrow/_pages.py
+++ b/src/lavenderfold/escrow/_pages.py
@@ -80,7 +80,7 @@
         era = era_of(listing.revision)
         self._record_era(era)
         self.install(listing.items)
-        # Pages that aren't in a listing of a new era are lost.
+        # Cached pages of an earlier era that the listing lacks are lost.
         self._page_by_key = {
             key: page
             for key, page in self._page_by_key.items()
--- a/src/lavenderfold/escrow/_writer.py
+++ b/src/lavenderfold/escrow/_writer.py
@@ -38,8 +38,8 @@
 # each further conflict, up to so many writes for each process that may be writing too.
 CONFLICT_DELAY_WRITES = 2
 CONFLICT_DELAY_WRITES_PER_WRITER = 2
-# Writes that were slow because the store had just returned don't show how long others
-# will take. Requests wait meanwhile, for 0.7 s at most.
+# Upper bound of that delay. Right after an outage of the store writes are slower than
+# usual, and a delay by their duration could outlast the 0.7 s that requests wait.
 CONFLICT_DELAY_LIMIT_S = 0.5
 MAX_WRITE_ATTEMPTS = 16
 # For this time after requests waited for more than was available, all routers are told
@@ -50,8 +50,8 @@
 # and a combiner may answer from pages that are 2 s old; an order and its repetition add
 # up to 1.5 s. Routers hold tokens for 8 s.
 SETTLING_S = 6.0
-# Holders that are in the copy and haven't stated their grants are waited for this long:
-# routers are cut off for up to 9 s. Those of routers that never return end it.
+# Longest wait for holders that are in the copy and haven't stated their grants. Routers
+# are disconnected for up to 9 s; some never return.
 MAX_SETTLING_S = 20.0
 # Read-only orders are answered from pages that were read or written this recently.
 MAX_READ_AGE_S = 2.0
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -33,10 +33,11 @@
 from lavenderfold.process_memory import OutOfMemoryError
 
 RECEIVE_BYTES = 65536
-# The same where the memory is bounded: each connection may receive a part at once.
+# Used instead if the process's memory is bounded, as all connections may receive a
+# part of this size at the same time.
 BOUNDED_RECEIVE_BYTES = 32768
-# Requests that a caller may send ahead of their answers before the connection is
-# closed. The others wait for theirs meanwhile.
+# Pipelined requests of a caller that are accepted before the connection is closed.
+# Callers on other connections wait meanwhile.
 REQUESTS_AHEAD_LIMIT = 64
 # Callers may learn of a lowered idle timeout this much later than the server, and of
 # a raised one that much sooner.
@@ -105,8 +106,8 @@
             self._close_now()
 
     def _close_now(self) -> None:
-        """Close the connection; a request or an answer is visibly cut."""
-        # The connection may have been closed, and its task may not have run since.
+        """Close the connection at once, with a reset if a request or answer is cut."""
+        # The socket may be closed already while the connection's task hasn't ended yet.
         if self._stream.socket.fileno() < 0:
             return
         if self._held is not None and self._held.stage is not Stage.IDLE:
@@ -258,7 +259,7 @@
         handler_scope.cancel()
 
     def _may_send_ahead(self) -> bool:
-        """Whether more is received of a caller before its request is answered."""
+        """Return whether a caller may send more before its request is answered."""
         return self._pipelined_bytes <= self._limits.header_bytes
 
     def _keep_pipelined(self, data: bytes) -> None:
