Reword the docstrings of target selection and its neighbours

Cause: some docstrings of target selection, the relay and the platform's adapter were ambiguous, and two metrics methods had none.

Change: they name the case in which a value is None or False. Comments and docstrings only.

--- a/src/lavenderfold/direct/_answer_memory.py
+++ b/src/lavenderfold/direct/_answer_memory.py
@@ -26,7 +26,7 @@
     """The buffers of all incomplete answers, which are shares of the process's memory.
 
     Beyond ``limit_bytes`` the longest one is dropped: an answer without an end becomes
-    the longest, while ordinary ones go on. Without ``memory`` nothing else is counted.
+    the longest, while ordinary ones go on. If ``memory`` is given, its bound holds.
     """
 
     __slots__ = ("_memory",)
--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -275,9 +275,11 @@
     def record_admission_refusal(
         self, service: str, priority: int, organisation: str
     ) -> None:
+        """Count a request that wasn't admitted to a service."""
         self._admission_refusals.labels(service, str(priority), organisation).inc()
 
     def record_congestion(self, service: str, cause: str) -> None:
+        """Count an attempt that was rejected or slow."""
         self._congestion.labels(service, cause).inc()
 
     def record_store_call(self, call: StoreCall) -> None:
--- a/src/lavenderfold/direct/_target_selection.py
+++ b/src/lavenderfold/direct/_target_selection.py
@@ -97,7 +97,7 @@
         )
 
     def pause_left_s(self) -> float | None:
-        """Return how long all targets pause or are cold, or None if they don't."""
+        """Return the wait until a target may be used, None if one may or all leave."""
         return self._pause_left_s(self._targets())
 
     async def wait_for_pause_end(self, limit: float) -> bool:
@@ -115,7 +115,7 @@
     def _with_room(self, targets: list[Target], *, avoid: Set[str]) -> list[Target]:
         """Return the targets with room for the tokens of the request.
 
-        Without one that is healthy and not in ``avoid``, return all.
+        Returns all if none with room is healthy and not in ``avoid``.
         """
         full = self.full_targets()
         if not full:
@@ -143,7 +143,7 @@
     def has_no_place(self) -> bool:
         """Return whether regions or evacuations leave no target for the request.
 
-        Without either, a service that has no target yet is no such case.
+        False if the service just has no target and no region restricts the request.
         """
         if self._targets():
             return False
--- a/src/lavenderfold/escrow/_witness.py
+++ b/src/lavenderfold/escrow/_witness.py
@@ -22,8 +22,8 @@
 # a second, and other relays are reached over the same link.
 CALL_TIMEOUT_S = 0.7
 CONNECT_TIMEOUT_S = 0.6
-# A copy to which the store goes back is some seconds old, and a living router sends a
-# statement each 0.5 s. Of a holder that was silent for this time nothing is lost.
+# A copy to which the store goes back is some seconds old, and a running router sends a
+# statement each 0.5 s. The copy has all that a holder spent which sent none for longer.
 RECENT_STATEMENT_S = 60.0
 
 logger = logging.getLogger(__name__)
--- a/src/lavenderfold/fleet/_config.py
+++ b/src/lavenderfold/fleet/_config.py
@@ -59,8 +59,8 @@
     """A set of interchangeable targets.
 
     ``tokens_per_event`` is the number of output tokens in one stream event. A target
-    is cold for ``warm_up_s`` seconds after its start, and bears ``warm_up_rate``
-    requests per second while it is.
+    is cold for ``warm_up_s`` seconds after its start, and may get ``warm_up_rate``
+    requests per second from all routers together in that time.
     """
 
     name: str
--- a/src/lavenderfold/http/_response_writer.py
+++ b/src/lavenderfold/http/_response_writer.py
@@ -31,7 +31,7 @@
     terminating chunk, so that the caller can't take a truncated response for a
     complete one. ``deadline`` is when the response should be complete, on the trio
     clock; a write that blocks longer raises SlowCallerError. ``idle_timeout_s`` returns
-    how long a caller that reads nothing is waited for. What waits for the caller is
+    how long a caller that reads nothing is waited for. The unsent bytes are
     counted in ``share``. The body is left out if ``is_for_head_request`` is set or the
     status has none.
     """
--- a/src/lavenderfold/relay/_relay.py
+++ b/src/lavenderfold/relay/_relay.py
@@ -146,7 +146,7 @@
         )
 
     async def _restate_spending(self) -> None:
-        """Tell the ledger what routers have spent each time the store goes back."""
+        """Restate in the ledger what routers have spent, at each new era."""
         era = 0
         while True:
             era = await self._era.wait_for_later(era)
