--- a/src/lavenderfold/escrow/_order_sender.py
+++ b/src/lavenderfold/escrow/_order_sender.py
@@ -31,16 +31,16 @@
 
 # Another combiner is asked after this many times the usual time of an order.
 HEDGE_FACTOR = 3.0
-# The usual time before orders have shown it, so that routers that start together don't
-# ask two combiners at once, and its least value.
+# The usual time that is assumed before the first answer, long enough that routers that
+# start together don't ask two combiners at once, and its lower bound.
 FIRST_USUAL_ORDER_S = 0.4
 MIN_USUAL_ORDER_S = 0.1
 # Weight of the newest order in the moving average of their times.
 ORDER_TIME_WEIGHT = 0.2
 
-# A combiner that another one overtook so often, and that hasn't answered since, counts
-# as failed: its calls are cancelled before they time out. One that was overtaken once
-# may have had a large batch.
+# A combiner is overtaken if another one that was asked too answers an order first. One
+# that was overtaken so often without an answer in between counts as failed, because its
+# calls are cancelled before they time out. A single time may be due to a large batch.
 OVERTAKEN_LIMIT = 2
 
 # What combiners refuse to write.
