--- a/tests/test_each_request_ends.py
+++ b/tests/test_each_request_ends.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from lavenderfold.direct import _request_execution
+from lavenderfold.direct import _request_refusals
 from lavenderfold.direct._refusals import STATUS_BY_REASON, not_run
 from lavenderfold.http import ResponseWriter, _server
 from lavenderfold.outcomes import Reason
@@ -53,7 +53,7 @@
 
 def plant_false_promise(monkeypatch):
     monkeypatch.setitem(STATUS_BY_REASON, Reason.TARGET_FAILED, 503)
-    monkeypatch.setattr(_request_execution, "may_have_run", not_run)
+    monkeypatch.setattr(_request_refusals, "may_have_run", not_run)
 
 
 @pytest.mark.parametrize(
