Have the prompts of the review's cases add up, and copy a ledger in use

Cause: the prompt parts exceeded Token-Usage, and the copy of review/6 was older than the first entry of the ledger. Done: the client of review/lib2 fits the last part; review/6 sends requests before the copy.

--- a/review/6/run.py
+++ b/review/6/run.py
@@ -75,6 +75,9 @@
     await asyncio.sleep(1.0)
     await restart_in_turn(case, routers)
     spending = Spending(case)
+    # An ordinary morning: each router has a grant when the copy is made.
+    await asyncio.gather(*(spending.send(each) for each in routers))
+    await asyncio.sleep(1.0)
     copy, copied_at = case.store.take_copy(), case.now
     case.write("the store is copied")
     await spending.send_for(routers, case.now + SPEND_S)
--- a/review/lib2/case.py
+++ b/review/lib2/case.py
@@ -154,7 +154,10 @@
         deadline_s: float = 10.0,
         label: str = "",
     ) -> Answer:
-        """Send one client attempt and record what came back."""
+        """Send one client attempt and record what came back.
+
+        The parts of ``prefix`` are part of its prompt; the rest is a part of its own.
+        """
         attempt_id = secrets.token_hex(8)
         headers = {
             "Host": HOST,
@@ -163,7 +166,8 @@
             "Key": KEY,
         }
         if usage is not None:
-            own = f"{secrets.token_hex(4)}:{usage[0]}"
+            sizes = [int(each.partition(":")[2]) for each in prefix.split(",")[:-1]]
+            own = f"{secrets.token_hex(4)}:{usage[0] - sum(sizes)}"
             headers |= {
                 "Model": "m",
                 "Token-Usage": f"{usage[0]},{usage[1]}",
