--- a/review/lib2/case.py
+++ b/review/lib2/case.py
@@ -1,7 +1,6 @@
 """The frame of a case: its record, its traffic, its exit code."""
 
 import asyncio
-import json
 import os
 import secrets
 import signal
@@ -202,8 +201,11 @@
                 is_broken = await play(case)
             case.say("the rule was broken" if is_broken else "the rule held")
             return BROKEN if is_broken else HOLDS
-        except (Exception, asyncio.CancelledError):
-            case.say("could not run: " + json.dumps(traceback.format_exc()))
+        except (Exception, asyncio.CancelledError) as error:
+            places = traceback.extract_tb(error.__traceback__)
+            # Without the paths of the machine.
+            where = " ".join(f"{each.name}:{each.lineno}" for each in places)
+            case.say(f"could not run: {error!r} in {where}")
             return NOT_RUN
         finally:
             keep = os.environ.get("KEEP_LOGS")
