--- a/review/6/run.py
+++ b/review/6/run.py
@@ -11,7 +11,7 @@
 USAGE = (150, 450)
 CLIENTS = 16
 SPEND_S = 1.5
-# The routers are restarted one after the other; the relays go on all the while.
+# A router gets SIGTERM each GAP_S, while earlier ones still drain; the relays go on.
 GAP_S = 1.0
 # Age of the copy when the store comes back, and how long the store is away.
 COPY_AGE_S = 9.0
