Free what a caller sent when its request ends, not when the collector runs

What callers saw: nothing at first. A crowd that sends bodies far over the limit, is refused with 413 and comes back, had the router grow beyond its memory limit, and the platform kills such a process with all its requests.

Cause: a connection and its share of the memory referred to each other (the share's callbacks are methods of the connection). At the end of the connection the share was closed and counted nothing more, while the connection and its body of up to 4 MB lived until the garbage collector ran, which counts objects and not bytes. An error of h11 refers to its own frame and kept the frames that read the request. A refused request also kept its bytes for the second in which its close is waited for, and a given-up connection counted nothing although it lived on.

Ruled out: the system's queues and the allocator. With the collector off, all eight ways in which a connection ended left it behind, an ordinary answer included.

Change: RequestReader, split from the server, owns what has arrived. It frees it before a refusal is written and before the end of the connection is waited for. A closed share drops its callbacks; a given-up one still counts its 8 KB until it is closed. Refusals of the server are encoded without h11, whose buffers are freed by then.

Why this works: with the collector off, nothing of the connection is left in all eight cases.

Evidence: test_freed_connections failed 8 of 8 on, passes 8 of 8. test_returning_callers (20 callers, limit 100 MB, crowd and bounds fixed before the change) failed for endless chunks at the router with 221 MB and passes; its nine other cases passed before.

--- a/src/lavenderfold/http/__init__.py
+++ b/src/lavenderfold/http/__init__.py
@@ -22,9 +22,9 @@
     CallRefusedError,
     PeerClient,
 )
+from lavenderfold.http._request_reader import IDLE_GRACE_S
 from lavenderfold.http._response_writer import ResponseWriter, SlowCallerError
 from lavenderfold.http._serve import serve
-from lavenderfold.http._server import IDLE_GRACE_S
 from lavenderfold.http._server_options import (
     CloseReason,
     ServerLimits,
--- a/src/lavenderfold/http/_error_response.py
+++ b/src/lavenderfold/http/_error_response.py
@@ -11,7 +11,7 @@
 
 
 def error_response(error: Exception) -> HttpResponse:
-    """Return the response to a malformed or refused request, which closes."""
+    """Return the response to a malformed or refused request."""
     status = getattr(error, "status", None) or getattr(error, "error_status_hint", 400)
     details = {"type": "malformed_request", "message": str(error)}
     if isinstance(error, RefusedForMemoryError):
@@ -20,5 +20,4 @@
     response = json_response(status, body)
     if isinstance(error, RefusedForMemoryError):
         response.headers.append(("retry-after", f"{MEMORY_RETRY_AFTER_S:.3f}"))
-    response.headers.append(("connection", "close"))
     return response
--- a/src/lavenderfold/http/_open_connections.py
+++ b/src/lavenderfold/http/_open_connections.py
@@ -95,12 +95,15 @@
         self, *, on_evicted: Callable[[], None], on_closed: Callable[[], None]
     ) -> OpenConnection | None:
         """Return a new connection, or None if no memory is left for it."""
-        share = self._memory.open_share("request", on_evicted)
+        share = self._memory.open_share(
+            "request", on_evicted, rest_bytes=CONNECTION_BYTES
+        )
         connection = OpenConnection(share=share, on_closed=on_closed)
         try:
             share.add(CONNECTION_BYTES, now=time.monotonic())
         except OutOfMemoryError:
             self.report(None, "memory")
+            share.close()
             return None
         self._connections.add(connection)
         return connection
@@ -127,8 +130,13 @@
     def close(self, connection: OpenConnection) -> None:
         """Forget a connection that has ended."""
         connection.share.close()
+        connection.on_closed = _ignore_close
         self._connections.discard(connection)
 
 
+def _ignore_close() -> None:
+    """Close nothing: the connection has ended."""
+
+
 def _closing_order(connection: OpenConnection) -> tuple[Stage, float]:
     return connection.stage, connection.share.progressed_at
--- a/src/lavenderfold/http/_response_writer.py
+++ b/src/lavenderfold/http/_response_writer.py
@@ -4,6 +4,7 @@
 import os
 import time
 from collections.abc import Callable
+from http import HTTPStatus
 
 import h11
 import trio
@@ -58,7 +59,7 @@
         idle_timeout_s: Callable[[], float],
         share: MemoryShare | None = None,
     ):
-        self._connection = connection
+        self._connection: h11.Connection | None = connection
         self._stream = stream
         self._is_closing = is_closing
         self._idle_timeout_s = idle_timeout_s
@@ -81,21 +82,34 @@
         )
         self.finished = True
 
+    async def send_closing(self, response: HttpResponse) -> None:
+        """Send a complete response after which the connection can't be used again.
+
+        h11 has no part in this, as it may have refused to encode another response.
+        What it holds of the request is freed before.
+        """
+        self._connection = None
+        body = b"" if self.is_for_head_request else response.body
+        lines = [
+            f"HTTP/1.1 {response.status} {HTTPStatus(response.status).phrase}",
+            *(f"{name}: {value}" for name, value in response.headers),
+            f"content-length: {len(response.body)}",
+            "connection: close",
+        ]
+        head = "\r\n".join([*lines, "", ""]).encode("latin-1")
+        self.started = True
+        await self._write_data(head + body)
+        self.finished = True
+
     async def send_internal_error(self) -> None:
         """Send a 500 instead of a response of which nothing was written.
 
         The connection can't be used again.
         """
-        # Encoded without h11, which may have refused to encode the response and sends
-        # nothing more after that.
-        body = b"" if self.is_for_head_request else INTERNAL_ERROR_BODY
-        head = (
-            b"HTTP/1.1 500 Internal Server Error\r\ncontent-type: application/json\r\n"
-            b"content-length: %d\r\nconnection: close\r\n\r\n" % len(body)
+        headers = [("content-type", "application/json")]
+        await self.send_closing(
+            HttpResponse(status=500, headers=headers, body=INTERNAL_ERROR_BODY)
         )
-        self.started = True
-        await self._write_data(head + body)
-        self.finished = True
 
     async def start(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Send the status line and headers of a chunked response."""
--- a/src/lavenderfold/process_memory.py
+++ b/src/lavenderfold/process_memory.py
@@ -50,13 +50,15 @@
 class MemoryShare:
     """The bytes held for one connection or one answer.
 
-    While ``is_evictable`` is set, ``on_evicted`` may be called, once; it frees the
-    bytes and must not block. ``progressed_at`` is when the share last changed.
+    While ``is_evictable`` is set, ``on_evicted`` may be called, once; it frees all but
+    ``rest_bytes`` of the bytes and must not block. The rest is counted until the share
+    is closed. ``progressed_at`` is when the share last changed.
     """
 
     __slots__ = (
         "kind",
         "held_bytes",
+        "rest_bytes",
         "progressed_at",
         "is_evictable",
         "is_evicted",
@@ -65,10 +67,16 @@
     )
 
     def __init__(
-        self, *, memory: "ProcessMemory", kind: str, on_evicted: Callable[[], None]
+        self,
+        *,
+        memory: "ProcessMemory",
+        kind: str,
+        on_evicted: Callable[[], None],
+        rest_bytes: int,
     ):
         self.kind = kind
         self.held_bytes = 0
+        self.rest_bytes = rest_bytes
         self.progressed_at = 0.0
         self.is_evictable = True
         self.is_evicted = False
@@ -93,8 +101,10 @@
 
     def close(self) -> None:
         """Count the share's bytes as freed."""
-        self.set(0)
+        self._memory._remove(self, self.held_bytes)
         self._memory._shares.discard(self)
+        # A callback of the owner would keep it alive until the garbage collector runs.
+        self.on_evicted = _ignore_eviction
 
 
 class ProcessMemory:
@@ -134,9 +144,13 @@
             evicted_by_kind=dict(self._evicted_by_kind),
         )
 
-    def open_share(self, kind: str, on_evicted: Callable[[], None]) -> MemoryShare:
+    def open_share(
+        self, kind: str, on_evicted: Callable[[], None], *, rest_bytes: int = 0
+    ) -> MemoryShare:
         """Return an empty share, to be closed when its bytes have been freed."""
-        share = MemoryShare(memory=self, kind=kind, on_evicted=on_evicted)
+        share = MemoryShare(
+            memory=self, kind=kind, on_evicted=on_evicted, rest_bytes=rest_bytes
+        )
         self._shares.add(share)
         return share
 
@@ -158,7 +172,11 @@
 
     def _bound_answers(self) -> None:
         while self._held_by_kind["answer"] > self._answers_limit_bytes:
-            answers = (each for each in self._shares if each.kind == "answer")
+            answers = (
+                each
+                for each in self._shares
+                if each.kind == "answer" and not each.is_evicted
+            )
             self._evict(max(answers, key=_held_bytes))
 
     def _bound_all(self, share: MemoryShare, now: float) -> None:
@@ -169,11 +187,14 @@
             self._evict(share if victim is None else victim)
 
     def _evict(self, share: MemoryShare) -> None:
-        self._remove(share, share.held_bytes)
         share.is_evicted = True
-        self._shares.discard(share)
         self._evicted_by_kind[share.kind] += 1
         share.on_evicted()
+        self._remove(share, max(0, share.held_bytes - share.rest_bytes))
+
+
+def _ignore_eviction() -> None:
+    """Free nothing: the share is closed."""
 
 
 def _held_bytes(share: MemoryShare) -> int:
@@ -182,7 +203,13 @@
 
 def choose_victim(shares: set[MemoryShare], *, now: float) -> MemoryShare | None:
     """Return the share to give up: the longest stalled one, else the largest."""
-    evictable = [each for each in shares if each.is_evictable and each.held_bytes]
+    evictable = [
+        each
+        for each in shares
+        if each.is_evictable
+        and not each.is_evicted
+        and each.held_bytes > each.rest_bytes
+    ]
     stalled = [
         each
         for each in evictable
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -128,8 +128,16 @@
     @property
     def peak_memory_mb(self) -> float:
         """The highest resident memory since the start."""
+        return self._status_mb("VmHWM")
+
+    @property
+    def memory_mb(self) -> float:
+        """The resident memory."""
+        return self._status_mb("VmRSS")
+
+    def _status_mb(self, name: str) -> float:
         status = Path(f"/proc/{self.child.pid}/status").read_text()
-        (line,) = (each for each in status.splitlines() if each.startswith("VmHWM"))
+        (line,) = (each for each in status.splitlines() if each.startswith(name))
         return int(line.split()[1]) / 1024
 
     @property
