Drop the callback of a cancelled timer

What callers saw: nothing; the router's memory. A cancelled timer stayed in the schedule until it would have been due, with its callback. The timers of a request are due at its silence limit or its timeout, seconds after its end, and their callbacks lead to its body and answer, which nothing counts any more.

Change: cancel() replaces the callback.

--- a/src/lavenderfold/timers.py
+++ b/src/lavenderfold/timers.py
@@ -23,7 +23,16 @@
         self.cancelled = False
 
     def cancel(self) -> None:
+        """Have the callback not called again, and drop it.
+
+        The subscription itself stays in the schedule until it is due.
+        """
         self.cancelled = True
+        self.callback = _ignore_time
+
+
+def _ignore_time(_: float) -> None:
+    """Do nothing: the subscription was cancelled."""
 
 
 class TimerService:
--- a/tests/test_freed_connections.py
+++ b/tests/test_freed_connections.py
@@ -4,9 +4,7 @@
 however many bytes a few of them hold.
 """
 
-import gc
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 import pytest
@@ -26,6 +24,7 @@
 from lavenderfold.http._server import ServerConnection
 from lavenderfold.process_memory import MIB, ProcessMemory
 from lavenderfold.settings import Address
+from tests.freed_support import nothing_is_kept
 
 LOOPBACK = Address(host="127.0.0.1", port=0)
 BODY_BYTES = 256 * 1024
@@ -37,26 +36,6 @@
 Caller = Callable[[trio.SocketStream], Awaitable[None]]
 
 
-@contextmanager
-def nothing_is_kept() -> Iterator[None]:
-    """Check that no object of KEPT_TYPES is left without the garbage collector."""
-    gc.collect()
-    before = known_objects()
-    gc.disable()
-    try:
-        yield
-        kept = [
-            type(each) for key, each in known_objects().items() if key not in before
-        ]
-        assert kept == []
-    finally:
-        gc.enable()
-
-
-def known_objects() -> dict[int, object]:
-    return {id(each): each for each in gc.get_objects() if isinstance(each, KEPT_TYPES)}
-
-
 def head(*lines: str) -> bytes:
     return "\r\n".join(["POST /x HTTP/1.1", "host: h", *lines, "", ""]).encode()
 
@@ -165,6 +144,6 @@
     # pytest keeps each logged error with its frames.
     monkeypatch.setattr(_server.logger, "disabled", True)
     memory = ProcessMemory(limit_bytes=MEMORY_BYTES)
-    with nothing_is_kept():
+    with nothing_is_kept(*KEPT_TYPES):
         trio.run(partial(play, caller, memory=memory))
     assert memory.held_bytes == 0
