Free a request's body and answer when the request ends

What callers saw: ordinary callers with large bodies of legal size, sent whole, one after the other, had the router grow beyond its memory limit.

Cause: a request and its TakeOver refer to each other (its callbacks are methods of the request), and so do a request and its running attempt. Each request with its body, its answer and its connection's writer lived until the garbage collector ran, long after its share was closed.

Change: RequestExecution.run drops the callbacks of TakeOver and the running attempt at its end.

--- a/src/lavenderfold/direct/_request_execution.py
+++ b/src/lavenderfold/direct/_request_execution.py
@@ -179,6 +179,8 @@
                 may_have_run=self._progress.may_have_run, events=self._progress.events
             )
             self._write_result(refusal)
+            self._take_over.close()
+            self._running = None
 
     def stop_unless_answering(self) -> None:
         """Refuse the request, unless a part of its answer was written already.
--- a/src/lavenderfold/direct/_take_over.py
+++ b/src/lavenderfold/direct/_take_over.py
@@ -166,6 +166,14 @@
             self._successor.cancel()
             self._end(self._successor)
 
+    def close(self) -> None:
+        """Drop the callbacks; nothing can be taken over any more.
+
+        They are methods of the request, which refers to this object. Its body and
+        answer would be kept until the garbage collector runs.
+        """
+        del self._start, self._on_accepted, self._on_end, self._on_outcome
+
     async def _run_successor(self, successor: _Successor) -> None:
         def schedule_acceptance() -> None:
             if self._accepts_unanswered:
--- a/tests/test_returning_callers.py
+++ b/tests/test_returning_callers.py
@@ -49,6 +49,16 @@
     await stream.receive_some(SEND_BYTES)
 
 
+async def send_whole(stream: trio.SocketStream, body_bytes: int) -> None:
+    """Send whole bodies and read the answers, as an ordinary caller may."""
+    while True:
+        await stream.send_all(head("/x", f"content-length: {body_bytes}"))
+        await stream.send_all(b"x" * body_bytes)
+        answer = await stream.receive_some(SEND_BYTES)
+        if not answer.startswith(b"HTTP/1.1 200"):
+            return
+
+
 async def send_chunks_of(
     chunk_bytes: int, stream: trio.SocketStream, body_bytes: int
 ) -> None:
@@ -122,6 +132,7 @@
     "announced": announce_too_much,
     "endless": send_endless_chunks,
     "length": send_length,
+    "whole": send_whole,
     "chunks": partial(send_chunks_of, 16384),
     "head": send_head_in_parts,
 }
