Keep digests of the ids that callers choose, whatever their length

Cause: the parts of answered prompts (8,192) and the attempt ids of each kept connection to a target (64) were kept by number and not by length: 130 MB and 1 MB a connection.

Change: both keep 16 bytes of BLAKE2b. Callers choose the ids, so a hash with findable collisions would let one caller's part stand for another's.

--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -20,6 +20,7 @@
 )
 from lavenderfold.http._resets import reset_on_close
 from lavenderfold.http._response_head import contains_status_line, unknown_status_line
+from lavenderfold.identifiers import id_digest
 from lavenderfold.link_traffic import CountedStream
 from lavenderfold.settings import Address
 
@@ -138,7 +139,7 @@
         "protocol",
         "is_request_sent",
         "is_broken",
-        "exchange_ids",
+        "exchange_digests",
     )
 
     def __init__(self, *, address: Address, stream: CountedStream):
@@ -147,7 +148,7 @@
         self.protocol = h11.Connection(h11.CLIENT)
         self.is_request_sent = False
         self.is_broken = False
-        self.exchange_ids: deque[str] = deque(maxlen=RECENT_EXCHANGES_LIMIT)
+        self.exchange_digests: deque[bytes] = deque(maxlen=RECENT_EXCHANGES_LIMIT)
 
     async def exchange(
         self,
@@ -332,9 +333,10 @@
         With ``resets_if_abandoned`` the connection is reset if the response wasn't
         read to its end, so that the peer stops working on it.
         """
-        connection = await (self._connect() if is_fresh else self._acquire(exchange_id))
-        if exchange_id is not None:
-            connection.exchange_ids.append(exchange_id)
+        digest = None if exchange_id is None else id_digest(exchange_id)
+        connection = await (self._connect() if is_fresh else self._acquire(digest))
+        if digest is not None:
+            connection.exchange_digests.append(digest)
         if on_sending is not None:
             on_sending()
         try:
@@ -352,10 +354,10 @@
         while self._idle_connections:
             await trio.aclose_forcefully(self._idle_connections.pop().stream)
 
-    async def _acquire(self, exchange_id: str | None) -> _ClientConnection:
+    async def _acquire(self, exchange_digest: bytes | None) -> _ClientConnection:
         while self._idle_connections:
             connection = self._idle_connections.pop()
-            if exchange_id in connection.exchange_ids:
+            if exchange_digest in connection.exchange_digests:
                 self._idle_connections.append(connection)
                 break
             if not connection.is_stale():
--- a/src/lavenderfold/identifiers.py
+++ b/src/lavenderfold/identifiers.py
@@ -4,6 +4,7 @@
 of creation, so the id alone tells whether a request is within a retention window.
 """
 
+import hashlib
 import uuid
 
 import msgspec
@@ -15,6 +16,7 @@
 UUID_VARIANT_SHIFT = 62
 UUID_TIME_SHIFT = 80
 MILLISECONDS_PER_SECOND = 1000
+DIGEST_BYTES = 16
 
 
 class InvalidRequestIdError(ValueError):
@@ -69,3 +71,12 @@
     if parsed.version != UUID_VERSION or str(parsed) != request_id:
         return Err(InvalidRequestIdError(request_id))
     return Ok((parsed.int >> UUID_TIME_SHIFT) / MILLISECONDS_PER_SECOND)
+
+
+def id_digest(text: str) -> bytes:
+    """Return DIGEST_BYTES that stand for an id of any length.
+
+    Callers choose ids, so the hash is one for which they can't find collisions.
+    """
+    data = text.encode("utf-8", "surrogatepass")
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
--- a/src/lavenderfold/quarantine/_quarantine.py
+++ b/src/lavenderfold/quarantine/_quarantine.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from lavenderfold.identifiers import id_digest
 from lavenderfold.quarantine._culprits import (
     EXPLAINED_RECORD_S,
     QUARANTINE_CRASHES,
@@ -87,7 +88,7 @@
         self.on_pending: Callable[[], None] = lambda: None
         self._timers = timers
         self._view = CrashEvidence()
-        self._answered_at_by_part: OrderedDict[str, float] = OrderedDict()
+        self._answered_at_by_digest: OrderedDict[bytes, float] = OrderedDict()
         self._learned_at_by_crash: dict[CrashKey, float] = {}
         self._suspects: list[Culprit] = []
         self._culprits: list[Culprit] = []
@@ -145,10 +146,11 @@
     def record_answer(self, part_ids: tuple[str, ...]) -> None:
         """Record that a target has gone on beyond the beginning of an answer."""
         for part_id in part_ids:
-            self._answered_at_by_part[part_id] = self._timers.now()
-            self._answered_at_by_part.move_to_end(part_id)
-        while len(self._answered_at_by_part) > MAX_ANSWERED_PARTS:
-            self._answered_at_by_part.popitem(last=False)
+            digest = id_digest(part_id)
+            self._answered_at_by_digest[digest] = self._timers.now()
+            self._answered_at_by_digest.move_to_end(digest)
+        while len(self._answered_at_by_digest) > MAX_ANSWERED_PARTS:
+            self._answered_at_by_digest.popitem(last=False)
         if self._suspects:
             self._clear_answered_parts()
 
@@ -256,7 +258,7 @@
         self.on_pending()
 
     def _was_answered_since_first_crash(self, part_id: str) -> bool:
-        answered_at = self._answered_at_by_part.get(part_id, -math.inf)
+        answered_at = self._answered_at_by_digest.get(id_digest(part_id), -math.inf)
         first_crash_at = min(
             self._learned_at_by_crash[record.key]
             for record in self._view.records
