Bound what a lost request adds to the evidence of crashes

Cause: each lost request was judged by itself, against up to thousands of parts a prompt: 0.5 to 2.3 s a request in the event loop. The evidence also held ids of any length, read again by all routers at each of its changes.

Change: the first 16 parts of a prompt count as evidence, as in the choice by cost. Ids of over 64 characters stand there as digests, and requests are compared with it in the same form. A lost request that adds nothing to the evidence (24 prompts a crash are kept) isn't judged again.

What it costs: a part beyond the first 16 of all prompts that it crashes isn't found. Requests here have a few parts.

--- a/src/lavenderfold/quarantine/_evidence.py
+++ b/src/lavenderfold/quarantine/_evidence.py
@@ -7,9 +7,15 @@
 import msgspec
 
 from lavenderfold.decoding import decode_json
+from lavenderfold.identifiers import id_digest
 
 # Prompts that are kept for a crash; a large batch is lost with a target.
 MAX_PROMPTS = 24
+# Parts of a prompt that count as evidence, from its beginning. Prompts usually have a
+# few parts; callers may send thousands.
+MAX_PROMPT_PARTS = 16
+# Longer ids stand in the evidence as their digests, so that it stays short.
+MAX_ID_CHARACTERS = 64
 
 
 class CrashKey(msgspec.Struct, frozen=True, order=True):
@@ -64,6 +70,19 @@
     earlier_crashes: frozenset[CrashKey]
 
 
+def evidence_parts(part_ids: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the parts of a prompt that count as evidence, as they stand there."""
+    return evidence_ids(part_ids[:MAX_PROMPT_PARTS])
+
+
+def evidence_ids(part_ids: tuple[str, ...]) -> tuple[str, ...]:
+    """Return ids as they stand in the evidence."""
+    return tuple(
+        each if len(each) <= MAX_ID_CHARACTERS else f"digest-{id_digest(each).hex()}"
+        for each in part_ids
+    )
+
+
 def decode_evidence(data: bytes) -> CrashEvidence:
     """Decode evidence; raises msgspec.DecodeError if it is malformed."""
     return decode_json(data, CrashEvidence)
--- a/src/lavenderfold/quarantine/_quarantine.py
+++ b/src/lavenderfold/quarantine/_quarantine.py
@@ -23,6 +23,8 @@
     CrashKey,
     LostPrompt,
     add_lost_prompt,
+    evidence_ids,
+    evidence_parts,
     remove_parts,
 )
 from lavenderfold.timers import TimerService
@@ -99,7 +101,7 @@
         """Return how to treat a request whose prompt has these shared parts."""
         if not self._suspects or not part_ids:
             return Verdict.SOUND
-        parts = frozenset(part_ids)
+        parts = frozenset(evidence_ids(part_ids))
         if self._quarantined_for(parts) is not None:
             return Verdict.QUARANTINED
         if any(each.covers(parts) for each in self._current_suspects()):
@@ -108,17 +110,20 @@
 
     def decision_wait_s(self, part_ids: tuple[str, ...]) -> float:
         """Return how long to hold a request until it is known how to treat it."""
+        if not self._refused_from_by_parts:
+            return 0.0
         now = self._timers.now()
+        parts = frozenset(evidence_ids(part_ids))
         waits_s = [
             refused_from - now
             for culprit_parts, refused_from in self._refused_from_by_parts.items()
-            if culprit_parts <= frozenset(part_ids)
+            if culprit_parts <= parts
         ]
         return max(0.0, min(waits_s, default=0.0))
 
     def remaining_s(self, part_ids: tuple[str, ...]) -> float:
         """Return for how long requests with these parts will still be refused."""
-        culprit = self._quarantined_for(frozenset(part_ids))
+        culprit = self._quarantined_for(frozenset(evidence_ids(part_ids)))
         if culprit is None:
             return 0.0
         return max(0.0, culprit.quarantine_ends_at - self._timers.unix_time())
@@ -137,7 +142,11 @@
     def record_loss(self, lost: LostPrompt) -> None:
         """Record a prompt that was lost with a target that crashed."""
         fields = {"target": lost.crash.target, "born": lost.crash.born}
+        lost = msgspec.structs.replace(lost, part_ids=evidence_parts(lost.part_ids))
         logger.warning("crash_observed", extra={**fields, "parts": lost.part_ids})
+        if add_lost_prompt(self._view, lost) == self._view:
+            # Of a crash that takes many requests, only some are kept as evidence.
+            return
         losses = (*self.pending.losses, lost)[-MAX_PENDING_LOSSES:]
         self.pending = msgspec.structs.replace(self.pending, losses=losses)
         self._rebuild()
@@ -145,7 +154,7 @@
 
     def record_answer(self, part_ids: tuple[str, ...]) -> None:
         """Record that a target has gone on beyond the beginning of an answer."""
-        for part_id in part_ids:
+        for part_id in evidence_parts(part_ids):
             digest = id_digest(part_id)
             self._answered_at_by_digest[digest] = self._timers.now()
             self._answered_at_by_digest.move_to_end(digest)
