Free requests and calls that end with an error

What callers saw: nothing; the router's memory. A request whose answer broke off, and a call to a target that ended without a whole answer, were kept with their bodies until the garbage collector ran.

Cause: an error that a function keeps in a variable and raises later refers to the function's frame, and that frame to the error, the request and the connection. Errors of h11 refer to their own frame in the same way.

Change: the variable is deleted once the error is raised, in the client, the server and TakeOver; errors of h11 lose their traceback.

--- a/src/lavenderfold/direct/_take_over.py
+++ b/src/lavenderfold/direct/_take_over.py
@@ -139,7 +139,11 @@
                 error = caught
             self._nursery.cancel_scope.cancel()
         if error is not None:
-            raise error
+            try:
+                raise error
+            finally:
+                # The error refers to this frame, which refers to the request.
+                del error
         return result
 
     def try_take_over(self, silent: Target) -> bool:
--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -180,8 +180,12 @@
             except HttpClientError as error:
                 failure = error
             nursery.cancel_scope.cancel()
-        if head is None:
-            raise failure
+        if failure is not None:
+            try:
+                raise failure
+            finally:
+                # The error refers to this frame, which refers to the request.
+                del failure
         return head
 
     async def _send_rest(self, data: memoryview) -> None:
@@ -237,7 +241,8 @@
         except h11.RemoteProtocolError as error:
             _, is_closed = self.protocol.trailing_data
             error_type = ResponseLostError if is_closed else MalformedResponseError
-            raise error_type(self.address, error) from error
+            # A frame of h11 refers to its error, and would keep this connection.
+            raise error_type(self.address, error) from error.with_traceback(None)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ResponseLostError(self.address, error) from error
 
--- a/src/lavenderfold/http/_server.py
+++ b/src/lavenderfold/http/_server.py
@@ -201,7 +201,11 @@
                 handler_error = error
             nursery.cancel_scope.cancel()
         if handler_error is not None:
-            raise handler_error
+            try:
+                raise handler_error
+            finally:
+                # The error refers to this frame, which refers to the request.
+                del handler_error
 
     async def _cancel_on_disconnect(self, handler_scope: trio.CancelScope) -> None:
         if await self._reader.wait_disconnected():
--- a/tests/test_freed_connections.py
+++ b/tests/test_freed_connections.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from functools import partial
 
 import pytest
@@ -12,6 +13,8 @@
 import trio.testing
 
 from lavenderfold.http import (
+    HttpClient,
+    HttpClientError,
     HttpRequest,
     HttpResponse,
     ResponseWriter,
@@ -93,9 +96,17 @@
     await stream.receive_some(65536)
 
 
+async def break_the_answer(stream: trio.SocketStream) -> None:
+    await stream.send_all(head("x-breaks: 1", f"content-length: {BODY_BYTES}"))
+    await stream.send_all(b"x" * BODY_BYTES)
+    await read_to_end(stream)
+
+
 async def answer(request: HttpRequest, writer: ResponseWriter) -> None:
     if request.header("x-slow"):
         await trio.sleep(TIMEOUT_S)
+    if request.header("x-breaks"):
+        raise trio.BrokenResourceError
     if request.header("x-fails"):
         raise ValueError("planned")
     await writer.send(HttpResponse(status=200))
@@ -135,6 +146,7 @@
     send_whole,
     leave_before_the_answer,
     have_handler_fail,
+    break_the_answer,
 )
 
 
@@ -147,3 +159,38 @@
     with nothing_is_kept(*KEPT_TYPES):
         trio.run(partial(play, caller, memory=memory))
     assert memory.held_bytes == 0
+
+
+ANSWERS = {
+    "none": b"",
+    "malformed": b"none\r\n\r\n",
+    "cut": b"HTTP/1.1 200 \r\ncontent-length: 10\r\n\r\n12345",
+}
+
+
+@pytest.mark.parametrize("body_bytes", (10, BODY_BYTES))
+@pytest.mark.parametrize("name", ANSWERS)
+def test_call_without_a_whole_answer_is_freed_at_once(name, body_bytes):
+    """Guards against calls that are kept with the error that ended them."""
+
+    async def answer_raw(stream: trio.SocketStream) -> None:
+        await stream.receive_some(1000)
+        await stream.send_all(ANSWERS[name])
+
+    async def call() -> None:
+        async with trio.open_nursery() as nursery:
+            serving = partial(trio.serve_tcp, answer_raw, 0, host="127.0.0.1")
+            (listener,) = await nursery.start(serving)
+            _, port = listener.socket.getsockname()
+            client = HttpClient(address=Address(host="127.0.0.1", port=port))
+            for _ in range(3):
+                body = b"x" * body_bytes
+                with suppress(HttpClientError):
+                    await client.request(
+                        HttpRequest(method="POST", target="/x", body=body)
+                    )
+            await client.close()
+            nursery.cancel_scope.cancel()
+
+    with nothing_is_kept(_ClientConnection, HttpRequest):
+        trio.run(call)
--- a/tests/test_freed_requests.py
+++ b/tests/test_freed_requests.py
@@ -3,6 +3,7 @@
 It must not wait for the garbage collector, which counts objects and not their bytes.
 """
 
+from contextlib import suppress
 from functools import partial
 
 import msgspec
@@ -12,6 +13,7 @@
 from lavenderfold.direct._attempt import Attempt
 from lavenderfold.direct._request_execution import RequestExecution
 from lavenderfold.direct._requests import CallerRequest
+from lavenderfold.direct._take_over import TakeOver
 from lavenderfold.http import HttpClientError, HttpRequest, ResponseWriter
 from lavenderfold.timers import TimerService
 from tests.direct_support import (
@@ -95,3 +97,26 @@
         subscription = timers.once(60.0, partial(record, request))
         del request
         subscription.cancel()
+
+
+def test_request_is_freed_whose_answer_breaks_off():
+    """Guards against a request that is kept with the error that ended it."""
+
+    async def work(request: CallerRequest) -> None:
+        raise trio.BrokenResourceError
+
+    async def run_take_over() -> None:
+        take_over = TakeOver(
+            timers=TimerService(),
+            start=lambda _: None,
+            on_accepted=lambda: None,
+            on_end=lambda started, outcome: None,
+            on_outcome=lambda started, outcome: None,
+            accepts_unanswered=True,
+        )
+        request = msgspec.convert(CALLER_REQUEST, CallerRequest)
+        with suppress(trio.BrokenResourceError):
+            await take_over.run(partial(work, request))
+
+    with nothing_is_kept(CallerRequest):
+        trio.run(run_take_over)
