Bound the bytes of log lines that wait for their reader

What callers saw: nothing. While nobody reads a process's log, up to 5,000 lines wait in its memory. A line holds the path of its request, up to 16 KB, so that callers with long paths could have 80 MB wait.

Change: at most 4 MB of lines wait; further ones are left out and counted as before (log_lines_left_out).

Evidence: test_long_log_lines_wait_within_a_bound failed before (8.7 MB after 550 lines of 15,800 characters, 5.2 allowed), passes.

--- a/src/lavenderfold/logs.py
+++ b/src/lavenderfold/logs.py
@@ -18,6 +18,8 @@
 # the limit above is used up.
 FAILURE_LINES_PER_S = 600
 PENDING_LINES_LIMIT = 5000
+# Callers choose the length of some fields, such as the path.
+PENDING_BYTES_LIMIT = 4 * 1024 * 1024
 WRITE_BLOCK_BYTES = 65536
 CHARACTERS_NEEDING_QUOTES = frozenset(' "=\n\r\t\\')
 
@@ -80,6 +82,7 @@
         self.dropped_count = 0
         self._fd = fd
         self._pending: deque[bytes] = deque()
+        self._pending_bytes = 0
         self._unwritten = b""
         self._current_second = 0
         self._line_count = 0
@@ -94,7 +97,11 @@
             # A field that can't be written must not end what logs it.
             self.handleError(record)
             return
+        if self._pending_bytes + len(line) > PENDING_BYTES_LIMIT:
+            self.dropped_count += 1
+            return
         self._pending.append(line)
+        self._pending_bytes += len(line)
 
     def flush_pending(self) -> None:
         """Write as many pending lines as the pipe accepts without blocking."""
@@ -108,6 +115,7 @@
             except OSError:
                 # The reading end of the pipe is closed, so the error can't be logged.
                 self._pending.clear()
+                self._pending_bytes = 0
                 self._unwritten = b""
                 return
             self._unwritten = self._unwritten[written:]
@@ -116,6 +124,7 @@
         block = bytearray()
         while self._pending and len(block) < WRITE_BLOCK_BYTES:
             block += self._pending.popleft()
+        self._pending_bytes -= len(block)
         return bytes(block)
 
     def _is_within_limits(self, record: logging.LogRecord) -> bool:
--- a/tests/test_long_ids.py
+++ b/tests/test_long_ids.py
@@ -1,5 +1,7 @@
 """Ids that callers choose are kept by number, so their length mustn't count."""
 
+import logging
+import os
 import tracemalloc
 from functools import partial
 
@@ -12,6 +14,7 @@
     ResponseWriter,
     serve,
 )
+from lavenderfold.logs import BoundedLogHandler
 from lavenderfold.process_memory import MIB
 from lavenderfold.quarantine import PromptQuarantine
 from lavenderfold.settings import Address
@@ -22,6 +25,7 @@
 ID_CHARACTERS = 15_800
 ANSWERED_PARTS = 9000
 EXCHANGES = 70
+LOG_LINES = 550
 PARTS_LIMIT_BYTES = 4 * MIB
 CONNECTION_LIMIT_BYTES = MIB // 4
 
@@ -68,3 +72,24 @@
         return kept_bytes
 
     assert trio.run(exchange) < CONNECTION_LIMIT_BYTES
+
+
+def test_long_log_lines_wait_within_a_bound():
+    """Guards against lines of long paths that pile up while nobody reads the log."""
+    reading, writing = os.pipe()
+    handler = BoundedLogHandler(fd=writing)
+    level = logging.WARNING
+    tracemalloc.start()
+    try:
+        # Lines have a limit per second, and the records of one second fit into it.
+        for number in range(LOG_LINES):
+            message = long_id(number)
+            handler.emit(logging.LogRecord("n", level, "", 0, message, None, None))
+        handler.flush_pending()
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        os.close(reading)
+        os.close(writing)
+    assert kept_bytes < PARTS_LIMIT_BYTES + MIB
+    assert handler.dropped_count > 0
