Keep few parts of long prompt prefixes

What callers saw: nothing. A prompt prefix of 2,400 parts, inside the head's limit, became as many objects, which nothing counted, for as long as its request was in progress.

Change: the first 16 parts are kept and the last two, which decide where a request goes and count as evidence of crashes. The header is passed on whole.

Evidence: test_request_keeps_few_parts_of_a_long_prompt failed before (2,400 parts kept), passes.

--- a/tests/test_long_prompts.py
+++ b/tests/test_long_prompts.py
@@ -2,6 +2,9 @@
 
 import random
 
+from lavenderfold_platform.headers import read_request
+
+from lavenderfold.http import HttpRequest
 from lavenderfold.process_memory import MIB
 from lavenderfold.quarantine import (
     CrashKey,
@@ -80,3 +83,13 @@
     assert quarantine.verdict((culprit[1:], "new")) is Verdict.SOUND
     quarantine.record_answer((culprit,))
     assert quarantine.verdict((culprit, "new")) is Verdict.SOUND
+
+
+def test_request_keeps_few_parts_of_a_long_prompt():
+    """Guards against requests in progress that hold thousands of objects each."""
+    prefix = ",".join(f"{number:x}:1" for number in range(PARTS))
+    headers = [("host", "h"), ("attempt-id", "a"), ("prompt-prefix", prefix)]
+    request = read_request(HttpRequest(method="POST", target="/x", headers=headers))
+    ids = [int(each.id, 16) for each in request.prompt_parts]
+    assert ids == [*range(16), PARTS - 2, PARTS - 1]
+    assert ("prompt-prefix", prefix) in request.forwarded_headers
