--- a/src/lavenderfold/direct/_metrics.py
+++ b/src/lavenderfold/direct/_metrics.py
@@ -6,7 +6,7 @@
 
 from lavenderfold.escrow import LocalBalanceState
 from lavenderfold.http import CloseReason, HttpRequest, HttpResponse, ResponseWriter
-from lavenderfold.process_memory import MemoryUse
+from lavenderfold.process_memory import MemoryUse, resident_bytes
 from lavenderfold.quarantine import QuarantineSnapshot
 from lavenderfold.shared import StoreCall
 
@@ -201,6 +201,11 @@
             ["state"],
             registry=self._registry,
         )
+        self._uncounted_memory = Gauge(
+            "lavenderfold_uncounted_bytes",
+            "Resident memory of the process beyond what is held for callers.",
+            registry=self._registry,
+        )
         self._evicted = Gauge(
             "lavenderfold_evicted",
             "Requests and answers given up for memory since the start, by kind.",
@@ -354,6 +359,9 @@
         self._held_memory.labels("held").set(snapshot.memory.held_bytes)
         if snapshot.memory.limit_bytes is not None:
             self._held_memory.labels("limit").set(snapshot.memory.limit_bytes)
+        resident = resident_bytes()
+        if resident is not None:
+            self._uncounted_memory.set(resident - snapshot.memory.held_bytes)
         for kind, count in snapshot.memory.evicted_by_kind.items():
             self._evicted.labels(kind).set(count)
         self._log_lines_left_out.set(snapshot.log_lines_left_out)
--- a/src/lavenderfold/process_memory.py
+++ b/src/lavenderfold/process_memory.py
@@ -5,8 +5,10 @@
 """
 
 import ctypes
+import resource
 from collections import Counter
 from collections.abc import Callable
+from pathlib import Path
 
 import msgspec
 
@@ -32,6 +34,10 @@
 MMAP_THRESHOLD_BYTES = 128 * 1024
 
 
+# Sizes of this process in pages, the resident one second (proc(5)).
+STATM_PATH = Path("/proc/self/statm")
+
+
 class OutOfMemoryError(Exception):
     """A share was given up, or more than its memory allows was asked for."""
 
@@ -229,6 +235,15 @@
     return mallopt is not None and mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES) == 1
 
 
+def resident_bytes() -> int | None:
+    """Return the resident memory of this process, None where the system tells none."""
+    try:
+        _, resident_pages, _ = STATM_PATH.read_text().split(maxsplit=2)
+    except OSError:
+        return None
+    return int(resident_pages) * resource.getpagesize()
+
+
 def held_limit(memory_limit_bytes: int | None) -> int | None:
     """Return how much a process with this limit may hold; None is no bound."""
     if memory_limit_bytes is None:
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -262,6 +262,7 @@
         assert b'lavenderfold_router_state{state="link_saturated"} 0.0' in page
         assert b"lavenderfold_active_requests 0.0" in page
         assert b"lavenderfold_log_lines_left_out 0.0" in page
+        assert b"\nlavenderfold_uncounted_bytes " in page
         assert b"lavenderfold_longest_pause_seconds_count" in page
 
     run_scenario(scenario, stream())
