Decode answers in small chunks in slices

What callers saw: nothing so far. A target that answers in very small chunks had the router, or a relay reading the store, decode up to thousands of them before any other task ran, as callers could.

Change: after 32 events without a receive other tasks go on. That can't be cancelled, so that what has arrived is still read when its time is over.

Evidence: test_answers_in_small_chunks_are_decoded_in_slices failed on (8,194 events in a turn, 1,000 allowed), passes.

--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -40,6 +40,9 @@
 METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD"))
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 STATES_AFTER_RESPONSE = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+# Events that are decoded at once of what one receive returned, which can hold thousands
+# of small chunks. Then other tasks go on.
+EVENTS_AT_ONCE = 32
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
@@ -140,6 +143,7 @@
         "is_request_sent",
         "is_broken",
         "exchange_digests",
+        "_events_left",
     )
 
     def __init__(self, *, address: Address, stream: CountedStream):
@@ -148,6 +152,7 @@
         self.protocol = h11.Connection(h11.CLIENT)
         self.is_request_sent = False
         self.is_broken = False
+        self._events_left = EVENTS_AT_ONCE
         self.exchange_digests: deque[bytes] = deque(maxlen=RECENT_EXCHANGES_LIMIT)
 
     async def exchange(
@@ -229,6 +234,7 @@
     ) -> h11.Event:
         try:
             while True:
+                await self._let_others_go_on()
                 event = self.protocol.next_event()
                 if event is not h11.NEED_DATA:
                     return event
@@ -238,6 +244,7 @@
                 if not data and self.is_broken:
                     raise ResponseLostError(self.address, "reset within the request")
                 self.protocol.receive_data(data)
+                self._events_left = EVENTS_AT_ONCE
         except h11.RemoteProtocolError as error:
             _, is_closed = self.protocol.trailing_data
             error_type = ResponseLostError if is_closed else MalformedResponseError
@@ -246,6 +253,14 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ResponseLostError(self.address, error) from error
 
+    async def _let_others_go_on(self) -> None:
+        """Let other tasks go on after EVENTS_AT_ONCE events without a receive."""
+        if self._events_left == 0:
+            # What has arrived is read also when the time for it is over.
+            await trio.lowlevel.cancel_shielded_checkpoint()
+            self._events_left = EVENTS_AT_ONCE
+        self._events_left -= 1
+
     async def response_head(
         self, on_head_bytes: Callable[[bool], None] | None
     ) -> h11.Response:
--- a/tests/test_decoding_turns.py
+++ b/tests/test_decoding_turns.py
@@ -7,6 +7,7 @@
 import trio
 
 from lavenderfold.http import (
+    HttpClient,
     HttpRequest,
     HttpResponse,
     ResponseWriter,
@@ -133,3 +134,37 @@
     data = small_chunks(LONG_BODY_BYTES)
     status_lines = trio.run(partial(send_from_all, data, callers=1, limits=limits))
     assert status_lines[0][:12] == b"HTTP/1.1 200"
+
+
+def test_answers_in_small_chunks_are_decoded_in_slices(monkeypatch):
+    """Guards against a target whose chunks keep the whole router busy."""
+    meter = DecodingMeter(monkeypatch, counts=lambda event: 1)
+    answer_head = b"HTTP/1.1 200 \r\ntransfer-encoding: chunked\r\n\r\n"
+    data = answer_head + b"1\r\nx\r\n" * BODY_BYTES + b"0\r\n\r\n"
+
+    async def answer_raw(stream: trio.SocketStream) -> None:
+        await stream.receive_some(1000)
+        await stream.send_all(data)
+
+    async def call() -> list[int]:
+        sizes = []
+
+        async def read(address: Address) -> None:
+            client = HttpClient(address=address)
+            response = await client.request(HttpRequest(method="POST", target="/x"))
+            sizes.append(len(response.body))
+            await client.close()
+
+        with trio.fail_after(TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                serving = partial(trio.serve_tcp, answer_raw, 0, host="127.0.0.1")
+                (listener,) = await nursery.start(serving)
+                _, port = listener.socket.getsockname()
+                async with trio.open_nursery() as reading:
+                    for _ in range(CALLERS):
+                        reading.start_soon(read, Address(host="127.0.0.1", port=port))
+                nursery.cancel_scope.cancel()
+        return sizes
+
+    assert trio.run(call, instruments=[meter]) == [BODY_BYTES] * CALLERS
+    assert meter.most <= EVENTS_PER_TURN_LIMIT
