Test a crowd that changes its ways beside a reload and a stop

40 callers attack in all nine ways in turn while the settings are reloaded and the process is stopped: an ordinary request is answered, the memory stays within its limit, the process stops by itself, and nothing raises an error.

--- a/tests/test_returning_callers.py
+++ b/tests/test_returning_callers.py
@@ -1,5 +1,7 @@
 """Crowds of callers that come back, or send very small chunks, end no process."""
 
+import itertools
+import signal
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from functools import partial
@@ -20,10 +22,14 @@
     head,
     running,
 )
+from tests.platform_processes import EXIT_TIMEOUT_S
 
 RETURNING_CROWD = 20
 SMALL_CHUNKS_CROWD = 60
+MIXED_CROWD = 40
 CROWD_S = 4.0
+# Each way of attacking is used for this long.
+TURN_S = 0.7
 RETRY_AFTER_S = 0.5
 ASKED_AT_MOST = 30
 SMALL_CHUNK_BYTES = 16
@@ -161,3 +167,48 @@
     """Guards against a process that decodes the chunks of a few callers only."""
     attack = SMALL_CHUNK_ATTACKS[name]
     trio.run(partial(check, role, attack, tmp_path, crowd=SMALL_CHUNKS_CROWD))
+
+
+async def check_changes(role: str, folder) -> None:
+    """Attack in all ways, reload the settings and stop the process meanwhile."""
+    body_bytes = BODY_BYTES if role == "router" else RELAY_BODY_BYTES
+    kinds = list(ALL_ATTACKS.values())
+    async with running(role, folder) as process:
+        async with trio.open_nursery() as nursery:
+            for number in range(MIXED_CROWD):
+                nursery.start_soon(
+                    attack_in_turn, number, kinds, process.listen, body_bytes
+                )
+            await trio.sleep(CROWD_S)
+            process.child.send_signal(signal.SIGHUP)
+            beside = await served(partial(ask, process.listen))
+            peak_mb = process.peak_memory_mb
+            process.child.send_signal(signal.SIGTERM)
+            with trio.move_on_after(EXIT_TIMEOUT_S):
+                await trio.to_thread.run_sync(
+                    process.child.wait, abandon_on_cancel=True
+                )
+            nursery.cancel_scope.cancel()
+        log = process.log_path.read_text()
+    seen = {
+        "answered beside": beside,
+        "within memory": peak_mb < MEMORY_MB,
+        "stopped": process.child.returncode == 0,
+        "nothing failed": "Traceback" not in log,
+    }
+    assert all(seen.values()), f"{seen}, peak {peak_mb:.0f} MB\n{log[-2000:]}"
+
+
+async def attack_in_turn(
+    number: int, kinds: list, address: Address, body_bytes: int
+) -> None:
+    """Attack in another way for TURN_S each, beginning with that of a number."""
+    for turn in itertools.count(number):
+        with trio.move_on_after(TURN_S):
+            await attack_again(kinds[turn % len(kinds)], address, body_bytes)
+
+
+@pytest.mark.parametrize("role", ("router", "relay"))
+def test_crowd_that_changes_its_ways_beside_a_reload_and_a_stop(role, tmp_path):
+    """Guards against a process that a crowd keeps from stopping."""
+    trio.run(check_changes, role, tmp_path)
