Treat a connection that was closed for a new one as left by its caller

What callers saw: nothing more than the closed connection. A crowd that sends ahead and is given up for new connections had the router log an error with a traceback (connection_failed) for each connection that was closed while it looked whether its caller had left.

Cause: a closed socket has no descriptor to poll; trio raises ValueError.

Change: such a connection is received from, which raises the error that ends it as one whose caller has left.

--- a/src/lavenderfold/http/_request_reader.py
+++ b/src/lavenderfold/http/_request_reader.py
@@ -168,7 +168,7 @@
         A busy server reads requests long after they arrived.
         """
         try:
-            while self._may_send_ahead() and self._stream.socket.is_readable():
+            while self._may_send_ahead() and self._has_arrived():
                 data = await self._stream.receive_some(self._receive_bytes)
                 if not data:
                     return True
@@ -194,6 +194,14 @@
             return True
         return False
 
+    def _has_arrived(self) -> bool:
+        """Return whether bytes, or the end of the connection, can be received.
+
+        If it was closed for a new one, a receive raises ClosedResourceError.
+        """
+        socket = self._stream.socket
+        return socket.fileno() < 0 or socket.is_readable()
+
     def _may_send_ahead(self) -> bool:
         """Return whether a caller may send more before its request is answered."""
         return self._pipelined_bytes <= self.limits.header_bytes
@@ -240,7 +248,7 @@
         is_received = False
         with self._idle_connections.waiting():
             is_received = await self._receive_after_idling()
-        if not is_received and self._stream.socket.is_readable():
+        if not is_received and self._has_arrived():
             # A request has arrived just when the wait ended.
             self._receive_in_request(
                 await self._stream.receive_some(self._receive_bytes)
--- a/tests/test_callers_that_leave.py
+++ b/tests/test_callers_that_leave.py
@@ -6,8 +6,14 @@
 import pytest
 import trio
 
+from lavenderfold.accepting import AcceptedConnection
 from lavenderfold.fleet import RepeatPolicy
-from lavenderfold.http import _server
+from lavenderfold.http import ServerOptions, _server
+from lavenderfold.http._open_connections import OpenConnections
+from lavenderfold.http._request_reader import RequestReader
+from lavenderfold.http._stop import IdleConnections
+from lavenderfold.link_traffic import CountedStream
+from lavenderfold.process_memory import ProcessMemory
 from tests.direct_support import (
     DirectFleet,
     answer_successfully,
@@ -115,3 +121,23 @@
 
     monkeypatch.setattr(_server.ServerConnection, "_cancel_on_disconnect", ignore)
     assert any(run(seed).late_ids for seed in range(3))
+
+
+def test_connection_that_was_closed_meanwhile_counts_as_left():
+    """Guards against errors when a connection is given up for a new one."""
+
+    async def scenario() -> None:
+        ours, theirs = trio.socket.socketpair()
+        accepted = AcceptedConnection(stream=CountedStream(ours), queued_since=0.0)
+        connections = OpenConnections(limit=None, memory=ProcessMemory())
+        reader = RequestReader(
+            accepted=accepted,
+            options=ServerOptions(),
+            held=connections.open(on_evicted=ours.close, on_closed=ours.close),
+            idle_connections=IdleConnections(),
+        )
+        ours.close()
+        assert await reader.has_caller_left()
+        theirs.close()
+
+    trio.run(scenario)
