Count the store's answers that a relay reads for its callers

What callers saw: nothing yet. Callers at a relay that ask for long listings of the store and read nothing took it over its memory limit: the answers, up to 64 MB each, weren't counted while they were read.

Change: such an answer has a share of the process's memory until it is written; then the connection counts what its caller hasn't taken. An answer that is given up is refused with 502, like one that was lost, as the store may have executed the call.

--- a/src/lavenderfold/http/_client.py
+++ b/src/lavenderfold/http/_client.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+import time
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -22,6 +23,7 @@
 from lavenderfold.http._response_head import contains_status_line, unknown_status_line
 from lavenderfold.identifiers import id_digest
 from lavenderfold.link_traffic import CountedStream
+from lavenderfold.process_memory import MemoryShare
 from lavenderfold.settings import Address
 
 RECEIVE_BYTES = 65536
@@ -119,13 +121,18 @@
             else:
                 raise ResponseLostError(self._connection.address, "body was cut")
 
-    async def read(self, *, limit_bytes: int = BODY_BYTES_LIMIT) -> HttpResponse:
-        """Return the response with its complete body.
+    async def read(
+        self, *, limit_bytes: int = BODY_BYTES_LIMIT, share: MemoryShare | None = None
+    ) -> HttpResponse:
+        """Return the response with its complete body, which is counted in ``share``.
 
-        Raises ResponseLostError if the body ends early or is longer than the limit.
+        Raises ResponseLostError if the body ends early or is longer than the limit,
+        and OutOfMemoryError.
         """
         body = bytearray()
         async for part in self.chunks():
+            if share is not None:
+                share.add(len(part), now=time.monotonic())
             body += part
             if len(body) > limit_bytes:
                 cause = f"the body is longer than {limit_bytes} bytes"
@@ -319,16 +326,20 @@
         self._idle_connections: deque[_ClientConnection] = deque()
 
     async def request(
-        self, request: HttpRequest, *, limit_bytes: int = BODY_BYTES_LIMIT
+        self,
+        request: HttpRequest,
+        *,
+        limit_bytes: int = BODY_BYTES_LIMIT,
+        share: MemoryShare | None = None,
     ) -> HttpResponse:
         """Send a request and return its complete response.
 
-        ``limit_bytes`` bounds its body. Raises RequestNotSentError or
-        ResponseLostError. There is no timeout apart from that for connecting; use a
-        trio cancel scope.
+        ``limit_bytes`` bounds its body, which is counted in ``share``. Raises
+        RequestNotSentError, ResponseLostError, or OutOfMemoryError for the share.
+        There is no timeout apart from that for connecting; use a trio cancel scope.
         """
         async with self.stream(request) as response:
-            return await response.read(limit_bytes=limit_bytes)
+            return await response.read(limit_bytes=limit_bytes, share=share)
 
     @asynccontextmanager
     async def stream(
--- a/src/lavenderfold/relay/_relay.py
+++ b/src/lavenderfold/relay/_relay.py
@@ -29,7 +29,7 @@
     connections_limit,
     serve,
 )
-from lavenderfold.process_memory import ProcessMemory, held_limit
+from lavenderfold.process_memory import OutOfMemoryError, ProcessMemory, held_limit
 from lavenderfold.settings import Address
 from lavenderfold.shared import (
     ConditionalWrite,
@@ -49,6 +49,8 @@
 REPORT_PERIOD_S = 4.0
 # Combiners that may write at the same time, because routers fail over one by one.
 OTHER_COMBINERS = 2
+# The kind of memory share that the store's answers have.
+STORE_ANSWER_KIND = "store_answer"
 FORWARDED_HEADERS = frozenset(("content-type",))
 
 logger = logging.getLogger("lavenderfold.relay")
@@ -104,6 +106,7 @@
         self._store = store
         self._era = era or StoreEra()
         self._store_calls = store_calls
+        self._memory = ProcessMemory(limit_bytes=held_limit(options.memory_limit_bytes))
         self._client = HttpClient(
             address=options.store_address, connect_timeout_s=CONNECT_TIMEOUT_S
         )
@@ -133,9 +136,8 @@
             await self._era.wait_for_later(era or self._era.current)
 
     async def _serve(self, task_status: trio.TaskStatus[Address]) -> None:
-        limit_bytes = held_limit(self._options.memory_limit_bytes)
         options = ServerOptions(
-            memory=ProcessMemory(limit_bytes=limit_bytes),
+            memory=self._memory,
             connections_limit=connections_limit(self._options.descriptor_limit),
         )
         await serve(
@@ -213,12 +215,12 @@
             body=request.body,
         )
         try:
-            answer = await self._client.request(call)
+            answer = await self._forward(call)
         except RequestNotSentError as error:
             logger.info("store_unreachable", extra={"cause": str(error)})
             await writer.send(HttpResponse(status=503))
             return
-        except ResponseLostError as error:
+        except (ResponseLostError, OutOfMemoryError) as error:
             # The store may have executed the call. Unlike 503, status 502 doesn't
             # guarantee that it hasn't.
             logger.info("store_answer_lost", extra={"cause": str(error)})
@@ -229,3 +231,17 @@
         await writer.send(
             HttpResponse(status=answer.status, headers=headers, body=answer.body)
         )
+
+    async def _forward(self, call: HttpRequest) -> HttpResponse:
+        """Return the store's answer, which the process's memory bounds as well.
+
+        Raises HttpClientError, or OutOfMemoryError if there is no memory for it.
+        """
+        with trio.CancelScope() as scope:
+            share = self._memory.open_share(STORE_ANSWER_KIND, scope.cancel)
+            try:
+                return await self._client.request(call, share=share)
+            finally:
+                # What the caller doesn't take at once is counted for its connection.
+                share.close()
+        raise OutOfMemoryError("the answer of the store was given up")
--- a/tests/hostile_support.py
+++ b/tests/hostile_support.py
@@ -75,13 +75,24 @@
 
 
 @asynccontextmanager
-async def running(role: str, folder, *, memory_mb: int | None = None):
-    """Run a process beside the stand-ins of its store and its target."""
+async def running(
+    role: str,
+    folder,
+    *,
+    memory_mb: int | None = None,
+    stored: dict[str, object] | None = None,
+):
+    """Run a process beside the stand-ins of its store and its target.
+
+    ``stored`` are further values in the store.
+    """
     loopback = Address(host="127.0.0.1", port=0)
     async with trio.open_nursery() as nursery:
         target = await nursery.start(partial(serve, answer_target, address=loopback))
         entry = {**TARGET_ENTRY, "address": str(target)}
-        store = PlatformStoreStandIn({"op/config": CONFIG, "servers/t1": entry})
+        store = PlatformStoreStandIn(
+            {"op/config": CONFIG, "servers/t1": entry, **(stored or {})}
+        )
         store_address = await nursery.start(
             partial(serve, store.handle, address=loopback)
         )
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -9,6 +9,7 @@
 
 from lavenderfold.settings import Address
 from tests.hostile_support import (
+    ANSWER_BYTES,
     ANSWER_TIMEOUT_S,
     BODY_BYTES,
     MEMORY_MB,
@@ -85,6 +86,12 @@
     await stream.send_all(head("/long", "content-length: 0"))
 
 
+async def list_and_read_nothing(stream: trio.SocketStream, body_bytes: int) -> None:
+    """Ask a relay for a long listing, and read nothing."""
+    stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 4096)
+    await stream.send_all(head("/kv-range?path_prefix=long/", "content-length: 0"))
+
+
 async def stay_idle(stream: trio.SocketStream, body_bytes: int) -> None:
     """Send nothing."""
 
@@ -106,10 +113,11 @@
     crowd: int = CROWD,
     at_ready: bool = False,
     memory_mb: int = MEMORY_MB,
+    stored: dict[str, object] | None = None,
 ) -> None:
     body_bytes = BODY_BYTES if role == "router" else RELAY_BODY_BYTES
     open_files = 0
-    async with running(role, folder, memory_mb=memory_mb) as process:
+    async with running(role, folder, memory_mb=memory_mb, stored=stored) as process:
         attacked = process.ready if at_ready else process.listen
         async with trio.open_nursery() as nursery:
             for _ in range(crowd):
@@ -161,6 +169,12 @@
     trio.run(partial(check, "router", read_nothing, tmp_path))
 
 
+def test_unread_store_answers_leave_the_relay_within_its_memory(tmp_path):
+    """Guards against long answers of the store that a relay holds for a crowd."""
+    stored = {"long/1": "x" * ANSWER_BYTES}
+    trio.run(partial(check, "relay", list_and_read_nothing, tmp_path, stored=stored))
+
+
 @pytest.mark.parametrize(
     "attack", (send_length, send_ahead, send_endless_head), ids=lambda a: a.__name__
 )
